schema: Add the schema, its generator, the core types and the build

Cause: every module needs typed messages, settings, events and errors that do not depend on an encoding, so that decision logic can be embedded.

Change: Source/Schema defines messages, settings, events and error kinds. A protoc plugin writes plain structs, a protobuf codec and tables; the output is committed. Source/Core holds results, time, hashes, digests and shards.

Conclusion: modules can be built in parallel against the generated structs.

--- /dev/null
+++ b/Source/Core/digest.cc
@@ -0,0 +1,27 @@
+#include "Core/digest.h"
+
+#include <openssl/sha.h>
+
+#include <array>
+
+namespace lacewingbridge {
+
+std::string ComputeDigest(std::string_view text) {
+  std::array<unsigned char, SHA256_DIGEST_LENGTH> full{};
+  SHA256(reinterpret_cast<const unsigned char*>(text.data()), text.size(), full.data());
+  return {reinterpret_cast<const char*>(full.data()), kDigestBytes};
+}
+
+std::string FormatHex(std::string_view bytes) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string text;
+  text.reserve(bytes.size() * 2);
+  for (char byte : bytes) {
+    const auto value = static_cast<unsigned char>(byte);
+    text += kDigits[value >> 4U];
+    text += kDigits[value & 0x0fU];
+  }
+  return text;
+}
+
+}  // namespace lacewingbridge
--- /dev/null
+++ b/Source/Core/digest.h
@@ -0,0 +1,20 @@
+#ifndef LACEWINGBRIDGE_SOURCE_CORE_DIGEST_H_
+#define LACEWINGBRIDGE_SOURCE_CORE_DIGEST_H_
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace lacewingbridge {
+
+inline constexpr std::size_t kDigestBytes = 16;
+
+// First 16 bytes of the SHA-256 of the text.
+std::string ComputeDigest(std::string_view text);
+
+// Lower-case hexadecimal form, for keys and messages.
+std::string FormatHex(std::string_view bytes);
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_SOURCE_CORE_DIGEST_H_
--- /dev/null
+++ b/Source/Generated/events.h
@@ -0,0 +1,208 @@
+// Generated from Source/Schema/events.proto by Utilities/SchemaGenerator. Do not edit.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+
+namespace lacewingbridge {
+
+enum class Event {
+  kNone = 0,
+  kStarted = 100,
+  kStopping = 101,
+  kStopped = 102,
+  kDrainLimit = 103,
+  kStartFailed = 104,
+  kVersionInForce = 200,
+  kVersionRejected = 201,
+  kSubmissionAccepted = 202,
+  kSubmissionRefused = 203,
+  kStoreOlder = 204,
+  kWatchStarted = 300,
+  kWatchEnded = 301,
+  kStoreUnreachable = 302,
+  kStoreReached = 303,
+  kMemberJoined = 400,
+  kMemberSuspect = 401,
+  kMemberDead = 402,
+  kMemberDraining = 403,
+  kViewDistrusted = 404,
+  kViewTrusted = 405,
+  kTargetAnnounced = 500,
+  kTargetGone = 501,
+  kTargetDraining = 502,
+  kTargetEjected = 503,
+  kRequestQuarantined = 504,
+  kClaimOwnersChanged = 600,
+  kClaimsHandedOver = 601,
+  kOperatorCallFailed = 700,
+};
+
+// Word for a value, as shown to people.
+constexpr std::string_view GetName(Event value) {
+  switch (value) {
+    case Event::kNone:
+      return "none";
+    case Event::kStarted:
+      return "started";
+    case Event::kStopping:
+      return "stopping";
+    case Event::kStopped:
+      return "stopped";
+    case Event::kDrainLimit:
+      return "drain_limit";
+    case Event::kStartFailed:
+      return "start_failed";
+    case Event::kVersionInForce:
+      return "version_in_force";
+    case Event::kVersionRejected:
+      return "version_rejected";
+    case Event::kSubmissionAccepted:
+      return "submission_accepted";
+    case Event::kSubmissionRefused:
+      return "submission_refused";
+    case Event::kStoreOlder:
+      return "store_older";
+    case Event::kWatchStarted:
+      return "watch_started";
+    case Event::kWatchEnded:
+      return "watch_ended";
+    case Event::kStoreUnreachable:
+      return "store_unreachable";
+    case Event::kStoreReached:
+      return "store_reached";
+    case Event::kMemberJoined:
+      return "member_joined";
+    case Event::kMemberSuspect:
+      return "member_suspect";
+    case Event::kMemberDead:
+      return "member_dead";
+    case Event::kMemberDraining:
+      return "member_draining";
+    case Event::kViewDistrusted:
+      return "view_distrusted";
+    case Event::kViewTrusted:
+      return "view_trusted";
+    case Event::kTargetAnnounced:
+      return "target_announced";
+    case Event::kTargetGone:
+      return "target_gone";
+    case Event::kTargetDraining:
+      return "target_draining";
+    case Event::kTargetEjected:
+      return "target_ejected";
+    case Event::kRequestQuarantined:
+      return "request_quarantined";
+    case Event::kClaimOwnersChanged:
+      return "claim_owners_changed";
+    case Event::kClaimsHandedOver:
+      return "claims_handed_over";
+    case Event::kOperatorCallFailed:
+      return "operator_call_failed";
+  }
+  return "invalid";
+}
+
+struct EventDescription {
+  Event id;
+  std::string_view level;
+  std::string_view text;
+  std::string_view action;
+};
+
+inline constexpr std::array<EventDescription, 29> kEventCatalogue = {{
+    {Event::kNone, "info",
+     "no event",
+     ""},
+    {Event::kStarted, "info",
+     "daemon started",
+     ""},
+    {Event::kStopping, "info",
+     "shutdown requested; finishing requests in flight",
+     ""},
+    {Event::kStopped, "info",
+     "daemon stopped",
+     ""},
+    {Event::kDrainLimit, "warning",
+     "drain limit reached with requests in flight",
+     "Raise drain_limit_ms if such requests are legitimate."},
+    {Event::kStartFailed, "error",
+     "daemon could not start",
+     "Follow the remedy in the message."},
+    {Event::kVersionInForce, "info",
+     "rules version in force",
+     ""},
+    {Event::kVersionRejected, "warning",
+     "rules version rejected",
+     "None if it is older; if its digest does not match, look for mixed releases."},
+    {Event::kSubmissionAccepted, "info",
+     "submission accepted",
+     ""},
+    {Event::kSubmissionRefused, "info",
+     "submission refused",
+     ""},
+    {Event::kStoreOlder, "warning",
+     "store holds an older version than this daemon; writing it back",
+     "Ask the platform's team whether the store lost state; see displaced versions in status."},
+    {Event::kWatchStarted, "info",
+     "this daemon watches the store for its scope",
+     ""},
+    {Event::kWatchEnded, "info",
+     "this daemon no longer watches the store",
+     ""},
+    {Event::kStoreUnreachable, "warning",
+     "store did not answer",
+     "None while the platform works on it; submissions fail until it answers."},
+    {Event::kStoreReached, "info",
+     "store answers again",
+     ""},
+    {Event::kMemberJoined, "info",
+     "member joined",
+     ""},
+    {Event::kMemberSuspect, "info",
+     "member suspect",
+     ""},
+    {Event::kMemberDead, "warning",
+     "member dead",
+     "Replace the host if it stays away."},
+    {Event::kMemberDraining, "info",
+     "member draining",
+     ""},
+    {Event::kViewDistrusted, "warning",
+     "too many members suspect at once; keeping all of them",
+     "Check the network of this data centre."},
+    {Event::kViewTrusted, "info",
+     "members answer again",
+     ""},
+    {Event::kTargetAnnounced, "info",
+     "target announced",
+     ""},
+    {Event::kTargetGone, "warning",
+     "target stopped announcing itself",
+     "Check the target's process."},
+    {Event::kTargetDraining, "info",
+     "target draining",
+     ""},
+    {Event::kTargetEjected, "warning",
+     "target ejected after failures",
+     "Check the target's log."},
+    {Event::kRequestQuarantined, "warning",
+     "request quarantined after it crashed targets",
+     "Find the request by its fingerprint and fix the target."},
+    {Event::kClaimOwnersChanged, "info",
+     "owner map changed",
+     ""},
+    {Event::kClaimsHandedOver, "info",
+     "claims handed over",
+     ""},
+    {Event::kOperatorCallFailed, "info",
+     "operator call failed",
+     ""},
+}};
+
+}  // namespace lacewingbridge
