daemon: Add settings, event log, store client, JSON-RPC bridge and stand-ins

Cause: the whole path needs its outer parts: checked settings, numbered events, the platform's store, operators' calls and something to proxy to.

Change: DaemonSettingsLoader validates TOML against the generated table and reports all problems at once. StoreHttpClient satisfies the StoreClient concept.

Conclusion: the daemon can be wired to the decision logic next.

--- /dev/null
+++ b/Source/Daemon/daemon_clock.h
@@ -0,0 +1,26 @@
+#ifndef LACEWINGBRIDGE_SOURCE_DAEMON_DAEMON_CLOCK_H_
+#define LACEWINGBRIDGE_SOURCE_DAEMON_DAEMON_CLOCK_H_
+
+#include <chrono>
+#include <cstdint>
+
+#include "Core/time_point.h"
+
+namespace lacewingbridge {
+
+// The time that the daemon gives to decision logic: the monotonic clock.
+inline TimePoint GetNow() {
+  const auto since_boot = std::chrono::steady_clock::now().time_since_epoch();
+  return TimePoint(std::chrono::duration_cast<Duration>(since_boot));
+}
+
+// Milliseconds since the Unix epoch, for display and for incarnations only.
+inline std::uint64_t GetUnixMilliseconds() {
+  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count());
+}
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_SOURCE_DAEMON_DAEMON_CLOCK_H_
--- /dev/null
+++ b/Source/Daemon/daemon_settings_loader.h
@@ -0,0 +1,23 @@
+#ifndef LACEWINGBRIDGE_SOURCE_DAEMON_DAEMON_SETTINGS_LOADER_H_
+#define LACEWINGBRIDGE_SOURCE_DAEMON_DAEMON_SETTINGS_LOADER_H_
+
+#include <string>
+#include <string_view>
+
+#include "Core/result.h"
+#include "settings.h"
+
+namespace lacewingbridge {
+
+// Reads and validates the daemon's settings.
+class DaemonSettingsLoader {
+ public:
+  static Result<Settings> LoadFile(const std::string& path);
+
+  // All problems are reported at once; each names key, value, permitted range and remedy.
+  static Result<Settings> LoadText(const std::string& text, const std::string& file_name);
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_SOURCE_DAEMON_DAEMON_SETTINGS_LOADER_H_
--- /dev/null
+++ b/Source/Daemon/event_log.h
@@ -0,0 +1,35 @@
+#ifndef LACEWINGBRIDGE_SOURCE_DAEMON_EVENT_LOG_H_
+#define LACEWINGBRIDGE_SOURCE_DAEMON_EVENT_LOG_H_
+
+#include <fmt/format.h>
+
+#include <string_view>
+#include <utility>
+
+#include "events.h"
+
+namespace lacewingbridge {
+
+// Writes numbered events to standard error, one line each:
+// "2026-12-04T11:00:00.123Z info LW0200 rules version in force: number=3".
+class EventLog {
+ public:
+  // Sets the host name shown in each line and the least severe level written.
+  static void Configure(std::string_view host, std::string_view least_level);
+
+  // Writes the event with particulars given as a fmt format string.
+  template <typename... Args>
+  static void Write(Event event, fmt::format_string<Args...> format, Args&&... args) {
+    if (IsEnabled(event)) {
+      WriteLine(event, fmt::format(format, std::forward<Args>(args)...));
+    }
+  }
+
+ private:
+  static bool IsEnabled(Event event);
+  static void WriteLine(Event event, std::string_view particulars);
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_SOURCE_DAEMON_EVENT_LOG_H_
--- /dev/null
+++ b/Source/Daemon/http_listener.cc
@@ -0,0 +1,58 @@
+#include "Daemon/http_listener.h"
+
+#include <httplib.h>
+
+#include <string>
+
+#include "Core/socket_address.h"
+
+namespace lacewingbridge {
+
+namespace {
+
+constexpr std::size_t kMaxRequestsPerConnection = 1'000'000;
+constexpr time_t kIdleConnectionSeconds = 30;
+constexpr std::size_t kMaxBodyBytes = 8U << 20U;
+
+// The library's default sets SO_REUSEPORT, with which a second daemon on the same port
+// would take half of the connections without an error.
+void SetSocketOptions(socket_t socket) {
+  const int enabled = 1;
+  setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
+}
+
+}  // namespace
+
+HttpListener::HttpListener(std::size_t thread_count) : server(std::make_unique<httplib::Server>()) {
+  this->server->new_task_queue = [thread_count] { return new httplib::ThreadPool(thread_count); };
+  this->server->set_tcp_nodelay(true);
+  this->server->set_keep_alive_max_count(kMaxRequestsPerConnection);
+  this->server->set_keep_alive_timeout(kIdleConnectionSeconds);
+  this->server->set_payload_max_length(kMaxBodyBytes);
+  this->server->set_socket_options(SetSocketOptions);
+}
+
+HttpListener::~HttpListener() { this->Stop(); }
+
+Status HttpListener::Start(std::string_view address) {
+  Result<SocketAddress> parsed = SocketAddress::Parse(address);
+  if (!IsOk(parsed)) {
+    return GetError(parsed);
+  }
+  const SocketAddress& where = GetValue(parsed);
+  if (!this->server->bind_to_port(where.GetIp().c_str(), where.GetPort())) {
+    return Error{ErrorKind::kListenFailed, std::string(address)};
+  }
+  this->thread = std::thread([this] { this->server->listen_after_bind(); });
+  return MakeOkStatus();
+}
+
+void HttpListener::Stop() {
+  if (!this->thread.joinable()) {
+    return;
+  }
+  this->server->stop();
+  this->thread.join();
+}
+
+}  // namespace lacewingbridge
--- /dev/null
+++ b/Source/Daemon/store_http_client.h
@@ -0,0 +1,43 @@
+#ifndef LACEWINGBRIDGE_SOURCE_DAEMON_STORE_HTTP_CLIENT_H_
+#define LACEWINGBRIDGE_SOURCE_DAEMON_STORE_HTTP_CLIENT_H_
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+#include "Core/result.h"
+#include "Core/store_client.h"
+
+namespace lacewingbridge {
+
+// The platform's store over HTTP with JSON bodies. Satisfies StoreClient. Each call
+// opens a connection of its own, so that calls of different threads do not wait for
+// each other; the store is called a few times a second at the most.
+class StoreHttpClient {
+ public:
+  // Fails when the address is not IP:PORT.
+  static Result<std::unique_ptr<StoreHttpClient>> Create(const std::string& address,
+                                                         std::chrono::milliseconds timeout);
+
+  Result<StoreGetReply> Get(const StoreGetRequest& request);
+  Result<StoreSwapReply> Swap(const StoreSwapRequest& request);
+  Result<StoreLeaseReply> Lease(const StoreLeaseRequest& request);
+  Result<StoreWatchReply> Watch(const StoreWatchRequest& request);
+
+ private:
+  StoreHttpClient(std::string base, std::chrono::milliseconds limit)
+      : base_url(std::move(base)), timeout(limit) {}
+
+  template <typename Reply, typename Request>
+  Result<Reply> Call(const char* path, const Request& request,
+                     std::chrono::milliseconds extra_wait);
+
+  std::string base_url;
+  std::chrono::milliseconds timeout;
+};
+
+static_assert(StoreClient<StoreHttpClient>);
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_SOURCE_DAEMON_STORE_HTTP_CLIENT_H_
--- a/Source/Generated/adminclientstub.h
+++ b/Source/Generated/adminclientstub.h
@@ -12,14 +12,13 @@
     public:
         AdminClientStub(jsonrpc::IClientConnector &conn, jsonrpc::clientVersion_t type = jsonrpc::JSONRPC_CLIENT_V2) : jsonrpc::Client(conn, type) {}
 
-        Json::Value submit(const std::string& base_number, const std::string& operator_name, const std::string& submission_id, const std::string& text, const std::string& wait_ms) throw (jsonrpc::JsonRpcException)
+        Json::Value submit(const std::string& base_number, const std::string& operator_name, const std::string& submission_id, const std::string& text) throw (jsonrpc::JsonRpcException)
         {
             Json::Value p;
             p["base_number"] = base_number;
             p["operator_name"] = operator_name;
             p["submission_id"] = submission_id;
             p["text"] = text;
-            p["wait_ms"] = wait_ms;
             Json::Value result = this->CallMethod("submit",p);
             if (result.isObject())
                 return result;
--- a/Source/Generated/membership.h
+++ b/Source/Generated/membership.h
@@ -68,6 +68,7 @@
   std::uint32_t slots = 0;
   bool draining = false;
   std::uint32_t reported_load_permille = 0;
+  std::uint64_t incarnation = 0;
 
   bool operator==(const TargetRecord&) const = default;
 };
--- a/Source/Generated/membership_codec.cc
+++ b/Source/Generated/membership_codec.cc
@@ -14,6 +14,7 @@
   wire.set_slots(plain.slots);
   wire.set_draining(plain.draining);
   wire.set_reported_load_permille(plain.reported_load_permille);
+  wire.set_incarnation(plain.incarnation);
 }
 
 void FromWire(const wire::TargetRecord& wire, TargetRecord& plain) {
@@ -22,6 +23,7 @@
   plain.slots = wire.slots();
   plain.draining = wire.draining();
   plain.reported_load_permille = wire.reported_load_permille();
+  plain.incarnation = wire.incarnation();
 }
 
 std::string Encode(const TargetRecord& plain) {
