--- /dev/null
+++ b/Source/Daemon/peer_client.cc
@@ -0,0 +1,33 @@
+#include "Daemon/peer_client.h"
+
+#include <fmt/core.h>
+#include <httplib.h>
+
+#include "Daemon/http_connection_pool.h"
+
+namespace lacewingbridge {
+
+std::variant<std::string, PeerFailure> PeerClient::Post(const std::string& address,
+                                                        const char* path,
+                                                        const std::string& body) {
+  std::unique_ptr<httplib::Client> client = this->pool.Take(address);
+  client->set_read_timeout(this->timeout);
+  client->set_write_timeout(this->timeout);
+  httplib::Result answer = client->Post(path, body, "application/x-protobuf");
+  if (!answer) {
+    const bool refused = answer.error() == httplib::Error::Connection;
+    return PeerFailure{{ErrorKind::kPeerUnreachable, fmt::format("{}{}: {}", address, path,
+                                                                 httplib::to_string(answer.error()))},
+                       refused};
+  }
+  if (answer->status != 200) {
+    return PeerFailure{{ErrorKind::kPeerUnreachable,
+                        fmt::format("{}{}: status {}", address, path, answer->status)},
+                       false};
+  }
+  std::string reply = std::move(answer->body);
+  this->pool.Return(address, std::move(client));
+  return reply;
+}
+
+}  // namespace lacewingbridge
--- /dev/null
+++ b/Source/Daemon/peer_client.h
@@ -0,0 +1,62 @@
+#ifndef LACEWINGBRIDGE_SOURCE_DAEMON_PEER_CLIENT_H_
+#define LACEWINGBRIDGE_SOURCE_DAEMON_PEER_CLIENT_H_
+
+#include <chrono>
+#include <string>
+#include <string_view>
+
+#include "Core/result.h"
+#include "peer_codec.h"
+
+namespace lacewingbridge {
+
+class HttpConnectionPool;
+
+// Whether a failed call may have reached the other daemon.
+struct PeerFailure {
+  Error error;
+  // The connection was refused, so nothing listens there.
+  bool refused = false;
+};
+
+// Calls to other daemons: HTTP POST with protobuf bodies.
+class PeerClient {
+ public:
+  // The pool must outlive the client.
+  PeerClient(HttpConnectionPool& connections, std::chrono::milliseconds call_limit)
+      : pool(connections), timeout(call_limit) {}
+
+  template <typename Reply, typename Request>
+  std::variant<Reply, PeerFailure> Call(const std::string& address, const char* path,
+                                        const Request& request) {
+    std::variant<std::string, PeerFailure> answer = this->Post(address, path, Encode(request));
+    if (auto* failure = std::get_if<PeerFailure>(&answer)) {
+      return std::move(*failure);
+    }
+    Reply reply;
+    if (!Decode(std::get<std::string>(answer), reply)) {
+      return PeerFailure{{ErrorKind::kMalformedMessage, address + path}, false};
+    }
+    return reply;
+  }
+
+ private:
+  std::variant<std::string, PeerFailure> Post(const std::string& address, const char* path,
+                                              const std::string& body);
+
+  HttpConnectionPool& pool;
+  std::chrono::milliseconds timeout;
+};
+
+// Paths of the calls.
+inline constexpr char kFetchRulesPath[] = "/peer/fetch";
+inline constexpr char kListMembersPath[] = "/peer/members";
+inline constexpr char kRelayExchangePath[] = "/peer/relay";
+inline constexpr char kClaimPath[] = "/peer/claim";
+inline constexpr char kClaimDonePath[] = "/peer/claim-done";
+inline constexpr char kClaimTransferPath[] = "/peer/claim-transfer";
+inline constexpr char kClaimOwnerMapPath[] = "/peer/claim-owners";
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_SOURCE_DAEMON_PEER_CLIENT_H_
--- a/Source/Generated/rules.h
+++ b/Source/Generated/rules.h
@@ -26,10 +26,19 @@
   bool operator==(const DeltaEdit&) const = default;
 };
 
+struct RulesOrigin {
+  std::string submission_id;
+  std::string operator_name;
+  std::uint64_t accepted_unix_ms = 0;
+
+  bool operator==(const RulesOrigin&) const = default;
+};
+
 struct RulesDeltaScript {
   VersionStamp parent;
   VersionStamp result;
   std::vector<DeltaEdit> edits;
+  RulesOrigin origin;
 
   bool operator==(const RulesDeltaScript&) const = default;
 };
--- a/Source/Generated/rules_codec.cc
+++ b/Source/Generated/rules_codec.cc
@@ -111,6 +111,59 @@
   return true;
 }
 
+void ToWire(const RulesOrigin& plain, wire::RulesOrigin& wire) {
+  wire.set_submission_id(plain.submission_id);
+  wire.set_operator_name(plain.operator_name);
+  wire.set_accepted_unix_ms(plain.accepted_unix_ms);
+}
+
+void FromWire(const wire::RulesOrigin& wire, RulesOrigin& plain) {
+  plain.submission_id = wire.submission_id();
+  plain.operator_name = wire.operator_name();
+  plain.accepted_unix_ms = wire.accepted_unix_ms();
+}
+
+std::string Encode(const RulesOrigin& plain) {
+  wire::RulesOrigin wire;
+  ToWire(plain, wire);
+  return wire.SerializeAsString();
+}
+
+bool Decode(std::string_view bytes, RulesOrigin& plain) {
+  wire::RulesOrigin wire;
+  if (!wire.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
+std::string EncodeJson(const RulesOrigin& plain) {
+  wire::RulesOrigin wire;
+  ToWire(plain, wire);
+  std::string text;
+  google::protobuf::util::JsonPrintOptions options;
+  options.preserve_proto_field_names = true;
+  options.always_print_primitive_fields = true;
+  if (!google::protobuf::util::MessageToJsonString(wire, &text, options).ok()) {
+    return {};
+  }
+  return text;
+}
+
+bool DecodeJson(std::string_view text, RulesOrigin& plain) {
+  wire::RulesOrigin wire;
+  if (!google::protobuf::util::JsonStringToMessage(
+           google::protobuf::StringPiece(text.data(), text.size()), &wire)
+           .ok()) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
 void ToWire(const RulesDeltaScript& plain, wire::RulesDeltaScript& wire) {
   if (plain.parent != VersionStamp{}) {
     ToWire(plain.parent, *wire.mutable_parent());
@@ -121,6 +174,9 @@
   for (const auto& element : plain.edits) {
     ToWire(element, *wire.add_edits());
   }
+  if (plain.origin != RulesOrigin{}) {
+    ToWire(plain.origin, *wire.mutable_origin());
+  }
 }
 
 void FromWire(const wire::RulesDeltaScript& wire, RulesDeltaScript& plain) {
@@ -130,6 +186,7 @@
   for (const auto& element : wire.edits()) {
     FromWire(element, plain.edits.emplace_back());
   }
+  FromWire(wire.origin(), plain.origin);
 }
 
 std::string Encode(const RulesDeltaScript& plain) {
--- a/Source/Generated/store.h
+++ b/Source/Generated/store.h
@@ -74,6 +74,19 @@
   bool operator==(const StoreWatchReply&) const = default;
 };
 
+struct WatchHolder {
+  std::string host;
+  std::uint64_t lease_id = 0;
+
+  bool operator==(const WatchHolder&) const = default;
+};
+
+struct SeedList {
+  std::vector<std::string> addresses;
+
+  bool operator==(const SeedList&) const = default;
+};
+
 struct StoreCallCounts {
   std::uint64_t gets = 0;
   std::uint64_t swaps = 0;
--- a/Source/Generated/store_codec.cc
+++ b/Source/Generated/store_codec.cc
@@ -472,6 +472,111 @@
   return true;
 }
 
+void ToWire(const WatchHolder& plain, wire::WatchHolder& wire) {
+  wire.set_host(plain.host);
+  wire.set_lease_id(plain.lease_id);
+}
+
+void FromWire(const wire::WatchHolder& wire, WatchHolder& plain) {
+  plain.host = wire.host();
+  plain.lease_id = wire.lease_id();
+}
+
+std::string Encode(const WatchHolder& plain) {
+  wire::WatchHolder wire;
+  ToWire(plain, wire);
+  return wire.SerializeAsString();
+}
+
+bool Decode(std::string_view bytes, WatchHolder& plain) {
+  wire::WatchHolder wire;
+  if (!wire.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
+std::string EncodeJson(const WatchHolder& plain) {
+  wire::WatchHolder wire;
+  ToWire(plain, wire);
+  std::string text;
+  google::protobuf::util::JsonPrintOptions options;
+  options.preserve_proto_field_names = true;
+  options.always_print_primitive_fields = true;
+  if (!google::protobuf::util::MessageToJsonString(wire, &text, options).ok()) {
+    return {};
+  }
+  return text;
+}
+
+bool DecodeJson(std::string_view text, WatchHolder& plain) {
+  wire::WatchHolder wire;
+  if (!google::protobuf::util::JsonStringToMessage(
+           google::protobuf::StringPiece(text.data(), text.size()), &wire)
+           .ok()) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
+void ToWire(const SeedList& plain, wire::SeedList& wire) {
+  for (const auto& element : plain.addresses) {
+    wire.add_addresses(element);
+  }
+}
+
+void FromWire(const wire::SeedList& wire, SeedList& plain) {
+  plain.addresses.reserve(static_cast<std::size_t>(wire.addresses_size()));
+  for (const auto& element : wire.addresses()) {
+    plain.addresses.push_back(element);
+  }
+}
+
+std::string Encode(const SeedList& plain) {
+  wire::SeedList wire;
+  ToWire(plain, wire);
+  return wire.SerializeAsString();
+}
+
+bool Decode(std::string_view bytes, SeedList& plain) {
+  wire::SeedList wire;
+  if (!wire.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
+std::string EncodeJson(const SeedList& plain) {
+  wire::SeedList wire;
+  ToWire(plain, wire);
+  std::string text;
+  google::protobuf::util::JsonPrintOptions options;
+  options.preserve_proto_field_names = true;
+  options.always_print_primitive_fields = true;
+  if (!google::protobuf::util::MessageToJsonString(wire, &text, options).ok()) {
+    return {};
+  }
+  return text;
+}
+
+bool DecodeJson(std::string_view text, SeedList& plain) {
+  wire::SeedList wire;
+  if (!google::protobuf::util::JsonStringToMessage(
+           google::protobuf::StringPiece(text.data(), text.size()), &wire)
+           .ok()) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
 void ToWire(const StoreCallCounts& plain, wire::StoreCallCounts& wire) {
   wire.set_gets(plain.gets);
   wire.set_swaps(plain.swaps);
