--- /dev/null
+++ b/Source/Rules/rules_document.h
@@ -0,0 +1,25 @@
+#ifndef LACEWINGBRIDGE_SOURCE_RULES_RULES_DOCUMENT_H_
+#define LACEWINGBRIDGE_SOURCE_RULES_RULES_DOCUMENT_H_
+
+#include <string>
+#include <vector>
+
+#include "Rules/limit_rule.h"
+#include "Rules/route_rule.h"
+#include "Rules/service_rule.h"
+
+namespace lacewingbridge {
+
+// The rules of one valid file, each kind in the order of its lines.
+struct RulesDocument {
+  std::string file_name;
+  std::vector<ServiceRule> services;
+  std::vector<RouteRule> routes;
+  std::vector<LimitRule> limits;
+
+  bool operator==(const RulesDocument&) const = default;
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_SOURCE_RULES_RULES_DOCUMENT_H_
--- /dev/null
+++ b/Source/Rules/rules_error.h
@@ -0,0 +1,26 @@
+#ifndef LACEWINGBRIDGE_SOURCE_RULES_RULES_ERROR_H_
+#define LACEWINGBRIDGE_SOURCE_RULES_RULES_ERROR_H_
+
+#include <cstdint>
+#include <string>
+
+namespace lacewingbridge {
+
+// One thing that is wrong in a rules file.
+struct RulesError {
+  std::string file_name;
+  // Both count from 1; the column counts characters, not bytes.
+  std::uint32_t line = 1;
+  std::uint32_t column = 1;
+  std::string what;
+  std::string remedy;
+
+  bool operator==(const RulesError&) const = default;
+};
+
+// "file:line:column: what; remedy"
+std::string FormatRulesError(const RulesError& error);
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_SOURCE_RULES_RULES_ERROR_H_
