version, watch: Declare the interfaces of both modules

Change: headers only. Every module is a state machine that takes typed inputs, the time and the random source, and returns typed actions.

--- /dev/null
+++ b/Source/Version/version_order.h
@@ -0,0 +1,28 @@
+#ifndef LACEWINGBRIDGE_SOURCE_VERSION_VERSION_ORDER_H_
+#define LACEWINGBRIDGE_SOURCE_VERSION_VERSION_ORDER_H_
+
+#include <compare>
+
+#include "rules.h"
+
+namespace lacewingbridge {
+
+// Number 0 stands for "no version", whatever the digest.
+inline bool IsNone(const VersionStamp& stamp) { return stamp.number == 0; }
+
+// Total order of versions: number, then digest. The digest decides only after the
+// store lost state and accepted a number twice.
+inline std::strong_ordering CompareVersions(const VersionStamp& left, const VersionStamp& right) {
+  if (left.number != right.number || IsNone(left)) {
+    return left.number <=> right.number;
+  }
+  return left.digest.compare(right.digest) <=> 0;
+}
+
+inline bool IsNewer(const VersionStamp& left, const VersionStamp& right) {
+  return CompareVersions(left, right) > 0;
+}
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_SOURCE_VERSION_VERSION_ORDER_H_
--- /dev/null
+++ b/Source/Watch/watch_election.h
@@ -0,0 +1,94 @@
+#ifndef LACEWINGBRIDGE_SOURCE_WATCH_WATCH_ELECTION_H_
+#define LACEWINGBRIDGE_SOURCE_WATCH_WATCH_ELECTION_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "Core/time_point.h"
+#include "Watch/watch_backoff.h"
+#include "Watch/watch_messages.h"
+
+namespace lacewingbridge {
+
+struct WatchElectionSettings {
+  std::string scope;
+  std::string host;
+  Duration lease = std::chrono::seconds(9);
+  // Rank k waits k steps plus a jitter of up to one step.
+  Duration rank_step = std::chrono::seconds(1);
+  // Hosts of a higher rank make no call. 225 daemons that restart together then cost
+  // a scope at most one read for each of these ranks.
+  std::size_t max_candidates = 8;
+  // The first candidate that does not hold the lease reads the key this often. It
+  // covers a holder that its peers see alive but that cannot reach the store.
+  Duration standby_check = std::chrono::seconds(60);
+  Duration longest_backoff = std::chrono::seconds(30);
+};
+
+// Decides whether this daemon watches the store for its scope. At most one store call
+// is outstanding at a time.
+class WatchElection {
+ public:
+  // The wait for the first attempt starts now.
+  WatchElection(WatchElectionSettings settings, TimePoint now, std::mt19937_64& random);
+
+  WatchDecision Handle(const WatchEvent& event, TimePoint now, std::mt19937_64& random);
+
+  // Whether this daemon may act as the watcher. It may not once the lease can have
+  // lapsed by the time given, even when no reply said so.
+  bool IsActing(TimePoint now) const;
+
+  // The holder as last read; empty before the first read.
+  const std::optional<WatchHolder>& GetHolder() const { return this->holder; }
+
+ private:
+  enum class State { kWaiting, kReading, kGranting, kSwapping, kHolding, kRenewing, kStandby };
+
+  WatchCall Apply(const WatchTimePassed& event, TimePoint now, std::mt19937_64& random);
+  WatchCall Apply(const WatchMembersChanged& event, TimePoint now, std::mt19937_64& random);
+  WatchCall Apply(const WatchKeyRead& event, TimePoint now, std::mt19937_64& random);
+  WatchCall Apply(const WatchLeaseReplied& event, TimePoint now, std::mt19937_64& random);
+  WatchCall Apply(const WatchKeySwapped& event, TimePoint now, std::mt19937_64& random);
+  WatchCall Apply(const WatchCallFailed& event, TimePoint now, std::mt19937_64& random);
+
+  WatchCall KeepLease(TimePoint now);
+  void StartHolding();
+  void StartWaiting(TimePoint now, std::mt19937_64& random);
+  void StartStandby(TimePoint now, std::mt19937_64& random);
+  void RetryLater(TimePoint now, std::mt19937_64& random);
+  void UpdateRanks();
+  bool IsCandidate() const;
+  bool IsHolderLive() const;
+  bool IsFirstStandby() const;
+  bool IsLeaseUsable(TimePoint now) const;
+  TimePoint GetWakeTime() const;
+  TimePoint GetActingLimit() const;
+
+  WatchElectionSettings settings;
+  WatchBackoff backoff;
+  State state = State::kWaiting;
+  // Candidates in the order of their rank, this host included.
+  std::vector<std::string> ranking;
+  std::size_t rank = 0;
+  std::optional<WatchHolder> holder;
+  std::uint64_t lease_id = 0;
+  // When the last granted lease request was sent; its term cannot begin earlier.
+  TimePoint lease_sent_at;
+  TimePoint call_sent_at;
+  bool holding_key = false;
+  // Start of the wait by rank, its jitter, and the earliest retry after a failure.
+  TimePoint wait_started_at;
+  Duration jitter{};
+  TimePoint retry_at;
+  TimePoint renew_at;
+  TimePoint check_at;
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_SOURCE_WATCH_WATCH_ELECTION_H_
