--- a/Source/Generated/peer.h
+++ b/Source/Generated/peer.h
@@ -115,6 +115,7 @@
 struct DataCentreDigest {
   std::string data_centre;
   std::uint64_t members_hash = 0;
+  std::vector<std::uint64_t> bucket_hashes;
 
   bool operator==(const DataCentreDigest&) const = default;
 };
--- a/Source/Generated/peer_codec.cc
+++ b/Source/Generated/peer_codec.cc
@@ -235,11 +235,18 @@
 void ToWire(const DataCentreDigest& plain, wire::DataCentreDigest& wire) {
   wire.set_data_centre(plain.data_centre);
   wire.set_members_hash(plain.members_hash);
+  for (const auto& element : plain.bucket_hashes) {
+    wire.add_bucket_hashes(element);
+  }
 }
 
 void FromWire(const wire::DataCentreDigest& wire, DataCentreDigest& plain) {
   plain.data_centre = wire.data_centre();
   plain.members_hash = wire.members_hash();
+  plain.bucket_hashes.reserve(static_cast<std::size_t>(wire.bucket_hashes_size()));
+  for (const auto& element : wire.bucket_hashes()) {
+    plain.bucket_hashes.push_back(element);
+  }
 }
 
 std::string Encode(const DataCentreDigest& plain) {
