--- /dev/null
+++ b/Source/Claims/claim_owner_view.h
@@ -0,0 +1,43 @@
+#ifndef LACEWINGBRIDGE_SOURCE_CLAIMS_CLAIM_OWNER_VIEW_H_
+#define LACEWINGBRIDGE_SOURCE_CLAIMS_CLAIM_OWNER_VIEW_H_
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "peer.h"
+
+namespace lacewingbridge {
+
+// The owner map that a daemon holds. Copies share the map and are cheap.
+class ClaimOwnerView {
+ public:
+  ClaimOwnerView() = default;
+
+  // Adopts the map when its epoch is larger than the held one; otherwise returns false.
+  bool Adopt(ClaimOwnerMap map);
+
+  // 0 when no map is held.
+  std::uint64_t GetEpoch() const;
+  std::span<const std::string> GetHosts() const;
+  bool HasHost(std::string_view host) const;
+
+  // Host that owns the key; empty when no map is held or it names no host. Agrees with
+  // SelectByHash over the hosts.
+  std::string_view FindOwner(std::string_view key) const;
+
+  // Whether the map is the first one ever and was created while this process, named by
+  // its incarnation, was already running. Then no host has owned a key before, and this
+  // process has not been restarted since the first key was claimed.
+  bool IsFoundedWith(std::string_view host, std::uint64_t incarnation) const;
+
+ private:
+  struct Content;
+  std::shared_ptr<const Content> content;
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_SOURCE_CLAIMS_CLAIM_OWNER_VIEW_H_
--- /dev/null
+++ b/Source/Claims/claim_wait_list.h
@@ -0,0 +1,82 @@
+#ifndef LACEWINGBRIDGE_SOURCE_CLAIMS_CLAIM_WAIT_LIST_H_
+#define LACEWINGBRIDGE_SOURCE_CLAIMS_CLAIM_WAIT_LIST_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "Claims/claim_owner_view.h"
+#include "Core/time_point.h"
+#include "peer.h"
+
+namespace lacewingbridge {
+
+// A hand-over that a new owner still expects.
+struct ClaimWait {
+  std::string host;
+  std::uint64_t change_epoch = 0;
+
+  bool operator==(const ClaimWait&) const = default;
+};
+
+// Keys that an owner may not grant yet, because a previous owner may have granted them.
+//
+// A key gained by a map change is blocked until its previous owner's hand-over is
+// complete. Without a hand-over it is released one claim memory after the moment from
+// which the previous owner surely grants no more: when it was removed from the map, or
+// when it was heard to hold the map that moved the key. A previous owner that is cut off
+// and still in the map therefore blocks its moved keys until it is heard again; counting
+// from the own adoption would let both hosts grant a key.
+class ClaimWaitList {
+ public:
+  ClaimWaitList(std::string_view host, Duration claim_memory)
+      : host(host), claim_memory(claim_memory) {}
+
+  // Blocks the keys that the host gains by the change between two consecutive maps.
+  void AddChange(TimePoint now, const ClaimOwnerView& before, const ClaimOwnerView& after);
+
+  // Blocks every key for one claim memory: previous owners are unknown.
+  void BlockAll(TimePoint now, std::uint64_t epoch);
+
+  // The host was heard to hold this epoch.
+  void ConfirmEpoch(TimePoint now, std::string_view from_host, std::uint64_t epoch);
+
+  void Expire(TimePoint now);
+
+  bool IsBlocked(std::string_view key) const;
+  bool IsBlockingAll() const;
+  // Whether a wait older than the epoch is open; a hand-over of that epoch then is not
+  // complete yet, as it has to pass on what is still to come.
+  bool HasWaitBefore(std::uint64_t epoch) const;
+  std::vector<ClaimWait> ListWaits() const;
+
+  // Part expected next from the host, or nothing when none is awaited.
+  std::optional<std::uint32_t> GetNextPart(const ClaimWait& wait) const;
+  // Whether the key belonged to the host before the change.
+  bool IsFromOwner(const ClaimWait& wait, std::string_view key) const;
+  // The expected part was stored; complete ends the wait.
+  void NotePart(const ClaimWait& wait, bool complete);
+
+ private:
+  struct HostWait {
+    std::uint32_t next_part = 0;
+    std::optional<TimePoint> release_at;
+  };
+  struct Change {
+    ClaimOwnerView before;
+    std::map<std::string, HostWait, std::less<>> hosts;
+    std::optional<TimePoint> all_until;
+  };
+
+  std::string host;
+  Duration claim_memory;
+  std::map<std::uint64_t, Change> changes;
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_SOURCE_CLAIMS_CLAIM_WAIT_LIST_H_
--- a/Source/Generated/peer.h
+++ b/Source/Generated/peer.h
@@ -141,6 +141,7 @@
 struct ClaimOwnerMap {
   std::uint64_t epoch = 0;
   std::vector<std::string> hosts;
+  std::vector<std::uint64_t> founding_incarnations;
 
   bool operator==(const ClaimOwnerMap&) const = default;
 };
@@ -154,6 +155,9 @@
   bool answer_kept = false;
   std::uint64_t age_ms = 0;
   std::string content_type;
+  std::uint64_t attempt_id = 0;
+  std::string caller_host;
+  std::uint64_t caller_incarnation = 0;
 
   bool operator==(const ClaimRecord&) const = default;
 };
@@ -163,6 +167,8 @@
   std::uint64_t request_hash = 0;
   std::uint64_t owner_map_epoch = 0;
   std::uint64_t attempt_id = 0;
+  std::string caller_host;
+  std::uint64_t caller_incarnation = 0;
 
   bool operator==(const ClaimRequest&) const = default;
 };
@@ -197,12 +203,16 @@
   std::string from_host;
   std::vector<ClaimRecord> claims;
   bool complete = false;
+  std::uint64_t change_epoch = 0;
+  std::uint32_t part = 0;
 
   bool operator==(const ClaimTransferRequest&) const = default;
 };
 
 struct ClaimTransferReply {
   bool accepted = false;
+  std::uint64_t owner_map_epoch = 0;
+  std::uint32_t next_part = 0;
 
   bool operator==(const ClaimTransferReply&) const = default;
 };
--- a/Source/Generated/peer_codec.cc
+++ b/Source/Generated/peer_codec.cc
@@ -434,6 +434,9 @@
   for (const auto& element : plain.hosts) {
     wire.add_hosts(element);
   }
+  for (const auto& element : plain.founding_incarnations) {
+    wire.add_founding_incarnations(element);
+  }
 }
 
 void FromWire(const wire::ClaimOwnerMap& wire, ClaimOwnerMap& plain) {
@@ -442,6 +445,10 @@
   for (const auto& element : wire.hosts()) {
     plain.hosts.push_back(element);
   }
+  plain.founding_incarnations.reserve(static_cast<std::size_t>(wire.founding_incarnations_size()));
+  for (const auto& element : wire.founding_incarnations()) {
+    plain.founding_incarnations.push_back(element);
+  }
 }
 
 std::string Encode(const ClaimOwnerMap& plain) {
@@ -494,6 +501,9 @@
   wire.set_answer_kept(plain.answer_kept);
   wire.set_age_ms(plain.age_ms);
   wire.set_content_type(plain.content_type);
+  wire.set_attempt_id(plain.attempt_id);
+  wire.set_caller_host(plain.caller_host);
+  wire.set_caller_incarnation(plain.caller_incarnation);
 }
 
 void FromWire(const wire::ClaimRecord& wire, ClaimRecord& plain) {
@@ -505,6 +515,9 @@
   plain.answer_kept = wire.answer_kept();
   plain.age_ms = wire.age_ms();
   plain.content_type = wire.content_type();
+  plain.attempt_id = wire.attempt_id();
+  plain.caller_host = wire.caller_host();
+  plain.caller_incarnation = wire.caller_incarnation();
 }
 
 std::string Encode(const ClaimRecord& plain) {
@@ -553,6 +566,8 @@
   wire.set_request_hash(plain.request_hash);
   wire.set_owner_map_epoch(plain.owner_map_epoch);
   wire.set_attempt_id(plain.attempt_id);
+  wire.set_caller_host(plain.caller_host);
+  wire.set_caller_incarnation(plain.caller_incarnation);
 }
 
 void FromWire(const wire::ClaimRequest& wire, ClaimRequest& plain) {
@@ -560,6 +575,8 @@
   plain.request_hash = wire.request_hash();
   plain.owner_map_epoch = wire.owner_map_epoch();
   plain.attempt_id = wire.attempt_id();
+  plain.caller_host = wire.caller_host();
+  plain.caller_incarnation = wire.caller_incarnation();
 }
 
 std::string Encode(const ClaimRequest& plain) {
@@ -773,6 +790,8 @@
     ToWire(element, *wire.add_claims());
   }
   wire.set_complete(plain.complete);
+  wire.set_change_epoch(plain.change_epoch);
+  wire.set_part(plain.part);
 }
 
 void FromWire(const wire::ClaimTransferRequest& wire, ClaimTransferRequest& plain) {
@@ -783,6 +802,8 @@
     FromWire(element, plain.claims.emplace_back());
   }
   plain.complete = wire.complete();
+  plain.change_epoch = wire.change_epoch();
+  plain.part = wire.part();
 }
 
 std::string Encode(const ClaimTransferRequest& plain) {
@@ -828,10 +849,14 @@
 
 void ToWire(const ClaimTransferReply& plain, wire::ClaimTransferReply& wire) {
   wire.set_accepted(plain.accepted);
+  wire.set_owner_map_epoch(plain.owner_map_epoch);
+  wire.set_next_part(plain.next_part);
 }
 
 void FromWire(const wire::ClaimTransferReply& wire, ClaimTransferReply& plain) {
   plain.accepted = wire.accepted();
+  plain.owner_map_epoch = wire.owner_map_epoch();
+  plain.next_part = wire.next_part();
 }
 
 std::string Encode(const ClaimTransferReply& plain) {
