--- a/Source/Admin/admin_handlers.h
+++ b/Source/Admin/admin_handlers.h
@@ -10,7 +10,8 @@
 // Plain C++14, because the JSON-RPC library does not compile as C++20.
 struct AdminHandlers {
   std::function<std::string(const std::string& text, const std::string& operator_name,
-                            const std::string& base_number, const std::string& submission_id)>
+                            const std::string& base_number, const std::string& submission_id,
+                            const std::string& resumed)>
       submit;
   std::function<std::string(const std::string& text, const std::string& file_name)> check;
   std::function<std::string(const std::string& method, const std::string& path)> explain;
--- a/Source/Admin/admin_rpc_client.cc
+++ b/Source/Admin/admin_rpc_client.cc
@@ -58,10 +58,10 @@
 AdminRpcClient::~AdminRpcClient() = default;
 
 std::string AdminRpcClient::Submit(const std::string& text, const std::string& operator_name,
-                                   const std::string& base_number,
-                                   const std::string& submission_id) {
+                                   const std::string& base_number, const std::string& submission_id,
+                                   bool resumed) {
   return this->implementation->Run([&](AdminClientStub& stub) {
-    return stub.submit(base_number, operator_name, submission_id, text);
+    return stub.submit(base_number, operator_name, resumed ? "yes" : "no", submission_id, text);
   });
 }
 
--- a/Source/Admin/admin_rpc_client.h
+++ b/Source/Admin/admin_rpc_client.h
@@ -22,7 +22,8 @@
   AdminRpcClient& operator=(const AdminRpcClient&) = delete;
 
   std::string Submit(const std::string& text, const std::string& operator_name,
-                     const std::string& base_number, const std::string& submission_id);
+                     const std::string& base_number, const std::string& submission_id,
+                     bool resumed);
   std::string Check(const std::string& text, const std::string& file_name);
   std::string Explain(const std::string& method, const std::string& path);
   std::string GetStatus();
--- a/Source/Admin/admin_rpc_server.cc
+++ b/Source/Admin/admin_rpc_server.cc
@@ -42,8 +42,10 @@
   }
 
   Json::Value submit(const std::string& base_number, const std::string& operator_name,
-                     const std::string& submission_id, const std::string& text) override {
-    return ParseObject(this->handlers.submit(text, operator_name, base_number, submission_id));
+                     const std::string& resumed, const std::string& submission_id,
+                     const std::string& text) override {
+    return ParseObject(
+        this->handlers.submit(text, operator_name, base_number, submission_id, resumed));
   }
   Json::Value check(const std::string& file_name, const std::string& text) override {
     return ParseObject(this->handlers.check(text, file_name));
--- /dev/null
+++ b/Source/Daemon/admin_service.cc
@@ -0,0 +1,309 @@
+#include "Daemon/admin_service.h"
+
+#include <fmt/core.h>
+
+#include <algorithm>
+#include <charconv>
+#include <condition_variable>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "Core/digest.h"
+#include "Daemon/daemon.h"
+#include "Daemon/daemon_clock.h"
+#include "Daemon/event_log.h"
+#include "Daemon/submit_runner.h"
+#include "Rules/rules_delta.h"
+#include "Rules/rules_difference.h"
+#include "Rules/rules_document.h"
+#include "Rules/rules_error.h"
+#include "Rules/rules_parser.h"
+#include "Version/route_snapshot.h"
+#include "admin_codec.h"
+#include "dump_codec.h"
+
+namespace lacewingbridge {
+
+namespace {
+
+OperatorError MakeOperatorError(const Error& error) {
+  return {std::string(GetName(error.kind)), error.GetMessage()};
+}
+
+VersionSummary MakeSummary(const RulesVersion& version) {
+  return {version.stamp.number, FormatHex(version.stamp.digest), version.operator_name,
+          version.accepted_unix_ms};
+}
+
+VersionSummary MakeSummary(const RulesHead& head) {
+  return {head.stamp.number, FormatHex(head.stamp.digest), head.operator_name,
+          head.accepted_unix_ms};
+}
+
+// One submission through this daemon.
+class Submission {
+ public:
+  Submission(Daemon& owner, std::string rules_text, std::string operator_word, std::string id)
+      : daemon(owner),
+        text(std::move(rules_text)),
+        operator_name(std::move(operator_word)),
+        submission_id(std::move(id)) {}
+
+  SubmitReply Run(std::uint64_t base_number, bool resumed) {
+    this->reply.submission_id = this->submission_id;
+    if (!this->CheckRules()) {
+      return this->reply;
+    }
+    SubmitRequest request;
+    request.submission_id = this->submission_id;
+    request.operator_name = this->operator_name;
+    request.base.number = base_number;
+    request.text = this->text;
+    request.accepted_unix_ms = GetUnixMilliseconds();
+    request.resumed = resumed;
+    this->AddDelta(request);
+    Result<SubmitProcess> process = SubmitProcess::Create(std::move(request), {}, GetNow());
+    if (!IsOk(process)) {
+      this->Fail(GetError(process));
+      return this->reply;
+    }
+    const SubmitOutcome outcome =
+        SubmitRunner<StoreHttpClient>::Run(this->daemon.GetStore(), GetValue(process), SleepUntil);
+    std::visit([this](const auto& one) { this->Finish(one); }, outcome);
+    return this->reply;
+  }
+
+ private:
+  static void SleepUntil(TimePoint time) {
+    std::mutex mutex;
+    std::condition_variable never;
+    std::unique_lock lock(mutex);
+    const std::chrono::steady_clock::time_point until{time.time_since_epoch()};
+    never.wait_until(lock, until, [time] { return GetNow() >= time; });
+  }
+
+  bool CheckRules() {
+    const RulesParser::ParseResult parsed = RulesParser::Parse(this->text, "rules");
+    const auto* errors = std::get_if<std::vector<RulesError>>(&parsed);
+    if (errors == nullptr) {
+      return true;
+    }
+    this->Fail({ErrorKind::kRulesInvalid, FormatRulesError(errors->front())});
+    return false;
+  }
+
+  void AddDelta(SubmitRequest& request) const {
+    const std::shared_ptr<const RulesVersion> held = this->daemon.GetRules().GetHeld();
+    if (held == nullptr || held->stamp.number != request.base.number) {
+      return;
+    }
+    RulesDeltaScript delta = RulesDelta::Compute(held->text, this->text);
+    delta.parent = held->stamp;
+    delta.result.number = held->stamp.number + 1;
+    delta.origin = {this->submission_id, this->operator_name, request.accepted_unix_ms};
+    request.base = held->stamp;
+    request.delta_encoded_bytes = Encode(delta).size();
+    request.delta = std::move(delta);
+  }
+
+  void Fail(const Error& error) {
+    this->reply.error = MakeOperatorError(error);
+    EventLog::Write(Event::kSubmissionRefused, "id={} operator={} {}", this->submission_id,
+                    this->operator_name, GetName(error.kind));
+  }
+
+  void Finish(const SubmitAccepted& outcome) {
+    this->reply.version = {outcome.stamp.number, FormatHex(outcome.stamp.digest),
+                           this->operator_name, GetUnixMilliseconds()};
+    EventLog::Write(Event::kSubmissionAccepted, "id={} operator={} number={}", this->submission_id,
+                    this->operator_name, outcome.stamp.number);
+    // A resumed submission may be older than what is in force; the offer is then ignored.
+    if (outcome.stamp.digest == ComputeDigest(this->text)) {
+      RulesVersion version;
+      version.stamp = outcome.stamp;
+      if (const auto held = this->daemon.GetRules().GetHeld()) {
+        version.parent = held->stamp;
+      }
+      version.submission_id = this->submission_id;
+      version.operator_name = this->operator_name;
+      version.accepted_unix_ms = this->reply.version.accepted_unix_ms;
+      version.text = this->text;
+      this->daemon.OfferVersion(std::move(version));
+    }
+  }
+
+  void Finish(const SubmitConflict& outcome) {
+    std::string detail = "the store holds no version; submit with base 0";
+    if (outcome.winner.has_value()) {
+      const RulesHead& winner = *outcome.winner;
+      this->reply.version = MakeSummary(winner);
+      detail =
+          fmt::format("version {} by {} is in force", winner.stamp.number, winner.operator_name);
+      this->ShowBothSides(winner);
+    }
+    this->Fail({ErrorKind::kSubmitConflict, detail});
+  }
+
+  void Finish(const SubmitStoreUnavailable& /*outcome*/) {
+    this->Fail({ErrorKind::kStoreUnavailable, this->daemon.GetSettings().store_address});
+  }
+
+  void Finish(const SubmitOutcomeUnknown& /*outcome*/) {
+    this->Fail({ErrorKind::kSubmitUnknown, "submission id " + this->submission_id});
+  }
+
+  void ShowBothSides(const RulesHead& winner) {
+    const Result<RulesVersion> theirs = ReadVersion(this->daemon.GetStore(), winner);
+    if (IsOk(theirs)) {
+      this->reply.difference = RulesDifference::Format(GetValue(theirs).text, this->text);
+    }
+  }
+
+  Daemon& daemon;
+  std::string text;
+  std::string operator_name;
+  std::string submission_id;
+  SubmitReply reply;
+};
+
+SubmitReply Submit(Daemon& daemon, const std::string& text, const std::string& operator_name,
+                   const std::string& base_number, const std::string& submission_id, bool resumed) {
+  SubmitReply reply;
+  std::uint64_t base = 0;
+  const auto [end, code] =
+      std::from_chars(base_number.data(), base_number.data() + base_number.size(), base);
+  const bool valid = code == std::errc() && end == base_number.data() + base_number.size() &&
+                     !operator_name.empty() && !submission_id.empty();
+  if (!valid) {
+    reply.error = MakeOperatorError(
+        {ErrorKind::kInvalidArgument,
+         "base_number must be a whole number; operator_name and submission_id must not be empty"});
+    return reply;
+  }
+  return Submission(daemon, text, operator_name, submission_id).Run(base, resumed);
+}
+
+CheckReply Check(const std::string& text, const std::string& file_name) {
+  CheckReply reply;
+  const RulesParser::ParseResult parsed = RulesParser::Parse(text, file_name);
+  if (const auto* errors = std::get_if<std::vector<RulesError>>(&parsed)) {
+    for (const RulesError& error : *errors) {
+      reply.problems.push_back(
+          {error.file_name, error.line, error.column, error.what, error.remedy});
+    }
+    return reply;
+  }
+  const auto& document = std::get<RulesDocument>(parsed);
+  reply.service_count = static_cast<std::uint32_t>(document.services.size());
+  reply.route_count = static_cast<std::uint32_t>(document.routes.size());
+  reply.limit_count = static_cast<std::uint32_t>(document.limits.size());
+  return reply;
+}
+
+StatusReply GetStatus(Daemon& daemon) {
+  StatusReply reply;
+  const std::shared_ptr<const RulesVersion> held = daemon.GetRules().GetHeld();
+  if (held == nullptr) {
+    reply.error = MakeOperatorError({ErrorKind::kNotReady, daemon.GetSettings().host});
+  } else {
+    reply.held = MakeSummary(*held);
+    reply.newest = reply.held;
+  }
+  reply.store_reachable = daemon.GetWatcher().IsStoreReachable();
+  reply.displaced = daemon.GetWatcher().ListDisplaced();
+  reply.progress = daemon.GetCluster().ListProgress(GetNow());
+  reply.in_force_everywhere = held != nullptr && !reply.progress.empty() &&
+                              std::all_of(reply.progress.begin(), reply.progress.end(),
+                                          [&held](const DataCentreProgress& entry) {
+                                            return entry.lagging_count == 0 &&
+                                                   entry.member_count > 0 &&
+                                                   !IsNewer(held->stamp, entry.lowest);
+                                          });
+  return reply;
+}
+
+// The text of one line of the version in force, counted from 1.
+std::string GetLine(std::string_view text, std::uint32_t line) {
+  for (std::uint32_t i = 1; i < line; ++i) {
+    const std::size_t end = text.find('\n');
+    text = end == std::string_view::npos ? std::string_view() : text.substr(end + 1);
+  }
+  return std::string(text.substr(0, text.find_first_of("\r\n")));
+}
+
+ExplainReply Explain(Daemon& daemon, const std::string& method, const std::string& path) {
+  ExplainReply reply;
+  const auto snapshot = daemon.GetRules().GetSnapshot();
+  const auto held = daemon.GetRules().GetHeld();
+  if (snapshot == nullptr || held == nullptr) {
+    reply.error = MakeOperatorError({ErrorKind::kNotReady, daemon.GetSettings().host});
+    return reply;
+  }
+  reply.version = MakeSummary(*held);
+  const auto match = snapshot->FindRoute(method, path);
+  if (!match.has_value()) {
+    reply.error = MakeOperatorError({ErrorKind::kNotFound, "no route for " + method + " " + path});
+    return reply;
+  }
+  const RouteRule& route = match->route;
+  reply.route = route.name;
+  reply.service = route.service;
+  reply.line = route.line;
+  reply.rule = GetLine(held->text, route.line);
+  reply.asked_by = route.who;
+  reply.reason = route.why;
+  const TimePoint now = GetNow();
+  daemon.GetServices().WithService(route.service, now, [&](ServiceRuntime& runtime) {
+    std::mt19937_64 random(0);
+    const TargetChoice choice = runtime.selector.Select(now, random, {});
+    reply.target = choice.address;
+    reply.target_reason = ExplainChoice(choice);
+  });
+  return reply;
+}
+
+RulesReply GetRules(Daemon& daemon) {
+  RulesReply reply;
+  const auto held = daemon.GetRules().GetHeld();
+  if (held == nullptr) {
+    reply.error = MakeOperatorError({ErrorKind::kNotReady, daemon.GetSettings().host});
+    return reply;
+  }
+  reply.version = MakeSummary(*held);
+  reply.text = held->text;
+  return reply;
+}
+
+}  // namespace
+
+AdminHandlers MakeAdminHandlers(Daemon& daemon) {
+  AdminHandlers handlers;
+  handlers.submit = [&daemon](const std::string& text, const std::string& operator_name,
+                              const std::string& base_number, const std::string& submission_id,
+                              const std::string& resumed) {
+    return EncodeJson(
+        Submit(daemon, text, operator_name, base_number, submission_id, resumed == "yes"));
+  };
+  handlers.check = [](const std::string& text, const std::string& file_name) {
+    return EncodeJson(Check(text, file_name));
+  };
+  handlers.explain = [&daemon](const std::string& method, const std::string& path) {
+    return EncodeJson(Explain(daemon, method, path));
+  };
+  handlers.status = [&daemon] { return EncodeJson(GetStatus(daemon)); };
+  handlers.dump = [&daemon] { return EncodeJson(daemon.DumpState()); };
+  handlers.rules = [&daemon] { return EncodeJson(GetRules(daemon)); };
+  handlers.drain = [&daemon] {
+    daemon.StartDrain();
+    DrainReply reply;
+    reply.draining = true;
+    return EncodeJson(reply);
+  };
+  return handlers;
+}
+
+}  // namespace lacewingbridge
--- /dev/null
+++ b/Source/Daemon/claim_service.cc
@@ -0,0 +1,338 @@
+#include "Daemon/claim_service.h"
+
+#include <algorithm>
+#include <random>
+#include <set>
+#include <utility>
+
+#include "Core/hash.h"
+#include "Daemon/daemon_clock.h"
+#include "Daemon/event_log.h"
+#include "Daemon/peer_client.h"
+#include "Daemon/work_queue.h"
+
+namespace lacewingbridge {
+
+class ClaimService::ShardedSource {
+ public:
+  explicit ShardedSource(Sharded<ClaimTable>& tables) : shards(tables) {}
+
+  std::vector<ClaimRecord> CollectClaims(TimePoint now, const ClaimOwnerView& view,
+                                         std::string_view to_host) {
+    std::vector<ClaimRecord> all;
+    this->shards.ForEachShard([&](ClaimTable& table) {
+      for (ClaimRecord& record : table.CollectClaims(now, view, to_host)) {
+        all.push_back(std::move(record));
+      }
+    });
+    return all;
+  }
+
+  bool IsReadyToHandOver(TimePoint now, std::uint64_t epoch) {
+    bool ready = true;
+    this->shards.ForEachShard(
+        [&](ClaimTable& table) { ready = table.IsReadyToHandOver(now, epoch) && ready; });
+    return ready;
+  }
+
+  void ForgetClaims(const ClaimOwnerView& view, std::string_view to_host) {
+    this->shards.ForEachShard([&](ClaimTable& table) { table.ForgetClaims(view, to_host); });
+  }
+
+ private:
+  Sharded<ClaimTable>& shards;
+};
+
+namespace {
+
+ClaimLimits MakeLimits(const Settings& settings) {
+  ClaimLimits limits;
+  limits.retention = std::chrono::milliseconds(settings.claim_retention_ms);
+  limits.key_capacity = std::max<std::size_t>(1, settings.claim_capacity / settings.state_shards);
+  limits.byte_capacity /= settings.state_shards;
+  return limits;
+}
+
+ClaimPlannerLimits MakePlannerLimits(const ClaimLimits& limits) {
+  ClaimPlannerLimits planner;
+  planner.claim_memory = limits.GetMemory();
+  return planner;
+}
+
+}  // namespace
+
+Result<std::unique_ptr<ClaimService>> ClaimService::Create(const Settings& settings,
+                                                           std::uint64_t incarnation, TimePoint now,
+                                                           PeerClient& peers, WorkQueue& work,
+                                                           AddressFinder find_address) {
+  const ClaimLimits limits = MakeLimits(settings);
+  Result<ClaimTable> checked = ClaimTable::Create(settings.host, incarnation, limits);
+  if (!IsOk(checked)) {
+    return GetError(checked);
+  }
+  Sharded<ClaimTable> tables(settings.state_shards, [&] {
+    return GetValue(ClaimTable::Create(settings.host, incarnation, limits));
+  });
+  return std::unique_ptr<ClaimService>(new ClaimService(
+      settings, incarnation, now, peers, work, std::move(find_address), std::move(tables)));
+}
+
+ClaimService::ClaimService(const Settings& settings, std::uint64_t own_incarnation, TimePoint now,
+                           PeerClient& peer_client, WorkQueue& work_queue, AddressFinder finder,
+                           Sharded<ClaimTable> tables)
+    : host(settings.host),
+      incarnation(own_incarnation),
+      peers(peer_client),
+      work(work_queue),
+      find_address(std::move(finder)),
+      shards(std::move(tables)),
+      planner(MakePlannerLimits(MakeLimits(settings))),
+      transfer(settings.host),
+      isolation(now, settings.host, MakeLimits(settings).GetMemory()) {}
+
+ClaimReply ClaimService::AnswerClaim(const ClaimRequest& request, TimePoint now) {
+  return this->shards.WithShard(HashBytes(request.key),
+                                [&](ClaimTable& table) { return table.Claim(now, request); });
+}
+
+ClaimDoneReply ClaimService::AnswerDone(const ClaimDoneRequest& request, TimePoint now) {
+  return this->shards.WithShard(HashBytes(request.key),
+                                [&](ClaimTable& table) { return table.Finish(now, request); });
+}
+
+ClaimTransferReply ClaimService::AnswerTransfer(const ClaimTransferRequest& request,
+                                                TimePoint now) {
+  // Every shard gets every part, with only its own records in it.
+  const std::size_t count = this->shards.GetShardCount();
+  std::vector<ClaimTransferRequest> parts(count, request);
+  for (ClaimTransferRequest& part : parts) {
+    part.claims.clear();
+  }
+  for (const ClaimRecord& record : request.claims) {
+    parts[HashBytes(record.key) % count].claims.push_back(record);
+  }
+  ClaimTransferReply combined;
+  combined.accepted = true;
+  for (std::size_t i = 0; i < count; ++i) {
+    const ClaimTransferReply reply = this->shards.WithShard(
+        i, [&](ClaimTable& table) { return table.AcceptTransfer(now, parts[i]); });
+    const bool is_first = i == 0;
+    combined.accepted = combined.accepted && reply.accepted;
+    combined.owner_map_epoch = reply.owner_map_epoch;
+    // Shards that are ahead accept the repeated part without effect.
+    combined.next_part = is_first ? reply.next_part : std::min(combined.next_part, reply.next_part);
+  }
+  return combined;
+}
+
+ClaimOwnerMap ClaimService::AnswerOwnerMap(const ClaimOwnerMapRequest& request) {
+  const std::lock_guard guard(this->map_mutex);
+  return this->view.GetEpoch() > request.have_epoch ? this->view.GetMap() : ClaimOwnerMap{};
+}
+
+std::string ClaimService::FindOwner(std::string_view key) {
+  const std::lock_guard guard(this->map_mutex);
+  return std::string(this->view.FindOwner(key));
+}
+
+std::optional<ClaimReply> ClaimService::Ask(const ClaimRequest& request) {
+  const std::string owner = this->FindOwner(request.key);
+  if (owner == this->host) {
+    return this->AnswerClaim(request, GetNow());
+  }
+  const std::string address = owner.empty() ? std::string() : this->find_address(owner);
+  if (address.empty()) {
+    return std::nullopt;
+  }
+  auto answer = this->peers.Call<ClaimReply>(address, kClaimPath, request);
+  if (std::holds_alternative<PeerFailure>(answer)) {
+    return std::nullopt;
+  }
+  return std::get<ClaimReply>(std::move(answer));
+}
+
+bool ClaimService::SendReport(const ClaimDoneRequest& request) {
+  const std::string owner = this->FindOwner(request.key);
+  if (owner == this->host) {
+    return this->AnswerDone(request, GetNow()).recorded;
+  }
+  const std::string address = owner.empty() ? std::string() : this->find_address(owner);
+  if (address.empty()) {
+    return false;
+  }
+  const auto answer = this->peers.Call<ClaimDoneReply>(address, kClaimDonePath, request);
+  const auto* reply = std::get_if<ClaimDoneReply>(&answer);
+  return reply != nullptr && reply->recorded;
+}
+
+void ClaimService::Report(const ClaimDoneRequest& request) {
+  if (this->SendReport(request)) {
+    return;
+  }
+  const std::lock_guard guard(this->report_mutex);
+  this->reports.push_back({request, kReportAttempts, GetNow() + kReportInterval});
+}
+
+void ClaimService::RepeatReports(TimePoint now) {
+  std::vector<PendingReport> due;
+  {
+    const std::lock_guard guard(this->report_mutex);
+    const auto is_later = [now](const PendingReport& report) { return report.due > now; };
+    const auto first_due =
+        std::stable_partition(this->reports.begin(), this->reports.end(), is_later);
+    due.assign(std::make_move_iterator(first_due), std::make_move_iterator(this->reports.end()));
+    this->reports.erase(first_due, this->reports.end());
+  }
+  for (PendingReport& report : due) {
+    if (this->SendReport(report.request) || --report.attempts_left == 0) {
+      continue;
+    }
+    report.due = GetNow() + kReportInterval;
+    const std::lock_guard guard(this->report_mutex);
+    this->reports.push_back(std::move(report));
+  }
+}
+
+void ClaimService::FetchMap(const std::string& address) {
+  const auto answer = this->peers.Call<ClaimOwnerMap>(address, kClaimOwnerMapPath,
+                                                      ClaimOwnerMapRequest{this->GetEpoch()});
+  if (const auto* map = std::get_if<ClaimOwnerMap>(&answer)) {
+    this->AdoptMap(*map, GetNow());
+  }
+}
+
+void ClaimService::RefreshMap(std::string_view key) {
+  const std::string owner = this->FindOwner(key);
+  const std::string address = owner.empty() ? std::string() : this->find_address(owner);
+  if (!address.empty()) {
+    this->FetchMap(address);
+  }
+}
+
+std::uint64_t ClaimService::DrawAttemptId() {
+  // 64 random bits: a second attempt with the same id would need about 2^32 attempts.
+  thread_local std::mt19937_64 generator{std::random_device{}()};
+  std::uint64_t id = 0;
+  while (id == 0) {
+    id = generator();
+  }
+  return id;
+}
+
+bool ClaimService::AdoptMap(const ClaimOwnerMap& map, TimePoint now) {
+  const std::lock_guard guard(this->map_mutex);
+  if (!this->view.Adopt(map)) {
+    return false;
+  }
+  this->shards.ForEachShard([&](ClaimTable& table) { table.AdoptMap(now, this->view); });
+  this->transfer.AdoptMap(this->view);
+  EventLog::Write(Event::kClaimOwnersChanged, "epoch={} hosts={}", map.epoch, map.hosts.size());
+  return true;
+}
+
+std::uint64_t ClaimService::GetEpoch() {
+  const std::lock_guard guard(this->map_mutex);
+  return this->view.GetEpoch();
+}
+
+void ClaimService::NoteHost(std::string_view noted_host, std::uint64_t noted_incarnation,
+                            ClaimHostStatus status, TimePoint now) {
+  {
+    const std::lock_guard guard(this->map_mutex);
+    this->planner.NoteHost(now, noted_host, noted_incarnation, status);
+  }
+  // An alive host's incarnation means that its earlier process is gone.
+  const bool gone = status == ClaimHostStatus::kGone;
+  if (gone || noted_incarnation > 0) {
+    const std::uint64_t last_gone = gone ? noted_incarnation : noted_incarnation - 1;
+    this->shards.ForEachShard(
+        [&](ClaimTable& table) { table.MarkCallerGone(now, noted_host, last_gone); });
+  }
+}
+
+void ClaimService::NoteHeard(std::string_view heard_host, TimePoint now) {
+  const std::lock_guard guard(this->map_mutex);
+  this->isolation.NoteHeard(now, heard_host);
+}
+
+std::optional<ClaimOwnerMap> ClaimService::Propose(bool store_has_no_map, TimePoint now) {
+  const std::lock_guard guard(this->map_mutex);
+  return this->planner.Propose(now, this->view, store_has_no_map);
+}
+
+void ClaimService::Tick(TimePoint now) {
+  std::vector<std::string> destinations;
+  bool isolated = false;
+  {
+    const std::lock_guard guard(this->map_mutex);
+    isolated = this->isolation.IsIsolated(now, this->view);
+    destinations = this->transfer.ListDestinations();
+  }
+  this->shards.ForEachShard([isolated](ClaimTable& table) { table.SetIsolated(isolated); });
+  for (const std::string& destination : destinations) {
+    this->SendTransferPart(destination, now);
+  }
+  this->SendQueries(now);
+  this->RepeatReports(now);
+}
+
+void ClaimService::SendTransferPart(const std::string& to_host, TimePoint now) {
+  ShardedSource source(this->shards);
+  std::optional<ClaimTransferRequest> part;
+  {
+    const std::lock_guard guard(this->map_mutex);
+    part = this->transfer.MakePart(now, source, to_host);
+  }
+  const std::string address = this->find_address(to_host);
+  if (!part.has_value() || address.empty()) {
+    return;
+  }
+  const auto answer = this->peers.Call<ClaimTransferReply>(address, kClaimTransferPath, *part);
+  if (const auto* reply = std::get_if<ClaimTransferReply>(&answer)) {
+    const std::lock_guard guard(this->map_mutex);
+    this->transfer.HandleReply(source, to_host, *part, *reply);
+    if (part->complete && reply->accepted) {
+      EventLog::Write(Event::kClaimsHandedOver, "to={} epoch={}", to_host, part->change_epoch);
+    }
+  }
+}
+
+void ClaimService::SendQueries(TimePoint now) {
+  std::set<std::string> awaited;
+  this->shards.ForEachShard([&](ClaimTable& table) {
+    for (const ClaimWait& wait : table.ListWaits(now)) {
+      if (!wait.host.empty() && wait.host != this->host) {
+        awaited.insert(wait.host);
+      }
+    }
+  });
+  for (const std::string& from : awaited) {
+    const std::string address = this->find_address(from);
+    if (address.empty()) {
+      continue;
+    }
+    ClaimTransferRequest query;
+    {
+      const std::lock_guard guard(this->map_mutex);
+      query = this->transfer.MakeQuery();
+    }
+    const auto answer = this->peers.Call<ClaimTransferReply>(address, kClaimTransferPath, query);
+    if (const auto* reply = std::get_if<ClaimTransferReply>(&answer)) {
+      this->shards.ForEachShard(
+          [&](ClaimTable& table) { table.ConfirmEpoch(now, from, reply->owner_map_epoch); });
+    }
+  }
+}
+
+bool ClaimService::IsHandedOver() {
+  const std::lock_guard guard(this->map_mutex);
+  return this->transfer.IsDone();
+}
+
+std::size_t ClaimService::CountKeys() {
+  std::size_t count = 0;
+  this->shards.ForEachShard([&count](ClaimTable& table) { count += table.GetKeyCount(); });
+  return count;
+}
+
+}  // namespace lacewingbridge
--- /dev/null
+++ b/Source/Daemon/cluster_node.h
@@ -0,0 +1,120 @@
+#ifndef LACEWINGBRIDGE_SOURCE_DAEMON_CLUSTER_NODE_H_
+#define LACEWINGBRIDGE_SOURCE_DAEMON_CLUSTER_NODE_H_
+
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "Core/result.h"
+#include "Daemon/cluster_action.h"
+#include "Membership/join_process.h"
+#include "Membership/member_prober.h"
+#include "Membership/member_table.h"
+#include "Membership/target_registry.h"
+#include "Spread/spread_node.h"
+#include "Spread/spread_progress.h"
+#include "Spread/spread_relay.h"
+#include "peer.h"
+#include "settings.h"
+
+namespace lacewingbridge {
+
+// The shard of state that daemons share with each other: members, spread of versions,
+// progress and the join. All of it is under one lock, because each datagram touches
+// most of it. Every input returns the actions for the caller to perform without the lock.
+class ClusterNode {
+ public:
+  static Result<std::unique_ptr<ClusterNode>> Create(const Settings& settings,
+                                                     std::uint64_t incarnation, TimePoint now,
+                                                     std::uint64_t random_seed);
+
+  ClusterActions Tick(TimePoint now);
+  ClusterActions HandleDatagram(const GossipDatagram& datagram, std::string_view from,
+                                TimePoint now);
+
+  // This daemon now holds this version.
+  ClusterActions HandleHeld(const VersionStamp& stamp, std::optional<RulesDeltaScript> delta,
+                            TimePoint now);
+  ClusterActions HandleFetchEnd(std::string_view host, bool succeeded, TimePoint now);
+
+  ClusterActions HandleRelayReply(std::string_view data_centre, const RelayExchangeReply& reply,
+                                  TimePoint now);
+  ClusterActions HandleRelayFailure(std::string_view data_centre, TimePoint now);
+  // Merges what the caller sent and fills in the reply.
+  ClusterActions AnswerRelay(const RelayExchangeRequest& request, RelayExchangeReply& reply,
+                             TimePoint now);
+
+  ClusterActions HandleMembers(const ListMembersReply& reply, TimePoint now);
+  ClusterActions AnswerMembers(const ListMembersRequest& request, ListMembersReply& reply,
+                               TimePoint now);
+  void HandleStoreSeeds(std::vector<std::string> addresses);
+  void HandleStoreHead();
+  // Nothing listens at the control address of the host.
+  ClusterActions HandleRefused(std::string_view host, TimePoint now);
+
+  ClusterActions Announce(const TargetAnnouncement& announcement, TimePoint now);
+  ClusterActions StartDrain(TimePoint now);
+
+  void SetRole(const SpreadRelayRole& new_role);
+  void SetClaimEpoch(std::uint64_t epoch);
+  void SetStrikes(std::vector<QuarantineStrike> outgoing);
+
+  bool IsReady();
+  MemberRecord GetOwnRecord();
+  // Whether another data centre of the region is the one that uses its region links.
+  bool HasFirstSibling();
+  bool IsDistrusted();
+  std::vector<MemberRecord> ListMembers();
+  // Live members of the scope of the watch: the own data centre or the own region.
+  std::vector<std::string> ListScopeHosts(bool region_scope);
+  std::vector<DataCentreProgress> ListProgress(TimePoint now);
+  std::string FindControlAddress(std::string_view host);
+  // Control addresses of up to count live members of the own data centre.
+  std::vector<std::string> ListSeedAddresses(std::size_t count);
+
+ private:
+  ClusterNode(const Settings& given, MemberTable members, TimePoint now, std::uint64_t seed);
+
+  template <typename Actions>
+  void Append(Actions&& actions, TimePoint now, ClusterActions& result);
+  void AppendAction(SendDatagram action, TimePoint now, ClusterActions& result);
+  void AppendAction(MemberEvent action, TimePoint now, ClusterActions& result);
+  void AppendAction(const RelaySource& action, TimePoint now, ClusterActions& result);
+  void AppendAction(const JoinProbeMembers& action, TimePoint now, ClusterActions& result);
+  // Any other action is the caller's to perform.
+  template <typename Action>
+  void AppendAction(Action action, TimePoint now, ClusterActions& result);
+
+  void MergeMembers(std::span<const MemberRecord> records, TimePoint now, ClusterActions& result);
+  void MergeProgress(std::span<const DataCentreProgress> entries, TimePoint now);
+  void CheckOwnerMap(std::uint64_t epoch, std::string_view address, ClusterActions& result);
+  void UpdateTargets(const std::vector<TargetRegistry::Change>& changes, ClusterActions& result);
+  void CheckMembersChanged(ClusterActions& result);
+  std::uint64_t HashMembers() const;
+
+  std::mutex mutex;
+  Settings settings;
+  std::mt19937_64 random;
+  MemberTable table;
+  MemberProber prober;
+  SpreadNode spread;
+  SpreadRelay relay;
+  SpreadProgress progress;
+  TargetRegistry targets;
+  JoinProcess join;
+  SpreadRelayRole role;
+  std::uint64_t claim_epoch = 0;
+  std::vector<QuarantineStrike> strikes;
+  bool members_touched = true;
+  std::uint64_t members_hash = 0;
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_SOURCE_DAEMON_CLUSTER_NODE_H_
--- /dev/null
+++ b/Source/Daemon/control_handlers.cc
@@ -0,0 +1,107 @@
+#include "Daemon/control_handlers.h"
+
+#include <httplib.h>
+
+#include <memory>
+#include <string>
+
+#include "Admin/admin_rpc_server.h"
+#include "Core/socket_address.h"
+#include "Daemon/admin_service.h"
+#include "Daemon/daemon.h"
+#include "Daemon/daemon_clock.h"
+#include "admin_codec.h"
+#include "dump_codec.h"
+#include "peer_codec.h"
+
+namespace lacewingbridge {
+
+namespace {
+
+constexpr int kBadRequest = 400;
+
+// Decodes a protobuf request, calls answer(request), and encodes the reply.
+template <typename Request, typename Answer>
+httplib::Server::Handler MakePeerHandler(Answer answer) {
+  return [answer](const httplib::Request& http, httplib::Response& response) {
+    Request request;
+    if (!Decode(http.body, request)) {
+      response.status = kBadRequest;
+      response.set_content(Error{ErrorKind::kMalformedMessage, http.path}.GetMessage() + "\n",
+                           "text/plain");
+      return;
+    }
+    response.set_content(Encode(answer(request)), "application/x-protobuf");
+  };
+}
+
+void AddClusterHandlers(httplib::Server& server, Daemon& daemon) {
+  server.Post(kFetchRulesPath, MakePeerHandler<FetchRulesRequest>([&daemon](const auto& request) {
+                return daemon.GetRules().AnswerFetch(request);
+              }));
+  server.Post(kListMembersPath, MakePeerHandler<ListMembersRequest>([&daemon](const auto& request) {
+                ListMembersReply reply;
+                daemon.Perform(daemon.GetCluster().AnswerMembers(request, reply, GetNow()));
+                return reply;
+              }));
+  server.Post(kRelayExchangePath,
+              MakePeerHandler<RelayExchangeRequest>([&daemon](const auto& request) {
+                RelayExchangeReply reply;
+                daemon.Perform(daemon.GetCluster().AnswerRelay(request, reply, GetNow()));
+                return reply;
+              }));
+}
+
+void AddClaimHandlers(httplib::Server& server, Daemon& daemon) {
+  server.Post(kClaimPath, MakePeerHandler<ClaimRequest>([&daemon](const auto& request) {
+                return daemon.GetClaims().AnswerClaim(request, GetNow());
+              }));
+  server.Post(kClaimDonePath, MakePeerHandler<ClaimDoneRequest>([&daemon](const auto& request) {
+                return daemon.GetClaims().AnswerDone(request, GetNow());
+              }));
+  server.Post(kClaimTransferPath,
+              MakePeerHandler<ClaimTransferRequest>([&daemon](const auto& request) {
+                return daemon.GetClaims().AnswerTransfer(request, GetNow());
+              }));
+  server.Post(kClaimOwnerMapPath,
+              MakePeerHandler<ClaimOwnerMapRequest>([&daemon](const auto& request) {
+                return daemon.GetClaims().AnswerOwnerMap(request);
+              }));
+}
+
+void HandleAnnouncement(Daemon& daemon, const httplib::Request& http, httplib::Response& response) {
+  TargetAnnouncement announcement;
+  const bool valid = DecodeJson(http.body, announcement) && !announcement.service.empty() &&
+                     announcement.slots > 0 && IsOk(SocketAddress::Parse(announcement.address));
+  if (!valid) {
+    response.status = kBadRequest;
+    response.set_content(
+        "announcement refused: give a JSON object with service, address (IP:PORT) and slots "
+        "above 0\n",
+        "text/plain");
+    return;
+  }
+  daemon.Perform(daemon.GetCluster().Announce(announcement, GetNow()));
+}
+
+}  // namespace
+
+void AddControlHandlers(httplib::Server& server, Daemon& daemon) {
+  AddClusterHandlers(server, daemon);
+  AddClaimHandlers(server, daemon);
+  server.Post("/announce", [&daemon](const httplib::Request& http, httplib::Response& response) {
+    HandleAnnouncement(daemon, http, response);
+  });
+  server.Get("/metrics", [&daemon](const httplib::Request&, httplib::Response& response) {
+    response.set_content(daemon.GetMetrics().Format(daemon.FormatGauges()), "text/plain");
+  });
+  server.Get("/dump", [&daemon](const httplib::Request&, httplib::Response& response) {
+    response.set_content(EncodeJson(daemon.DumpState()), "application/json");
+  });
+  const auto rpc = std::make_shared<AdminRpcServer>(MakeAdminHandlers(daemon));
+  server.Post("/rpc", [rpc](const httplib::Request& http, httplib::Response& response) {
+    response.set_content(rpc->HandleRequest(http.body), "application/json");
+  });
+}
+
+}  // namespace lacewingbridge
--- /dev/null
+++ b/Source/Daemon/daemon.h
@@ -0,0 +1,124 @@
+#ifndef LACEWINGBRIDGE_SOURCE_DAEMON_DAEMON_H_
+#define LACEWINGBRIDGE_SOURCE_DAEMON_DAEMON_H_
+
+#include <atomic>
+#include <condition_variable>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+
+#include "Core/result.h"
+#include "Daemon/claim_service.h"
+#include "Daemon/cluster_node.h"
+#include "Daemon/gossip_socket.h"
+#include "Daemon/http_connection_pool.h"
+#include "Daemon/http_listener.h"
+#include "Daemon/metrics_registry.h"
+#include "Daemon/peer_client.h"
+#include "Daemon/proxy_handler.h"
+#include "Daemon/rules_state.h"
+#include "Daemon/service_table.h"
+#include "Daemon/store_http_client.h"
+#include "Daemon/store_watcher.h"
+#include "Daemon/work_queue.h"
+#include "dump.h"
+#include "settings.h"
+
+namespace lacewingbridge {
+
+// One daemon: owns the shards of state, the listeners and the threads, and carries
+// actions of the decision logic between them.
+class Daemon {
+ public:
+  static Result<std::unique_ptr<Daemon>> Create(const Settings& settings);
+  ~Daemon();
+  Daemon(const Daemon&) = delete;
+  Daemon& operator=(const Daemon&) = delete;
+
+  // Opens the listeners and starts the threads.
+  Status Start();
+
+  // Announces departure, takes no new work, waits for requests in flight up to the drain
+  // limit, and ends all threads.
+  void Shutdown();
+
+  // Marks this daemon as draining without ending it.
+  void StartDrain();
+
+  // Parts used by the handlers of the control address.
+  const Settings& GetSettings() const { return this->settings; }
+  RulesState& GetRules() { return this->rules; }
+  ClusterNode& GetCluster() { return *this->cluster; }
+  ClaimService& GetClaims() { return *this->claims; }
+  StoreHttpClient& GetStore() { return *this->store; }
+  StoreWatcher& GetWatcher() { return *this->watcher; }
+  MetricsRegistry& GetMetrics() { return this->metrics; }
+  ServiceTable& GetServices() { return this->services; }
+
+  StateDump DumpState();
+  std::string FormatGauges();
+  bool IsReady();
+
+  // Puts a version in force if it is newer, and spreads it.
+  OfferOutcome OfferVersion(RulesVersion version);
+  bool OfferDelta(const RulesDeltaScript& delta);
+
+  // Performs what the cluster state asks for.
+  void Perform(ClusterActions actions);
+
+ private:
+  Daemon(const Settings& given, std::uint64_t own_incarnation);
+
+  Status CreateParts();
+  StoreWatcher::Hooks MakeWatcherHooks();
+  ProxyEnvironment MakeProxyEnvironment();
+
+  void PerformOne(SendDatagram& action);
+  void PerformOne(const MemberEvent& action);
+  void PerformOne(const SpreadApply& action);
+  void PerformOne(const SpreadFetch& action);
+  void PerformOne(const RelayCall& action);
+  void PerformOne(const ClusterMembersChanged& action);
+  void PerformOne(const ClusterFetchOwnerMap& action);
+  void PerformOne(const ClusterStrikesHeard& action);
+  void PerformOne(const JoinAskPeer& action);
+  void PerformOne(const JoinReadStoreSeeds& action);
+  void PerformOne(const JoinReadStoreHead& action);
+
+  void HandleDatagram(std::string_view bytes, const std::string& from);
+  void Tick();
+  void HandleHeld();
+  void RebuildSnapshot();
+  void FetchRules(const SpreadFetch& action);
+  void CallRelay(const RelayCall& action);
+  void WaitForRequests();
+
+  Settings settings;
+  std::uint64_t incarnation;
+  RulesState rules;
+  ServiceTable services;
+  MetricsRegistry metrics;
+  HttpConnectionPool connections;
+  PeerClient peers;
+  std::unique_ptr<ClusterNode> cluster;
+  std::unique_ptr<StoreHttpClient> store;
+  std::unique_ptr<WorkQueue> work;
+  std::unique_ptr<ClaimService> claims;
+  std::unique_ptr<ProxyHandler> proxy;
+  std::unique_ptr<StoreWatcher> watcher;
+  std::unique_ptr<GossipSocket> gossip;
+  std::unique_ptr<HttpListener> caller_listener;
+  std::unique_ptr<HttpListener> control_listener;
+  std::atomic<bool> ready{false};
+  std::atomic<bool> draining{false};
+  std::atomic<bool> claim_tick_running{false};
+  TimePoint next_claim_tick;
+  bool stopped = false;
+  std::mutex snapshot_order;
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_SOURCE_DAEMON_DAEMON_H_
--- a/Source/Daemon/peer_client.cc
+++ b/Source/Daemon/peer_client.cc
@@ -8,16 +8,15 @@
 namespace lacewingbridge {
 
 std::variant<std::string, PeerFailure> PeerClient::Post(const std::string& address,
-                                                        const char* path,
-                                                        const std::string& body) {
+                                                        const char* path, const std::string& body) {
   std::unique_ptr<httplib::Client> client = this->pool.Take(address);
   client->set_read_timeout(this->timeout);
   client->set_write_timeout(this->timeout);
   httplib::Result answer = client->Post(path, body, "application/x-protobuf");
   if (!answer) {
     const bool refused = answer.error() == httplib::Error::Connection;
-    return PeerFailure{{ErrorKind::kPeerUnreachable, fmt::format("{}{}: {}", address, path,
-                                                                 httplib::to_string(answer.error()))},
+    return PeerFailure{{ErrorKind::kPeerUnreachable,
+                        fmt::format("{}{}: {}", address, path, httplib::to_string(answer.error()))},
                        refused};
   }
   if (answer->status != 200) {
--- /dev/null
+++ b/Source/Daemon/proxy_handler.h
@@ -0,0 +1,69 @@
+#ifndef LACEWINGBRIDGE_SOURCE_DAEMON_PROXY_HANDLER_H_
+#define LACEWINGBRIDGE_SOURCE_DAEMON_PROXY_HANDLER_H_
+
+#include <atomic>
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <mutex>
+#include <string>
+
+#include "Core/time_point.h"
+
+namespace httplib {
+struct Request;
+struct Response;
+}  // namespace httplib
+
+namespace lacewingbridge {
+
+class ClaimService;
+class HttpConnectionPool;
+class MetricsRegistry;
+class RouteSnapshot;
+class RulesState;
+class ServiceTable;
+struct RouteRule;
+struct Settings;
+
+// What a request needs from the daemon. All of it outlives the handler.
+struct ProxyEnvironment {
+  const Settings& settings;
+  std::uint64_t incarnation = 0;
+  RulesState& rules;
+  ServiceTable& services;
+  ClaimService& claims;
+  HttpConnectionPool& connections;
+  MetricsRegistry& metrics;
+  // Whether the daemon has heard enough to serve; see JoinProcess.
+  std::function<bool()> is_ready;
+};
+
+// Serves callers' requests: route, limits, claim, admission, target, retry.
+class ProxyHandler {
+ public:
+  explicit ProxyHandler(ProxyEnvironment given) : environment(std::move(given)) {}
+
+  void Handle(const httplib::Request& request, httplib::Response& response);
+
+  // While draining, each answer closes its connection, so that callers move away.
+  void StartDrain() { this->draining = true; }
+  // Waits until the earliest time has passed and no request is in flight, at most until
+  // the limit.
+  void WaitUntilIdle(TimePoint earliest, TimePoint limit);
+  std::uint64_t CountInFlight() const { return this->in_flight.load(); }
+
+ private:
+  void Serve(const httplib::Request& request, httplib::Response& response);
+  void RecordMetrics(const std::string& route, int status, Duration latency);
+
+  ProxyEnvironment environment;
+  std::atomic<bool> draining{false};
+  std::atomic<std::uint64_t> in_flight{0};
+  std::mutex idle_mutex;
+  std::condition_variable idle;
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_SOURCE_DAEMON_PROXY_HANDLER_H_
--- /dev/null
+++ b/Source/Daemon/proxy_refusal.cc
@@ -0,0 +1,82 @@
+#include "Daemon/proxy_refusal.h"
+
+#include <fmt/core.h>
+#include <httplib.h>
+
+#include <array>
+#include <string>
+
+#include "Daemon/proxy_exchange.h"
+
+namespace lacewingbridge {
+
+namespace {
+
+struct RefusalDescription {
+  RefusalKind kind;
+  std::string_view name;
+  int status;
+  // False when the request may have run.
+  bool not_run;
+  std::string_view text;
+};
+
+constexpr std::array<RefusalDescription, 14> kRefusals = {{
+    {RefusalKind::kNotReady, "not_ready", 503, true,
+     "this daemon holds no rules yet; send the request again shortly"},
+    {RefusalKind::kNoRoute, "no_route", 404, true,
+     "no route matches; check method and path, or add a route to the rules file"},
+    {RefusalKind::kTooDeep, "too_deep", 508, true,
+     "the call chain is too deep; check the routes for a loop"},
+    {RefusalKind::kRateLimited, "rate_limited", 429, true,
+     "a limit rule was reached; send the request again later"},
+    {RefusalKind::kQueueFull, "queue_full", 503, true,
+     "the service is overloaded; send the request again later"},
+    {RefusalKind::kDeadline, "deadline", 503, true,
+     "the deadline could not be met; send the request again with a longer one"},
+    {RefusalKind::kNoTarget, "no_target", 503, true,
+     "no target of the service can take the request; send it again shortly"},
+    {RefusalKind::kQuarantined, "quarantined", 503, true,
+     "the request crashed its targets; do not send it again before the service was corrected"},
+    {RefusalKind::kKeyMissing, "key_missing", 400, true,
+     "the route requires an Idempotency-Key; add one that is unique to the request"},
+    {RefusalKind::kKeyReused, "key_reused", 422, true,
+     "the Idempotency-Key was used for another request; use a new one"},
+    {RefusalKind::kClaimNotRun, "claim_not_run", 503, true,
+     "the owner of the Idempotency-Key could not be asked; send the request again with the "
+     "same key"},
+    {RefusalKind::kNotRun, "not_run", 503, true, "the request was not run; it can be sent again"},
+    {RefusalKind::kUnknown, "unknown", 504, false,
+     "the request may have run; send it again only with the same Idempotency-Key, or check "
+     "its effect first"},
+    {RefusalKind::kDoneAnswerNotKept, "answer_not_kept", 409, false,
+     "the request with this Idempotency-Key has run; its answer was too long to be kept"},
+}};
+
+const RefusalDescription& FindDescription(RefusalKind kind) {
+  for (const RefusalDescription& description : kRefusals) {
+    if (description.kind == kind) {
+      return description;
+    }
+  }
+  return kRefusals[0];
+}
+
+}  // namespace
+
+void WriteRefusal(RefusalKind kind, std::string_view particulars, httplib::Response& response) {
+  const RefusalDescription& description = FindDescription(kind);
+  response.status = description.status;
+  response.set_header(kOutcomeHeader, description.not_run ? kNotRunWord : kUnknownWord);
+  // Upper levels of a call chain do not retry what this level has already decided.
+  if (kind != RefusalKind::kNotReady && kind != RefusalKind::kNoTarget) {
+    response.set_header(kDoNotRetryHeader, "1");
+  }
+  response.set_content(
+      fmt::format("{}{}{}\n", description.text, particulars.empty() ? "" : ": ", particulars),
+      "text/plain");
+}
+
+std::string_view GetRefusalName(RefusalKind kind) { return FindDescription(kind).name; }
+
+}  // namespace lacewingbridge
--- /dev/null
+++ b/Source/Daemon/service_table.cc
@@ -0,0 +1,204 @@
+#include "Daemon/service_table.h"
+
+#include <tbb/parallel_for.h>
+
+#include <algorithm>
+#include <unordered_map>
+
+#include "Core/hash.h"
+#include "Rules/limit_rule.h"
+#include "Version/route_snapshot.h"
+
+namespace lacewingbridge {
+
+namespace {
+
+using RecordsByAddress = std::unordered_map<std::string_view, const TargetRecord*>;
+
+// The snapshot holds what routes need; load and incarnation come from the records.
+RecordsByAddress IndexRecords(std::span<const MemberRecord> members) {
+  RecordsByAddress index;
+  for (const MemberRecord& member : members) {
+    for (const TargetRecord& target : member.targets) {
+      index.emplace(target.address, &target);
+    }
+  }
+  return index;
+}
+
+std::vector<TargetEndpoint> MakeEndpoints(const SnapshotService& service,
+                                          const RecordsByAddress& records) {
+  std::vector<TargetEndpoint> endpoints;
+  endpoints.reserve(service.endpoints.size());
+  for (const SnapshotEndpoint& endpoint : service.endpoints) {
+    TargetEndpoint& added = endpoints.emplace_back();
+    added.address = endpoint.address;
+    added.host = endpoint.host;
+    added.data_centre = endpoint.data_centre;
+    added.region = endpoint.region;
+    added.slots = endpoint.slots;
+    added.draining = endpoint.draining;
+    const auto record = records.find(endpoint.address);
+    if (record != records.end()) {
+      added.reported_load_permille = record->second->reported_load_permille;
+    }
+  }
+  return endpoints;
+}
+
+void NoteIncarnations(ServiceRuntime& runtime, const SnapshotService& service,
+                      const RecordsByAddress& records, TimePoint now) {
+  for (const SnapshotEndpoint& endpoint : service.endpoints) {
+    const auto record = records.find(endpoint.address);
+    if (record == records.end()) {
+      continue;
+    }
+    std::uint64_t& known = runtime.incarnations[endpoint.address];
+    if (known != record->second->incarnation) {
+      known = record->second->incarnation;
+      runtime.quarantine.NoteIncarnation(now, endpoint.address, known);
+    }
+  }
+}
+
+bool IsIdle(const ServiceRuntime& runtime) {
+  return runtime.queue.GetLoad().CountRunning() == 0 && runtime.waiting.empty();
+}
+
+}  // namespace
+
+ServiceTable::ServiceTable(std::string_view own_data_centre, std::string_view own_region,
+                           std::size_t shard_count)
+    : data_centre(own_data_centre),
+      region(own_region),
+      shards(shard_count, [] { return Shard(); }) {}
+
+std::uint64_t ServiceTable::GetHash(std::string_view name) { return HashBytes(name); }
+
+ServiceRuntime& ServiceTable::FindOrAdd(Shard& shard, std::string_view service, TimePoint now) {
+  const auto found = shard.services.find(service);
+  if (found != shard.services.end()) {
+    return found->second;
+  }
+  return shard.services
+      .emplace(std::piecewise_construct, std::forward_as_tuple(service),
+               std::forward_as_tuple(this->data_centre, this->region, now))
+      .first->second;
+}
+
+void ServiceTable::ApplySnapshot(const RouteSnapshot& snapshot,
+                                 std::span<const MemberRecord> members, TimePoint now) {
+  const RecordsByAddress records = IndexRecords(members);
+  const std::span<const SnapshotService> services = snapshot.GetServices();
+  tbb::parallel_for(std::size_t{0}, services.size(), [&](std::size_t index) {
+    const SnapshotService& service = services[index];
+    const std::vector<TargetEndpoint> endpoints = MakeEndpoints(service, records);
+    this->WithService(service.rule.name, now, [&](ServiceRuntime& runtime) {
+      runtime.selector.SetColdStart(service.rule.cold_start);
+      runtime.selector.UpdateTargets(now, endpoints);
+      runtime.queue.SetQueueLimit(service.rule.queue);
+      NoteIncarnations(runtime, service, records, now);
+      Deliver(runtime, runtime.queue.SetSlots(now, runtime.selector.CountUsableSlots(now)));
+    });
+  });
+  this->shards.ForEachShard([&](Shard& shard) {
+    std::erase_if(shard.services, [&](const auto& entry) {
+      return snapshot.FindService(entry.first) == nullptr && IsIdle(entry.second);
+    });
+  });
+}
+
+bool ServiceTable::TryTakeLimit(const LimitRule& limit, TimePoint now) {
+  return this->shards.WithShard(GetHash(limit.name), [&](Shard& shard) {
+    auto found = shard.limiters.find(limit.name);
+    if (found == shard.limiters.end()) {
+      found = shard.limiters
+                  .emplace(limit.name, AdmissionLimiter(now, limit.rate_per_second, limit.burst))
+                  .first;
+    }
+    found->second.SetLimit(now, limit.rate_per_second, limit.burst);
+    return found->second.TryTake(now);
+  });
+}
+
+void ServiceTable::ExpireQueues(TimePoint now) {
+  this->shards.ForEachShard([now](Shard& shard) {
+    for (auto& [name, runtime] : shard.services) {
+      Deliver(runtime, runtime.queue.Expire(now));
+      // Slots grow back after a shed answer and when an ejection ends.
+      Deliver(runtime, runtime.queue.SetSlots(now, runtime.selector.CountUsableSlots(now)));
+    }
+  });
+}
+
+void ServiceTable::Deliver(ServiceRuntime& runtime, const AdmissionRelease& release) {
+  const auto decide = [&runtime](RequestId id, bool admitted) {
+    const auto found = runtime.waiting.find(id);
+    if (found != runtime.waiting.end()) {
+      found->second->Decide(admitted);
+      runtime.waiting.erase(found);
+    }
+  };
+  for (RequestId id : release.admitted) {
+    decide(id, true);
+  }
+  for (RequestId id : release.refused) {
+    decide(id, false);
+  }
+}
+
+std::size_t ServiceTable::MergeStrikes(std::span<const QuarantineStrike> strikes, TimePoint now) {
+  std::size_t quarantined = 0;
+  this->shards.ForEachShard([&](Shard& shard) {
+    for (auto& [name, runtime] : shard.services) {
+      // A target belongs to one service, so only that one keeps the strike.
+      std::vector<QuarantineStrike> own;
+      std::copy_if(strikes.begin(), strikes.end(), std::back_inserter(own),
+                   [&runtime = runtime](const QuarantineStrike& strike) {
+                     return runtime.incarnations.contains(strike.target_address);
+                   });
+      quarantined += own.empty() ? 0 : runtime.quarantine.MergeStrikes(now, own);
+    }
+  });
+  return quarantined;
+}
+
+std::vector<QuarantineStrike> ServiceTable::TakeStrikes(std::size_t max_count) {
+  std::vector<QuarantineStrike> strikes;
+  this->shards.ForEachShard([&](Shard& shard) {
+    for (auto& [name, runtime] : shard.services) {
+      for (QuarantineStrike& strike : runtime.quarantine.TakeStrikes(max_count - strikes.size())) {
+        strikes.push_back(std::move(strike));
+      }
+    }
+  });
+  return strikes;
+}
+
+std::vector<ServiceDump> ServiceTable::DumpServices(TimePoint now) {
+  std::vector<ServiceDump> dumps;
+  this->shards.ForEachShard([&](Shard& shard) {
+    for (auto& [name, runtime] : shard.services) {
+      ServiceDump& dump = dumps.emplace_back();
+      dump.name = name;
+      dump.targets = runtime.selector.DumpTargets(now);
+      dump.queued = runtime.queue.GetLoad().CountQueued();
+    }
+  });
+  std::sort(dumps.begin(), dumps.end(), [](const ServiceDump& left, const ServiceDump& right) {
+    return left.name < right.name;
+  });
+  return dumps;
+}
+
+std::uint64_t ServiceTable::CountQuarantineEntries() {
+  std::uint64_t count = 0;
+  this->shards.ForEachShard([&](Shard& shard) {
+    for (auto& [name, runtime] : shard.services) {
+      count += runtime.quarantine.GetEntryCount();
+    }
+  });
+  return count;
+}
+
+}  // namespace lacewingbridge
--- /dev/null
+++ b/Source/Daemon/service_table.h
@@ -0,0 +1,76 @@
+#ifndef LACEWINGBRIDGE_SOURCE_DAEMON_SERVICE_TABLE_H_
+#define LACEWINGBRIDGE_SOURCE_DAEMON_SERVICE_TABLE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "Admission/admission_limiter.h"
+#include "Core/sharded.h"
+#include "Daemon/service_runtime.h"
+#include "dump.h"
+#include "membership.h"
+
+namespace lacewingbridge {
+
+class RouteSnapshot;
+struct LimitRule;
+
+// Request state of all services, in shards by service name.
+class ServiceTable {
+ public:
+  ServiceTable(std::string_view own_data_centre, std::string_view own_region,
+               std::size_t shard_count);
+
+  // Brings the services in line with a new snapshot; services that left are dropped once
+  // they have no request.
+  void ApplySnapshot(const RouteSnapshot& snapshot, std::span<const MemberRecord> members,
+                     TimePoint now);
+
+  // Calls action(runtime) under the lock of the service's shard. The service is created
+  // when it is not known yet.
+  template <typename Action>
+  decltype(auto) WithService(std::string_view service, TimePoint now, Action&& action) {
+    return this->shards.WithShard(GetHash(service), [&](Shard& shard) -> decltype(auto) {
+      return action(this->FindOrAdd(shard, service, now));
+    });
+  }
+
+  // Takes a token of a limit rule.
+  bool TryTakeLimit(const LimitRule& limit, TimePoint now);
+
+  // Refuses queued requests whose deadline has passed. Called periodically.
+  void ExpireQueues(TimePoint now);
+
+  // Wakes the requests that a change of the queue has decided on.
+  static void Deliver(ServiceRuntime& runtime, const AdmissionRelease& release);
+
+  std::size_t MergeStrikes(std::span<const QuarantineStrike> strikes, TimePoint now);
+  std::vector<QuarantineStrike> TakeStrikes(std::size_t max_count);
+
+  std::vector<ServiceDump> DumpServices(TimePoint now);
+  std::uint64_t CountQuarantineEntries();
+
+ private:
+  struct Shard {
+    std::map<std::string, ServiceRuntime, std::less<>> services;
+    std::map<std::string, AdmissionLimiter, std::less<>> limiters;
+  };
+
+  static std::uint64_t GetHash(std::string_view name);
+  ServiceRuntime& FindOrAdd(Shard& shard, std::string_view service, TimePoint now);
+
+  std::string data_centre;
+  std::string region;
+  Sharded<Shard> shards;
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_SOURCE_DAEMON_SERVICE_TABLE_H_
--- a/Source/Daemon/store_http_client.cc
+++ b/Source/Daemon/store_http_client.cc
@@ -27,7 +27,11 @@
   client.set_connection_timeout(this->timeout);
   client.set_read_timeout(this->timeout + extra_wait);
   client.set_write_timeout(this->timeout);
+  if (!this->AddActive(client)) {
+    return Error{ErrorKind::kStoreUnavailable, "this daemon is shutting down"};
+  }
   const httplib::Result answer = client.Post(path, EncodeJson(request), "application/json");
+  this->RemoveActive(client);
   if (!answer) {
     return Error{ErrorKind::kStoreUnavailable,
                  fmt::format("{}{}: {}", this->base_url, path, httplib::to_string(answer.error()))};
@@ -43,6 +47,28 @@
   return reply;
 }
 
+bool StoreHttpClient::AddActive(httplib::Client& client) {
+  const std::lock_guard guard(this->mutex);
+  if (this->cancelled) {
+    return false;
+  }
+  this->active.insert(&client);
+  return true;
+}
+
+void StoreHttpClient::RemoveActive(httplib::Client& client) {
+  const std::lock_guard guard(this->mutex);
+  this->active.erase(&client);
+}
+
+void StoreHttpClient::Cancel() {
+  const std::lock_guard guard(this->mutex);
+  this->cancelled = true;
+  for (httplib::Client* client : this->active) {
+    client->stop();
+  }
+}
+
 Result<StoreGetReply> StoreHttpClient::Get(const StoreGetRequest& request) {
   return this->Call<StoreGetReply>("/v1/get", request, milliseconds(0));
 }
--- a/Source/Daemon/store_http_client.h
+++ b/Source/Daemon/store_http_client.h
@@ -3,11 +3,17 @@
 
 #include <chrono>
 #include <memory>
+#include <mutex>
+#include <set>
 #include <string>
 
 #include "Core/result.h"
 #include "Core/store_client.h"
 
+namespace httplib {
+class Client;
+}  // namespace httplib
+
 namespace lacewingbridge {
 
 // The platform's store over HTTP with JSON bodies. Satisfies StoreClient. Each call
@@ -24,6 +30,9 @@
   Result<StoreLeaseReply> Lease(const StoreLeaseRequest& request);
   Result<StoreWatchReply> Watch(const StoreWatchRequest& request);
 
+  // Ends calls that wait and refuses all further ones, for shutdown.
+  void Cancel();
+
  private:
   StoreHttpClient(std::string base, std::chrono::milliseconds limit)
       : base_url(std::move(base)), timeout(limit) {}
@@ -32,8 +41,14 @@
   Result<Reply> Call(const char* path, const Request& request,
                      std::chrono::milliseconds extra_wait);
 
+  bool AddActive(httplib::Client& client);
+  void RemoveActive(httplib::Client& client);
+
   std::string base_url;
   std::chrono::milliseconds timeout;
+  std::mutex mutex;
+  bool cancelled = false;
+  std::set<httplib::Client*> active;
 };
 
 static_assert(StoreClient<StoreHttpClient>);
--- /dev/null
+++ b/Source/Daemon/store_watcher.cc
@@ -0,0 +1,391 @@
+#include "Daemon/store_watcher.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "Daemon/claim_service.h"
+#include "Daemon/daemon_clock.h"
+#include "Daemon/event_log.h"
+#include "Daemon/rules_state.h"
+#include "Daemon/store_records.h"
+#include "Version/version_order.h"
+#include "peer_codec.h"
+#include "store_codec.h"
+
+namespace lacewingbridge {
+
+namespace {
+
+// A watch counts as a call each time it is renewed.
+constexpr std::uint32_t kWatchWaitMs = 30000;
+constexpr Duration kDutyInterval = std::chrono::seconds(1);
+constexpr Duration kSeedsInterval = std::chrono::seconds(30);
+// Time that the region's first data centre has before its siblings read the body too.
+constexpr Duration kSiblingWait = std::chrono::seconds(1);
+constexpr Duration kRepairFirstWait = std::chrono::milliseconds(200);
+constexpr Duration kRepairLongestWait = std::chrono::seconds(10);
+constexpr Duration kWatchRetry = std::chrono::seconds(1);
+
+std::optional<WatchHolder> DecodeHolder(const StoreEntry& entry) {
+  WatchHolder holder;
+  if (entry.revision == 0 || !Decode(entry.value, holder)) {
+    return std::nullopt;
+  }
+  return holder;
+}
+
+WatchElectionSettings MakeElectionSettings(const Settings& settings, const std::string& scope) {
+  WatchElectionSettings election;
+  election.scope = scope;
+  election.host = settings.host;
+  election.lease = std::chrono::milliseconds(settings.watch_lease_ms);
+  return election;
+}
+
+std::chrono::steady_clock::time_point ToSteady(TimePoint time) {
+  return std::chrono::steady_clock::time_point(time.time_since_epoch());
+}
+
+}  // namespace
+
+StoreWatcher::StoreWatcher(const Settings& given, std::string watch_scope, StoreHttpClient& client,
+                           RulesState& rules_state, ClaimService& claim_service, Hooks given_hooks)
+    : settings(given),
+      scope(std::move(watch_scope)),
+      store(client),
+      rules(rules_state),
+      claims(claim_service),
+      hooks(std::move(given_hooks)),
+      election_random(std::random_device{}()),
+      repair_random(std::random_device{}()),
+      repair(kRepairFirstWait, kRepairLongestWait) {}
+
+StoreWatcher::~StoreWatcher() { this->Stop(); }
+
+void StoreWatcher::Start() {
+  this->election_thread = std::thread([this] { this->RunElection(); });
+  this->head_thread = std::thread([this] { this->RunHeadWatch(); });
+}
+
+void StoreWatcher::Stop() {
+  {
+    const std::lock_guard guard(this->mutex);
+    this->stopped = true;
+  }
+  this->changed.notify_all();
+  this->store.Cancel();
+  if (this->election_thread.joinable()) {
+    this->election_thread.join();
+    this->head_thread.join();
+  }
+}
+
+void StoreWatcher::NotifyHeld() {
+  const std::lock_guard guard(this->mutex);
+  this->changed.notify_all();
+}
+
+bool StoreWatcher::IsWatching() {
+  const std::lock_guard guard(this->mutex);
+  return GetNow() < this->acting_until;
+}
+
+std::vector<DisplacedVersion> StoreWatcher::ListDisplaced() {
+  const std::lock_guard guard(this->mutex);
+  return this->displaced;
+}
+
+bool StoreWatcher::IsStopped() {
+  const std::lock_guard guard(this->mutex);
+  return this->stopped;
+}
+
+bool StoreWatcher::SleepUntil(TimePoint time) {
+  std::unique_lock lock(this->mutex);
+  return !this->changed.wait_until(lock, ToSteady(time), [this] { return this->stopped; });
+}
+
+bool StoreWatcher::WaitForVersion(const VersionStamp& stamp, Duration limit) {
+  const auto until = ToSteady(GetNow() + limit);
+  std::unique_lock lock(this->mutex);
+  return this->changed.wait_until(
+      lock, until, [&] { return this->stopped || !IsNewer(stamp, this->rules.GetStamp()); });
+}
+
+void StoreWatcher::NoteStoreAnswer(bool answered) {
+  if (this->store_reachable.exchange(answered) != answered) {
+    EventLog::Write(answered ? Event::kStoreReached : Event::kStoreUnreachable, "store={}",
+                    this->settings.store_address);
+  }
+}
+
+void StoreWatcher::SetActing(const WatchDecision& decision) {
+  const TimePoint now = GetNow();
+  bool was_acting = false;
+  bool is_acting = false;
+  {
+    const std::lock_guard guard(this->mutex);
+    was_acting = now < this->acting_until;
+    this->acting_until = decision.acting ? decision.acting_until : TimePoint{};
+    is_acting = now < this->acting_until;
+  }
+  if (was_acting != is_acting) {
+    EventLog::Write(is_acting ? Event::kWatchStarted : Event::kWatchEnded, "scope={}", this->scope);
+    this->changed.notify_all();
+  }
+}
+
+void StoreWatcher::RunElection() {
+  WatchElection election(MakeElectionSettings(this->settings, this->scope), GetNow(),
+                         this->election_random);
+  bool members_reported = false;
+  std::vector<std::string> hosts;
+  std::optional<WatchEvent> answer;
+  while (!this->IsStopped()) {
+    WatchEvent event = WatchTimePassed{};
+    if (answer.has_value()) {
+      event = *answer;
+    } else if (!members_reported) {
+      hosts = this->hooks.list_hosts();
+      event = WatchMembersChanged{hosts};
+    }
+    const WatchDecision decision = election.Handle(event, GetNow(), this->election_random);
+    this->SetActing(decision);
+    answer.reset();
+    if (!std::holds_alternative<WatchNoCall>(decision.call)) {
+      answer = this->PerformCall(decision.call);
+      continue;
+    }
+    if (!members_reported) {
+      members_reported = true;
+      continue;
+    }
+    this->PerformDuties(decision.acting);
+    this->SleepUntil(std::min(decision.wake_at, GetNow() + kDutyInterval));
+    members_reported = false;
+  }
+}
+
+void StoreWatcher::PerformDuties(bool acting) {
+  if (!acting) {
+    this->owners_revision.reset();
+    return;
+  }
+  this->KeepOwnerMap();
+  this->KeepSeeds();
+}
+
+WatchEvent StoreWatcher::PerformCall(const WatchCall& call) {
+  return std::visit([this](const auto& one) { return this->Perform(one); }, call);
+}
+
+WatchEvent StoreWatcher::Perform(const WatchNoCall& /*call*/) { return WatchTimePassed{}; }
+
+WatchEvent StoreWatcher::Perform(const WatchReadKey& /*call*/) {
+  const auto reply = this->store.Get({MakeWatchKey(this->scope)});
+  this->NoteStoreAnswer(IsOk(reply));
+  if (!IsOk(reply)) {
+    return WatchCallFailed{};
+  }
+  const StoreEntry& entry = GetValue(reply).entry;
+  return WatchKeyRead{DecodeHolder(entry), entry.revision};
+}
+
+WatchEvent StoreWatcher::Perform(const WatchGrantLease& call) {
+  return this->Perform(WatchKeepLease{0, call.duration});
+}
+
+WatchEvent StoreWatcher::Perform(const WatchKeepLease& call) {
+  StoreLeaseRequest request;
+  request.lease_id = call.lease_id;
+  request.duration_ms = static_cast<std::uint32_t>(CountMilliseconds(call.duration));
+  const auto reply = this->store.Lease(request);
+  this->NoteStoreAnswer(IsOk(reply));
+  if (!IsOk(reply)) {
+    return WatchCallFailed{};
+  }
+  return WatchLeaseReplied{GetValue(reply).granted, GetValue(reply).lease_id};
+}
+
+WatchEvent StoreWatcher::Perform(const WatchSwapKey& call) {
+  StoreSwapRequest request;
+  request.key = MakeWatchKey(this->scope);
+  request.value = Encode(call.holder);
+  request.expected_revision = call.expected_revision;
+  request.lease_id = call.holder.lease_id;
+  const auto reply = this->store.Swap(request);
+  this->NoteStoreAnswer(IsOk(reply));
+  if (!IsOk(reply)) {
+    return WatchCallFailed{};
+  }
+  return WatchKeySwapped{GetValue(reply).succeeded, DecodeHolder(GetValue(reply).entry)};
+}
+
+void StoreWatcher::RunHeadWatch() {
+  std::uint64_t known_revision = 0;
+  bool first = true;
+  while (!this->IsStopped()) {
+    if (!this->IsWatching()) {
+      first = true;
+      std::unique_lock lock(this->mutex);
+      this->changed.wait_until(lock, ToSteady(GetNow() + kDutyInterval),
+                               [this] { return this->stopped || GetNow() < this->acting_until; });
+      continue;
+    }
+    // A new watcher reads the head at once, since it may hold an old version.
+    StoreWatchRequest request;
+    request.key = kHeadKey;
+    request.known_revision = known_revision;
+    request.wait_ms = first ? 0 : kWatchWaitMs;
+    const auto reply = this->store.Watch(request);
+    this->NoteStoreAnswer(IsOk(reply));
+    if (!IsOk(reply)) {
+      this->SleepUntil(GetNow() + kWatchRetry);
+      continue;
+    }
+    const StoreEntry& entry = GetValue(reply).entry;
+    if (first || entry.revision != known_revision) {
+      this->HandleHead(DecodeHead(entry));
+      known_revision = entry.revision;
+      first = false;
+    }
+  }
+}
+
+void StoreWatcher::HandleHead(const StoredHead& stored) {
+  std::optional<RepairEvent> event = RepairHeadRead{stored};
+  while (event.has_value() && !this->IsStopped()) {
+    const RepairAction action =
+        this->repair.Handle(*event, this->rules.GetHeld(), GetNow(), this->repair_random);
+    event = this->PerformRepair(action);
+  }
+}
+
+std::optional<RepairEvent> StoreWatcher::PerformRepair(const RepairAction& action) {
+  return std::visit([this](const auto& one) { return this->Repair(one); }, action);
+}
+
+std::optional<RepairEvent> StoreWatcher::Repair(const RepairNothing& /*action*/) {
+  return std::nullopt;
+}
+
+std::optional<RepairEvent> StoreWatcher::Repair(const RepairFetch& action) {
+  const RulesHead& head = action.head;
+  if (head.delta.has_value() && this->hooks.offer_delta(*head.delta)) {
+    return std::nullopt;
+  }
+  if (this->hooks.has_first_sibling() && this->WaitForVersion(head.stamp, kSiblingWait)) {
+    return std::nullopt;
+  }
+  Result<RulesVersion> version = ReadVersion(this->store, head);
+  if (!IsOk(version)) {
+    EventLog::Write(Event::kStoreUnreachable, "{}", GetError(version).GetMessage());
+    return RepairCallFailed{};
+  }
+  this->hooks.offer(std::move(GetValue(version)));
+  return std::nullopt;
+}
+
+std::optional<RepairEvent> StoreWatcher::Repair(const RepairWriteBody& action) {
+  EventLog::Write(Event::kStoreOlder, "number={}", action.version->stamp.number);
+  const bool written =
+      WriteOnce(this->store, MakeBodyKey(action.version->stamp.digest), action.version->text);
+  return written ? RepairEvent(RepairKeyWritten{}) : RepairEvent(RepairCallFailed{});
+}
+
+std::optional<RepairEvent> StoreWatcher::Repair(const RepairKeepDisplaced& action) {
+  if (!WriteOnce(this->store, MakeDisplacedKey(action.head.stamp), Encode(action.head))) {
+    return RepairCallFailed{};
+  }
+  const std::lock_guard guard(this->mutex);
+  this->displaced.push_back({action.head.stamp, action.head.operator_name});
+  return RepairKeyWritten{};
+}
+
+std::optional<RepairEvent> StoreWatcher::Repair(const RepairSwapHead& action) {
+  StoreSwapRequest request;
+  request.key = kHeadKey;
+  request.value = Encode(action.head);
+  request.expected_revision = action.expected_revision;
+  const auto reply = this->store.Swap(request);
+  if (!IsOk(reply)) {
+    return RepairCallFailed{};
+  }
+  return RepairSwapReplied{GetValue(reply).succeeded, DecodeHead(GetValue(reply).entry)};
+}
+
+std::optional<RepairEvent> StoreWatcher::Repair(const RepairReadHead& /*action*/) {
+  const auto reply = this->store.Get({kHeadKey});
+  if (!IsOk(reply)) {
+    return RepairCallFailed{};
+  }
+  return RepairHeadRead{DecodeHead(GetValue(reply).entry)};
+}
+
+std::optional<RepairEvent> StoreWatcher::Repair(const RepairWaitUntil& action) {
+  if (!this->SleepUntil(action.time)) {
+    return std::nullopt;
+  }
+  return RepairTimePassed{};
+}
+
+void StoreWatcher::KeepOwnerMap() {
+  if (!this->owners_revision.has_value()) {
+    const auto reply = this->store.Get({kOwnersKey});
+    if (!IsOk(reply)) {
+      return;
+    }
+    const StoreEntry& entry = GetValue(reply).entry;
+    ClaimOwnerMap stored;
+    if (entry.revision != 0 && Decode(entry.value, stored)) {
+      this->claims.AdoptMap(stored, GetNow());
+    }
+    this->owners_revision = entry.revision;
+  }
+  const std::optional<ClaimOwnerMap> next =
+      this->claims.Propose(*this->owners_revision == 0, GetNow());
+  if (!next.has_value()) {
+    return;
+  }
+  StoreSwapRequest request;
+  request.key = kOwnersKey;
+  request.value = Encode(*next);
+  request.expected_revision = *this->owners_revision;
+  const auto reply = this->store.Swap(request);
+  // Read again after a lost answer or a lost race, before any further proposal.
+  this->owners_revision.reset();
+  if (IsOk(reply) && GetValue(reply).succeeded) {
+    this->owners_revision = GetValue(reply).entry.revision;
+    this->claims.AdoptMap(*next, GetNow());
+  }
+}
+
+void StoreWatcher::KeepSeeds() {
+  const TimePoint now = GetNow();
+  if (now < this->next_seeds) {
+    return;
+  }
+  this->next_seeds = now + kSeedsInterval;
+  auto lists = this->hooks.list_seeds();
+  if (lists == this->written_seeds) {
+    return;
+  }
+  for (const auto& [data_centre, addresses] : lists) {
+    const std::string key = MakeSeedsKey(data_centre);
+    const auto current = this->store.Get({key});
+    if (!IsOk(current)) {
+      return;
+    }
+    StoreSwapRequest request;
+    request.key = key;
+    request.value = Encode(SeedList{addresses});
+    request.expected_revision = GetValue(current).entry.revision;
+    if (GetValue(current).entry.value != request.value && !IsOk(this->store.Swap(request))) {
+      return;
+    }
+  }
+  this->written_seeds = std::move(lists);
+}
+
+}  // namespace lacewingbridge
--- a/Source/Generated/adminclientstub.h
+++ b/Source/Generated/adminclientstub.h
@@ -12,11 +12,12 @@
     public:
         AdminClientStub(jsonrpc::IClientConnector &conn, jsonrpc::clientVersion_t type = jsonrpc::JSONRPC_CLIENT_V2) : jsonrpc::Client(conn, type) {}
 
-        Json::Value submit(const std::string& base_number, const std::string& operator_name, const std::string& submission_id, const std::string& text) throw (jsonrpc::JsonRpcException)
+        Json::Value submit(const std::string& base_number, const std::string& operator_name, const std::string& resumed, const std::string& submission_id, const std::string& text) throw (jsonrpc::JsonRpcException)
         {
             Json::Value p;
             p["base_number"] = base_number;
             p["operator_name"] = operator_name;
+            p["resumed"] = resumed;
             p["submission_id"] = submission_id;
             p["text"] = text;
             Json::Value result = this->CallMethod("submit",p);
--- a/Source/Generated/adminserverstub.h
+++ b/Source/Generated/adminserverstub.h
@@ -12,7 +12,7 @@
     public:
         AdminServerStub(jsonrpc::AbstractServerConnector &conn, jsonrpc::serverVersion_t type = jsonrpc::JSONRPC_SERVER_V2) : jsonrpc::AbstractServer<AdminServerStub>(conn, type)
         {
-            this->bindAndAddMethod(jsonrpc::Procedure("submit", jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT, "base_number",jsonrpc::JSON_STRING,"operator_name",jsonrpc::JSON_STRING,"submission_id",jsonrpc::JSON_STRING,"text",jsonrpc::JSON_STRING, NULL), &AdminServerStub::submitI);
+            this->bindAndAddMethod(jsonrpc::Procedure("submit", jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT, "base_number",jsonrpc::JSON_STRING,"operator_name",jsonrpc::JSON_STRING,"resumed",jsonrpc::JSON_STRING,"submission_id",jsonrpc::JSON_STRING,"text",jsonrpc::JSON_STRING, NULL), &AdminServerStub::submitI);
             this->bindAndAddMethod(jsonrpc::Procedure("check", jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT, "file_name",jsonrpc::JSON_STRING,"text",jsonrpc::JSON_STRING, NULL), &AdminServerStub::checkI);
             this->bindAndAddMethod(jsonrpc::Procedure("status", jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT,  NULL), &AdminServerStub::statusI);
             this->bindAndAddMethod(jsonrpc::Procedure("explain", jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT, "method",jsonrpc::JSON_STRING,"path",jsonrpc::JSON_STRING, NULL), &AdminServerStub::explainI);
@@ -23,7 +23,7 @@
 
         inline virtual void submitI(const Json::Value &request, Json::Value &response)
         {
-            response = this->submit(request["base_number"].asString(), request["operator_name"].asString(), request["submission_id"].asString(), request["text"].asString());
+            response = this->submit(request["base_number"].asString(), request["operator_name"].asString(), request["resumed"].asString(), request["submission_id"].asString(), request["text"].asString());
         }
         inline virtual void checkI(const Json::Value &request, Json::Value &response)
         {
@@ -53,7 +53,7 @@
             (void)request;
             response = this->drain();
         }
-        virtual Json::Value submit(const std::string& base_number, const std::string& operator_name, const std::string& submission_id, const std::string& text) = 0;
+        virtual Json::Value submit(const std::string& base_number, const std::string& operator_name, const std::string& resumed, const std::string& submission_id, const std::string& text) = 0;
         virtual Json::Value check(const std::string& file_name, const std::string& text) = 0;
         virtual Json::Value status() = 0;
         virtual Json::Value explain(const std::string& method, const std::string& path) = 0;
--- a/Source/Generated/membership.h
+++ b/Source/Generated/membership.h
@@ -118,6 +118,7 @@
   std::vector<MemberRecord> members;
   std::vector<QuarantineStrike> strikes;
   std::optional<RulesDeltaScript> delta;
+  std::uint64_t claim_epoch = 0;
 
   bool operator==(const GossipDatagram&) const = default;
 };
--- a/Source/Generated/membership_codec.cc
+++ b/Source/Generated/membership_codec.cc
@@ -273,6 +273,7 @@
   if (plain.delta.has_value()) {
     ToWire(*plain.delta, *wire.mutable_delta());
   }
+  wire.set_claim_epoch(plain.claim_epoch);
 }
 
 void FromWire(const wire::GossipDatagram& wire, GossipDatagram& plain) {
@@ -298,6 +299,7 @@
   if (wire.has_delta()) {
     FromWire(wire.delta(), plain.delta.emplace());
   }
+  plain.claim_epoch = wire.claim_epoch();
 }
 
 std::string Encode(const GossipDatagram& plain) {
--- a/Source/Generated/peer.h
+++ b/Source/Generated/peer.h
@@ -108,6 +108,7 @@
 struct ListMembersReply {
   VersionStamp held;
   std::vector<MemberRecord> members;
+  std::uint64_t claim_epoch = 0;
 
   bool operator==(const ListMembersReply&) const = default;
 };
@@ -131,6 +132,7 @@
 };
 
 struct RelayExchangeReply {
+  std::uint64_t claim_epoch = 0;
   VersionStamp held;
   std::vector<DataCentreDigest> digests;
   std::vector<DataCentreProgress> progress;
@@ -139,6 +141,12 @@
   bool operator==(const RelayExchangeReply&) const = default;
 };
 
+struct ClaimOwnerMapRequest {
+  std::uint64_t have_epoch = 0;
+
+  bool operator==(const ClaimOwnerMapRequest&) const = default;
+};
+
 struct ClaimOwnerMap {
   std::uint64_t epoch = 0;
   std::vector<std::string> hosts;
--- a/Source/Generated/peer_codec.cc
+++ b/Source/Generated/peer_codec.cc
@@ -181,6 +181,7 @@
   for (const auto& element : plain.members) {
     ToWire(element, *wire.add_members());
   }
+  wire.set_claim_epoch(plain.claim_epoch);
 }
 
 void FromWire(const wire::ListMembersReply& wire, ListMembersReply& plain) {
@@ -189,6 +190,7 @@
   for (const auto& element : wire.members()) {
     FromWire(element, plain.members.emplace_back());
   }
+  plain.claim_epoch = wire.claim_epoch();
 }
 
 std::string Encode(const ListMembersReply& plain) {
@@ -365,6 +367,7 @@
 }
 
 void ToWire(const RelayExchangeReply& plain, wire::RelayExchangeReply& wire) {
+  wire.set_claim_epoch(plain.claim_epoch);
   if (plain.held != VersionStamp{}) {
     ToWire(plain.held, *wire.mutable_held());
   }
@@ -380,6 +383,7 @@
 }
 
 void FromWire(const wire::RelayExchangeReply& wire, RelayExchangeReply& plain) {
+  plain.claim_epoch = wire.claim_epoch();
   FromWire(wire.held(), plain.held);
   plain.digests.reserve(static_cast<std::size_t>(wire.digests_size()));
   for (const auto& element : wire.digests()) {
@@ -436,6 +440,55 @@
   return true;
 }
 
+void ToWire(const ClaimOwnerMapRequest& plain, wire::ClaimOwnerMapRequest& wire) {
+  wire.set_have_epoch(plain.have_epoch);
+}
+
+void FromWire(const wire::ClaimOwnerMapRequest& wire, ClaimOwnerMapRequest& plain) {
+  plain.have_epoch = wire.have_epoch();
+}
+
+std::string Encode(const ClaimOwnerMapRequest& plain) {
+  wire::ClaimOwnerMapRequest wire;
+  ToWire(plain, wire);
+  return wire.SerializeAsString();
+}
+
+bool Decode(std::string_view bytes, ClaimOwnerMapRequest& plain) {
+  wire::ClaimOwnerMapRequest wire;
+  if (!wire.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
+std::string EncodeJson(const ClaimOwnerMapRequest& plain) {
+  wire::ClaimOwnerMapRequest wire;
+  ToWire(plain, wire);
+  std::string text;
+  google::protobuf::util::JsonPrintOptions options;
+  options.preserve_proto_field_names = true;
+  options.always_print_primitive_fields = true;
+  if (!google::protobuf::util::MessageToJsonString(wire, &text, options).ok()) {
+    return {};
+  }
+  return text;
+}
+
+bool DecodeJson(std::string_view text, ClaimOwnerMapRequest& plain) {
+  wire::ClaimOwnerMapRequest wire;
+  if (!google::protobuf::util::JsonStringToMessage(
+           google::protobuf::StringPiece(text.data(), text.size()), &wire)
+           .ok()) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
 void ToWire(const ClaimOwnerMap& plain, wire::ClaimOwnerMap& wire) {
   wire.set_epoch(plain.epoch);
   for (const auto& element : plain.hosts) {
--- a/Source/Membership/join_process.cc
+++ b/Source/Membership/join_process.cc
@@ -57,9 +57,9 @@
 
 void JoinProcess::HandleStoreSeeds(std::vector<std::string> addresses) {
   for (std::string& address : addresses) {
-    const bool known = address == this->own_address ||
-                       std::find(this->seeds.begin(), this->seeds.end(), address) !=
-                           this->seeds.end();
+    const bool known =
+        address == this->own_address ||
+        std::find(this->seeds.begin(), this->seeds.end(), address) != this->seeds.end();
     if (!known) {
       this->seeds.push_back(std::move(address));
     }
--- a/Source/Membership/target_registry.cc
+++ b/Source/Membership/target_registry.cc
@@ -12,8 +12,8 @@
 
 }  // namespace
 
-std::vector<TargetRegistry::Change> TargetRegistry::Announce(
-    const TargetAnnouncement& announcement, TimePoint now) {
+std::vector<TargetRegistry::Change> TargetRegistry::Announce(const TargetAnnouncement& announcement,
+                                                             TimePoint now) {
   TargetRecord target;
   target.service = announcement.service;
   target.address = announcement.address;
