--- /dev/null
+++ b/Source/Rules/rules_checker.h
@@ -0,0 +1,19 @@
+#ifndef LACEWINGBRIDGE_SOURCE_RULES_RULES_CHECKER_H_
+#define LACEWINGBRIDGE_SOURCE_RULES_RULES_CHECKER_H_
+
+namespace lacewingbridge {
+
+class RulesReport;
+struct RulesDraft;
+
+// Checks what concerns more than one line of a file.
+class RulesChecker {
+ public:
+  // Reports names used twice, references to rules that do not exist, and routes that
+  // accept the same requests.
+  static void CheckDraft(const RulesDraft& draft, RulesReport& report);
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_SOURCE_RULES_RULES_CHECKER_H_
--- /dev/null
+++ b/Source/Rules/rules_line_reader.cc
@@ -0,0 +1,323 @@
+#include "Rules/rules_line_reader.h"
+
+#include <array>
+#include <string>
+#include <utility>
+
+#include "Rules/rules_draft.h"
+#include "Rules/rules_line.h"
+#include "Rules/rules_report.h"
+#include "Rules/rules_utf8.h"
+#include "Rules/rules_values.h"
+
+namespace lacewingbridge {
+
+namespace {
+
+// The owner of a key remembers it for 10 min; a deadline has to end well before that.
+constexpr Duration kMaxDeadline = std::chrono::minutes(5);
+constexpr Duration kMaxColdStart = std::chrono::minutes(10);
+constexpr std::uint32_t kMaxUnits = 10'000;
+constexpr std::uint32_t kMaxRatePerSecond = 1'000'000;
+
+// A key of a rule: what a valid value looks like, and how to set it.
+template <typename Rule>
+struct KeyForm {
+  std::string_view name;
+  std::string_view remedy;
+  bool (*set)(Rule& rule, std::string_view value);
+};
+
+// A key as given on a line; the word is empty if it is not given.
+struct GivenKey {
+  std::string_view word;
+  bool valid = false;
+};
+
+template <std::size_t kCount>
+using GivenKeys = std::array<GivenKey, kCount>;
+
+template <typename Field, typename Value>
+bool SetIfPresent(Field& field, const std::optional<Value>& value) {
+  if (value) {
+    field = *value;
+  }
+  return value.has_value();
+}
+
+bool SetReference(std::string& field, std::string_view value) {
+  field = value;
+  return !value.empty();
+}
+
+template <typename Value, std::size_t kCount>
+bool SetWord(Value& field, std::string_view value,
+             const std::array<std::pair<std::string_view, Value>, kCount>& words) {
+  for (const auto& [word, meaning] : words) {
+    if (word == value) {
+      field = meaning;
+      return true;
+    }
+  }
+  return false;
+}
+
+constexpr std::array<KeyForm<ServiceRule>, 4> kServiceForms = {{
+    {"slots", "write a whole number from 1 to 10000",
+     [](ServiceRule& rule, std::string_view value) {
+       return SetIfPresent(rule.slots, ParseRulesNumber(value, 1, kMaxUnits));
+     }},
+    {"connections", "write a whole number from 1 to 10000",
+     [](ServiceRule& rule, std::string_view value) {
+       return SetIfPresent(rule.connections, ParseRulesNumber(value, 1, kMaxUnits));
+     }},
+    {"queue", "write a whole number from 0 to 10000",
+     [](ServiceRule& rule, std::string_view value) {
+       return SetIfPresent(rule.queue, ParseRulesNumber(value, 0, kMaxUnits));
+     }},
+    {"cold-start", "write a whole number with ms, s or m, from 0ms to 10m",
+     [](ServiceRule& rule, std::string_view value) {
+       return SetIfPresent(rule.cold_start, ParseRulesDuration(value, Duration(0), kMaxColdStart));
+     }},
+}};
+
+enum RouteKey : std::size_t {
+  kRoutePath,
+  kRouteService,
+  kRouteMethods,
+  kRouteIdempotent,
+  kRouteKeyUse,
+  kRouteDeadline,
+  kRouteRetries,
+  kRoutePriority,
+  kRouteKeyCount,
+};
+
+constexpr std::array<KeyForm<RouteRule>, kRouteKeyCount> kRouteForms = {{
+    {"path",
+     "write an absolute path of at most 256 ASCII characters, without a trailing \"/\", empty or "
+     "dot segments, \"?\" or \"#\"",
+     [](RouteRule& rule, std::string_view value) {
+       rule.path = value;
+       return IsRulesPath(value);
+     }},
+    {"service", "write the name of a service of this file",
+     [](RouteRule& rule, std::string_view value) { return SetReference(rule.service, value); }},
+    {"methods",
+     "list GET, HEAD, POST, PUT, PATCH, DELETE or OPTIONS, each once, with commas and no spaces",
+     [](RouteRule& rule, std::string_view value) {
+       return SetIfPresent(rule.methods, ParseHttpMethodSet(value));
+     }},
+    {"idempotent", "write yes or no",
+     [](RouteRule& rule, std::string_view value) {
+       return SetWord<bool, 2>(rule.idempotent, value, {{{"yes", true}, {"no", false}}});
+     }},
+    {"key", "write required, optional or none",
+     [](RouteRule& rule, std::string_view value) {
+       return SetWord<KeyUse, 3>(rule.key, value,
+                                 {{{"required", KeyUse::kRequired},
+                                   {"optional", KeyUse::kOptional},
+                                   {"none", KeyUse::kNone}}});
+     }},
+    {"deadline", "write a whole number with ms, s or m, from 1ms to 5m",
+     [](RouteRule& rule, std::string_view value) {
+       return SetIfPresent(rule.deadline,
+                           ParseRulesDuration(value, std::chrono::milliseconds(1), kMaxDeadline));
+     }},
+    {"retries", "write a whole number from 0 to 5",
+     [](RouteRule& rule, std::string_view value) {
+       return SetIfPresent(rule.retries, ParseRulesNumber(value, 0, 5));
+     }},
+    {"priority", "write internal, normal or low",
+     [](RouteRule& rule, std::string_view value) {
+       return SetWord<RoutePriority, 3>(rule.priority, value,
+                                        {{{"internal", RoutePriority::kInternal},
+                                          {"normal", RoutePriority::kNormal},
+                                          {"low", RoutePriority::kLow}}});
+     }},
+}};
+
+enum LimitKey : std::size_t { kLimitRoute, kLimitService, kLimitRate, kLimitBurst, kLimitKeyCount };
+
+constexpr std::array<KeyForm<LimitRule>, kLimitKeyCount> kLimitForms = {{
+    {"route", "write the name of a route of this file",
+     [](LimitRule& rule, std::string_view value) { return SetReference(rule.route, value); }},
+    {"service", "write the name of a service of this file",
+     [](LimitRule& rule, std::string_view value) { return SetReference(rule.service, value); }},
+    {"rate", "write a whole number of requests a second from 1 to 1000000",
+     [](LimitRule& rule, std::string_view value) {
+       return SetIfPresent(rule.rate_per_second, ParseRulesNumber(value, 1, kMaxRatePerSecond));
+     }},
+    {"burst", "write a whole number of requests from 1 to 1000000",
+     [](LimitRule& rule, std::string_view value) {
+       return SetIfPresent(rule.burst, ParseRulesNumber(value, 1, kMaxRatePerSecond));
+     }},
+}};
+
+template <typename Rule, std::size_t kCount>
+std::string ListKeys(const std::array<KeyForm<Rule>, kCount>& forms) {
+  std::string list;
+  for (const KeyForm<Rule>& form : forms) {
+    list += (list.empty() ? "" : ", ") + std::string(form.name) + "=";
+  }
+  return list;
+}
+
+// Reads one word of the form KEY=VALUE.
+template <typename Rule, std::size_t kCount>
+void ReadKey(const RulesLine& line, std::string_view word,
+             const std::array<KeyForm<Rule>, kCount>& forms, Rule& rule, GivenKeys<kCount>& given,
+             RulesReport& report) {
+  const std::size_t column = line.GetColumn(word);
+  const std::size_t equals = word.find('=');
+  if (equals == std::string_view::npos) {
+    report.AddError(line.number, column, "unknown word " + QuoteForMessage(word),
+                    "remove it, or write it as one of " + ListKeys(forms));
+    return;
+  }
+  const std::string_view name = word.substr(0, equals);
+  for (std::size_t i = 0; i < kCount; ++i) {
+    if (forms[i].name != name) {
+      continue;
+    }
+    if (!given[i].word.empty()) {
+      report.AddError(line.number, column, QuoteForMessage(name) + " is given twice",
+                      "keep one of them");
+      return;
+    }
+    given[i] = {word, forms[i].set(rule, word.substr(equals + 1))};
+    if (!given[i].valid) {
+      report.AddError(line.number, column, QuoteForMessage(word) + " is not valid",
+                      std::string(forms[i].remedy));
+    }
+    return;
+  }
+  report.AddError(line.number, column, "unknown key " + QuoteForMessage(name),
+                  "use one of " + ListKeys(forms));
+}
+
+// Reads the name, the keys and the person; the name stays empty if there is none.
+template <typename Rule, std::size_t kCount>
+GivenKeys<kCount> ReadWords(const RulesLine& line, const std::array<KeyForm<Rule>, kCount>& forms,
+                            RulesDraft::Entry<Rule>& entry, RulesReport& report) {
+  std::size_t first_key = 1;
+  if (line.words.size() < 2 || line.words[1].find('=') != std::string_view::npos) {
+    report.AddError(line.number, line.GetColumn(line.words[0]),
+                    "the " + std::string(line.words[0]) + " has no name",
+                    "write a name after " + QuoteForMessage(line.words[0]));
+  } else {
+    const std::string_view name = line.words[1];
+    first_key = 2;
+    entry.rule.name = name;
+    entry.name_column = line.GetColumn(name);
+    if (!IsRulesName(name)) {
+      report.AddError(line.number, entry.name_column,
+                      QuoteForMessage(name) + " is not a valid name",
+                      "use at most 64 letters, digits, \"-\", \"_\" and \".\"");
+    }
+  }
+  entry.rule.line = line.number;
+  entry.rule.who = line.who;
+  entry.rule.why = line.why;
+  GivenKeys<kCount> given;
+  for (std::size_t i = first_key; i < line.words.size(); ++i) {
+    ReadKey(line, line.words[i], forms, entry.rule, given, report);
+  }
+  return given;
+}
+
+void RequireKey(const RulesLine& line, const GivenKey& given, std::string_view name,
+                RulesReport& report) {
+  if (given.word.empty()) {
+    report.AddError(
+        line.number, line.GetColumn(line.words[0]),
+        "the " + std::string(line.words[0]) + " has no " + QuoteForMessage(name) + " key",
+        "add " + std::string(name) + "=");
+  }
+}
+
+std::size_t GetValidColumn(const RulesLine& line, const GivenKey& given) {
+  return given.valid ? line.GetColumn(given.word) : 0;
+}
+
+template <typename Rule>
+void AddNamedEntry(std::vector<RulesDraft::Entry<Rule>>& entries, RulesDraft::Entry<Rule> entry) {
+  if (!entry.rule.name.empty()) {
+    entries.push_back(std::move(entry));
+  }
+}
+
+// A value of idempotent= that was reported already says nothing about the other keys.
+void CheckRoute(const RulesLine& line, const GivenKeys<kRouteKeyCount>& given,
+                const RouteRule& rule, RulesReport& report) {
+  RequireKey(line, given[kRoutePath], "path", report);
+  RequireKey(line, given[kRouteService], "service", report);
+  const GivenKey& idempotent = given[kRouteIdempotent];
+  if (!idempotent.word.empty() && !idempotent.valid) {
+    return;
+  }
+  if (rule.retries > 0 && !rule.idempotent) {
+    report.AddError(line.number, line.GetColumn(given[kRouteRetries].word),
+                    "retries on a route that is not idempotent",
+                    "write retries=0, or idempotent=yes if a request may run more than once");
+  }
+  if (rule.idempotent && given[kRouteKeyUse].valid && rule.key == KeyUse::kRequired) {
+    report.AddError(line.number, line.GetColumn(given[kRouteKeyUse].word),
+                    "a required key on an idempotent route",
+                    "remove key=required, or write idempotent=no if a request must run once only");
+  }
+}
+
+void ReadRoute(const RulesLine& line, RulesDraft& draft, RulesReport& report) {
+  RulesDraft::Entry<RouteRule> entry;
+  const auto given = ReadWords(line, kRouteForms, entry, report);
+  CheckRoute(line, given, entry.rule, report);
+  if (entry.rule.idempotent && given[kRouteKeyUse].word.empty()) {
+    entry.rule.key = KeyUse::kNone;
+  }
+  entry.service_column = GetValidColumn(line, given[kRouteService]);
+  // Without its methods it is not known which requests the route accepts.
+  if (given[kRouteMethods].word.empty() || given[kRouteMethods].valid) {
+    entry.path_column = GetValidColumn(line, given[kRoutePath]);
+  }
+  AddNamedEntry(draft.routes, std::move(entry));
+}
+
+void ReadLimit(const RulesLine& line, RulesDraft& draft, RulesReport& report) {
+  RulesDraft::Entry<LimitRule> entry;
+  const auto given = ReadWords(line, kLimitForms, entry, report);
+  RequireKey(line, given[kLimitRate], "rate", report);
+  if (given[kLimitRoute].word.empty() == given[kLimitService].word.empty()) {
+    report.AddError(line.number, line.GetColumn(line.words[0]),
+                    given[kLimitRoute].word.empty()
+                        ? "the limit names neither a route nor a service"
+                        : "the limit names both a route and a service",
+                    "give exactly one of route= and service=");
+  }
+  if (given[kLimitBurst].word.empty()) {
+    entry.rule.burst = entry.rule.rate_per_second;
+  }
+  entry.route_column = GetValidColumn(line, given[kLimitRoute]);
+  entry.service_column = GetValidColumn(line, given[kLimitService]);
+  AddNamedEntry(draft.limits, std::move(entry));
+}
+
+}  // namespace
+
+void RulesLineReader::ReadRule(const RulesLine& line, RulesDraft& draft, RulesReport& report) {
+  const std::string_view kind = line.words[0];
+  if (kind == "service") {
+    RulesDraft::Entry<ServiceRule> entry;
+    ReadWords(line, kServiceForms, entry, report);
+    AddNamedEntry(draft.services, std::move(entry));
+  } else if (kind == "route") {
+    ReadRoute(line, draft, report);
+  } else if (kind == "limit") {
+    ReadLimit(line, draft, report);
+  } else {
+    report.AddError(line.number, line.GetColumn(kind), "unknown rule " + QuoteForMessage(kind),
+                    "start the line with service, route or limit");
+  }
+}
+
+}  // namespace lacewingbridge
