--- a/Source/Version/submit_messages.h
+++ b/Source/Version/submit_messages.h
@@ -37,7 +37,8 @@
   std::uint64_t revision = 0;
 };
 
-// Inputs of SubmitProcess. Every store call ends in one of them.
+// Inputs of SubmitProcess. Every store call ends in exactly one of them: once a call is
+// reported as failed, a late reply to it is dropped.
 struct SubmitStarted {};
 struct SubmitHeadRead {
   StoredHead stored;
--- /dev/null
+++ b/Source/Version/submit_process.cc
@@ -0,0 +1,238 @@
+#include "Version/submit_process.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "Core/digest.h"
+#include "Version/head_records.h"
+#include "Version/version_order.h"
+
+namespace lacewingbridge {
+
+namespace {
+
+VersionStamp GetHeadStamp(const StoredHead& stored) {
+  return stored.head ? stored.head->stamp : VersionStamp{};
+}
+
+}  // namespace
+
+ErrorKind GetErrorKind(const SubmitOutcome& outcome) {
+  if (std::holds_alternative<SubmitAccepted>(outcome)) {
+    return ErrorKind::kNone;
+  }
+  if (std::holds_alternative<SubmitConflict>(outcome)) {
+    return ErrorKind::kSubmitConflict;
+  }
+  return std::holds_alternative<SubmitStoreUnavailable>(outcome) ? ErrorKind::kStoreUnavailable
+                                                                 : ErrorKind::kSubmitUnknown;
+}
+
+Result<SubmitProcess> SubmitProcess::Create(SubmitRequest request, SubmitSettings settings,
+                                            TimePoint now) {
+  if (request.submission_id.empty()) {
+    return Error{ErrorKind::kInvalidArgument, "the submission id is empty"};
+  }
+  if (request.text.size() > kMaxTextBytes) {
+    return Error{ErrorKind::kLimitExceeded,
+                 "the rules text has " + std::to_string(request.text.size()) +
+                     " bytes; the limit is " + std::to_string(kMaxTextBytes)};
+  }
+  return SubmitProcess(std::move(request), settings, now);
+}
+
+SubmitProcess::SubmitProcess(SubmitRequest initial_request, SubmitSettings settings, TimePoint now)
+    : request(std::move(initial_request)),
+      stamp{this->request.base.number + 1, ComputeDigest(this->request.text)},
+      backoff(settings.first_wait, settings.longest_wait),
+      deadline(now + settings.deadline),
+      wait_until(now),
+      may_be_accepted(this->request.resumed) {}
+
+SubmitAction SubmitProcess::Handle(const SubmitEvent& event, TimePoint now,
+                                   std::mt19937_64& random) {
+  if (this->state == State::kFinished) {
+    return SubmitFinished{this->outcome};
+  }
+  return std::visit([&](const auto& input) { return this->Apply(input, now, random); }, event);
+}
+
+SubmitAction SubmitProcess::Apply(const SubmitStarted&, TimePoint, std::mt19937_64&) {
+  return this->state == State::kCreated ? this->ReadHead() : this->KeepWaiting();
+}
+
+SubmitAction SubmitProcess::Apply(const SubmitHeadRead& event, TimePoint now,
+                                  std::mt19937_64& random) {
+  if (this->state != State::kReading) {
+    return this->KeepWaiting();
+  }
+  if (const auto accepted = this->FindAcceptedStamp(event.stored)) {
+    return this->Finish(SubmitAccepted{*accepted});
+  }
+  if (!this->MatchesBase(event.stored)) {
+    return this->DecideOtherHead(event.stored, now, random);
+  }
+  this->base_head = event.stored;
+  if (now >= this->deadline) {
+    return this->GiveUp();
+  }
+  if (this->body_written) {
+    return this->SwapHead();
+  }
+  this->state = State::kWritingBody;
+  return SubmitWriteBody{this->stamp.digest};
+}
+
+SubmitAction SubmitProcess::Apply(const SubmitBodyWritten&, TimePoint, std::mt19937_64&) {
+  if (this->state != State::kWritingBody) {
+    return this->KeepWaiting();
+  }
+  this->body_written = true;
+  return this->SwapHead();
+}
+
+SubmitAction SubmitProcess::Apply(const SubmitSwapReplied& event, TimePoint now,
+                                  std::mt19937_64& random) {
+  if (this->state != State::kSwapping) {
+    return this->KeepWaiting();
+  }
+  if (event.succeeded) {
+    return this->Finish(SubmitAccepted{this->stamp});
+  }
+  // An earlier attempt whose answer was lost may be the one that won.
+  if (const auto accepted = this->FindAcceptedStamp(event.stored)) {
+    return this->Finish(SubmitAccepted{*accepted});
+  }
+  if (!this->MatchesBase(event.stored)) {
+    return this->DecideOtherHead(event.stored, now, random);
+  }
+  // The same version was written under a new revision, for example by a repair.
+  return this->Wait(now, random);
+}
+
+SubmitAction SubmitProcess::Apply(const SubmitCallFailed& event, TimePoint now,
+                                  std::mt19937_64& random) {
+  if (this->state != State::kReading && this->state != State::kWritingBody &&
+      this->state != State::kSwapping) {
+    return this->KeepWaiting();
+  }
+  if (this->state == State::kSwapping && event.may_have_taken_effect) {
+    this->may_be_accepted = true;
+  }
+  return this->Wait(now, random);
+}
+
+SubmitAction SubmitProcess::Apply(const SubmitTimePassed&, TimePoint now, std::mt19937_64&) {
+  if (now >= this->deadline) {
+    // A swap without a reply can still take effect.
+    this->may_be_accepted = this->may_be_accepted || this->state == State::kSwapping;
+    return this->GiveUp();
+  }
+  if (this->state != State::kWaiting || now < this->wait_until) {
+    return this->KeepWaiting();
+  }
+  return this->ReadHead();
+}
+
+SubmitAction SubmitProcess::ReadHead() {
+  this->state = State::kReading;
+  return SubmitReadHead{};
+}
+
+SubmitAction SubmitProcess::SwapHead() {
+  this->state = State::kSwapping;
+  return SubmitSwapHead{this->BuildHead(), this->base_head.revision};
+}
+
+SubmitAction SubmitProcess::Wait(TimePoint now, std::mt19937_64& random) {
+  const TimePoint next = now + this->backoff.GetNext(random);
+  if (next >= this->deadline) {
+    return this->GiveUp();
+  }
+  this->state = State::kWaiting;
+  this->wait_until = next;
+  return SubmitWaitUntil{next};
+}
+
+SubmitAction SubmitProcess::KeepWaiting() const {
+  return SubmitWaitUntil{this->state == State::kWaiting ? this->wait_until : this->deadline};
+}
+
+SubmitAction SubmitProcess::Finish(SubmitOutcome final_outcome) {
+  this->state = State::kFinished;
+  this->outcome = std::move(final_outcome);
+  return SubmitFinished{this->outcome};
+}
+
+SubmitAction SubmitProcess::GiveUp() {
+  if (this->may_be_accepted) {
+    return this->Finish(SubmitOutcomeUnknown{});
+  }
+  return this->Finish(SubmitStoreUnavailable{});
+}
+
+bool SubmitProcess::MatchesBase(const StoredHead& stored) const {
+  const VersionStamp head = GetHeadStamp(stored);
+  const VersionStamp& base = this->request.base;
+  return head.number == base.number &&
+         (IsNone(base) || base.digest.empty() || head.digest == base.digest);
+}
+
+SubmitAction SubmitProcess::DecideOtherHead(const StoredHead& stored, TimePoint now,
+                                            std::mt19937_64& random) {
+  if (!this->may_be_accepted) {
+    return this->Finish(SubmitConflict{stored.head});
+  }
+  if (GetHeadStamp(stored).number < this->stamp.number) {
+    // The store lost state. A daemon that holds this submission may write it back.
+    return this->Wait(now, random);
+  }
+  // Another submission is known to have this number.
+  if (FindNumber(stored.head->recent_submissions, this->stamp.number) != nullptr) {
+    return this->Finish(SubmitConflict{stored.head});
+  }
+  // More versions were accepted since than the head keeps records of.
+  return this->Finish(SubmitOutcomeUnknown{});
+}
+
+std::optional<VersionStamp> SubmitProcess::FindAcceptedStamp(const StoredHead& stored) const {
+  if (!stored.head) {
+    return std::nullopt;
+  }
+  const RulesHead& head = *stored.head;
+  if (head.submission_id == this->request.submission_id) {
+    return head.stamp;
+  }
+  const SubmissionRecord* record =
+      FindSubmission(head.recent_submissions, this->request.submission_id);
+  if (record == nullptr) {
+    return std::nullopt;
+  }
+  if (record->number == head.parent.number) {
+    return head.parent;
+  }
+  return VersionStamp{record->number, {}};
+}
+
+RulesHead SubmitProcess::BuildHead() const {
+  RulesHead head;
+  head.stamp = this->stamp;
+  head.parent = GetHeadStamp(this->base_head);
+  head.submission_id = this->request.submission_id;
+  head.operator_name = this->request.operator_name;
+  head.accepted_unix_ms = this->request.accepted_unix_ms;
+  const auto& delta = this->request.delta;
+  if (delta && this->request.delta_encoded_bytes <= kMaxDeltaBytes &&
+      delta->parent == head.parent && delta->result == head.stamp) {
+    head.delta = delta;
+  }
+  const std::vector<SubmissionRecord> own = {{head.submission_id, head.stamp.number}};
+  const std::vector<SubmissionRecord> earlier = this->base_head.head
+                                                    ? this->base_head.head->recent_submissions
+                                                    : std::vector<SubmissionRecord>{};
+  head.recent_submissions = MergeRecords(own, earlier, head.stamp.number);
+  return head;
+}
+
+}  // namespace lacewingbridge
--- a/Source/Version/version_holder.h
+++ b/Source/Version/version_holder.h
@@ -27,7 +27,7 @@
 // version_order.h. Not synchronized: the front end keeps it under a lock.
 class VersionHolder {
  public:
-  explicit VersionHolder(VersionHistoryLimits limits = {});
+  explicit VersionHolder(VersionHistoryLimits history_limits = {});
 
   // Puts the version in force if it is newer than the held one and its text matches
   // its digest. Versions that are not newer are refused before the text is hashed.
--- a/Source/Version/version_order.h
+++ b/Source/Version/version_order.h
@@ -20,7 +20,7 @@
 }
 
 inline bool IsNewer(const VersionStamp& left, const VersionStamp& right) {
-  return CompareVersions(left, right) > 0;
+  return std::is_gt(CompareVersions(left, right));
 }
 
 }  // namespace lacewingbridge
--- a/Source/Watch/store_repair.h
+++ b/Source/Watch/store_repair.h
@@ -32,7 +32,7 @@
 using RepairEvent = std::variant<RepairHeadRead, RepairKeyWritten, RepairSwapReplied,
                                  RepairCallFailed, RepairTimePassed>;
 
-// Store and held version agree, or the store holds nothing that concerns this daemon.
+// Start no call: store and held version agree, or a call is still outstanding.
 struct RepairNothing {};
 // The store holds a newer version; fetch it from a daemon or from its body key.
 struct RepairFetch {
@@ -71,11 +71,27 @@
  private:
   enum class State { kIdle, kWritingBody, kKeepingDisplaced, kSwapping, kWaiting, kReading };
 
-  RepairAction Compare(const std::shared_ptr<const RulesVersion>& held);
+  RepairAction Apply(const RepairHeadRead& event, const std::shared_ptr<const RulesVersion>& held,
+                     TimePoint now, std::mt19937_64& random);
+  RepairAction Apply(const RepairKeyWritten& event, const std::shared_ptr<const RulesVersion>& held,
+                     TimePoint now, std::mt19937_64& random);
+  RepairAction Apply(const RepairSwapReplied& event,
+                     const std::shared_ptr<const RulesVersion>& held, TimePoint now,
+                     std::mt19937_64& random);
+  RepairAction Apply(const RepairCallFailed& event, const std::shared_ptr<const RulesVersion>& held,
+                     TimePoint now, std::mt19937_64& random);
+  RepairAction Apply(const RepairTimePassed& event, const std::shared_ptr<const RulesVersion>& held,
+                     TimePoint now, std::mt19937_64& random);
+
+  // Plans the steps that bring store and held version together.
+  RepairAction Compare(const StoredHead& read_head,
+                       const std::shared_ptr<const RulesVersion>& held);
+  // The next step of the plan.
   RepairAction Continue();
-  RepairAction ReadHead();
+  RepairAction Wait(TimePoint now, std::mt19937_64& random);
   // Whether the older version is known not to precede the newer head.
   static bool IsFork(const RulesHead& older, const RulesHead& newer);
+  // The head of a held version, with the submission records known to precede it.
   RulesHead BuildHead(const RulesVersion& version) const;
 
   WatchBackoff backoff;
@@ -87,7 +103,8 @@
   std::shared_ptr<const RulesVersion> body;
   std::optional<RulesHead> displaced;
   std::optional<RulesHead> write_back;
-  // A displaced held version is recorded once, then the newer head is fetched.
+  bool fetch = false;
+  // The held version that was last recorded as displaced; it is recorded only once.
   VersionStamp recorded;
   TimePoint wait_until;
 };
--- a/Source/Watch/watch_backoff.h
+++ b/Source/Watch/watch_backoff.h
@@ -14,7 +14,7 @@
 // that doubles after each failure.
 class WatchBackoff {
  public:
-  WatchBackoff(Duration first_limit, Duration longest_limit);
+  WatchBackoff(Duration first_wait, Duration longest_wait);
 
   // The wait after one more failure.
   Duration GetNext(std::mt19937_64& random);
--- a/Source/Watch/watch_election.h
+++ b/Source/Watch/watch_election.h
@@ -35,7 +35,7 @@
 class WatchElection {
  public:
   // The wait for the first attempt starts now.
-  WatchElection(WatchElectionSettings settings, TimePoint now, std::mt19937_64& random);
+  WatchElection(WatchElectionSettings initial_settings, TimePoint now, std::mt19937_64& random);
 
   WatchDecision Handle(const WatchEvent& event, TimePoint now, std::mt19937_64& random);
 
@@ -56,31 +56,35 @@
   WatchCall Apply(const WatchKeySwapped& event, TimePoint now, std::mt19937_64& random);
   WatchCall Apply(const WatchCallFailed& event, TimePoint now, std::mt19937_64& random);
 
-  WatchCall KeepLease(TimePoint now);
+  WatchCall KeepLease();
   void StartHolding();
   void StartWaiting(TimePoint now, std::mt19937_64& random);
   void StartStandby(TimePoint now, std::mt19937_64& random);
-  void RetryLater(TimePoint now, std::mt19937_64& random);
-  void UpdateRanks();
-  bool IsCandidate() const;
+  // Waits for a live holder's report, or retries while a dead holder's lease runs.
+  void YieldToHolder(TimePoint now, std::mt19937_64& random);
+  void RetryAfter(Duration wait, TimePoint now);
+  void UpdateRanks(std::span<const std::string> live_hosts);
   bool IsHolderLive() const;
   bool IsFirstStandby() const;
-  bool IsLeaseUsable(TimePoint now) const;
-  TimePoint GetWakeTime() const;
+  // When this daemon must stop acting under its last granted lease.
   TimePoint GetActingLimit() const;
+  TimePoint GetWakeTime() const;
 
   WatchElectionSettings settings;
   WatchBackoff backoff;
   State state = State::kWaiting;
-  // Candidates in the order of their rank, this host included.
+  // Live hosts in the order of their rank, this host included; empty until the first
+  // WatchMembersChanged, and no call is made before it.
   std::vector<std::string> ranking;
   std::size_t rank = 0;
   std::optional<WatchHolder> holder;
+  std::uint64_t key_revision = 0;
   std::uint64_t lease_id = 0;
   // When the last granted lease request was sent; its term cannot begin earlier.
   TimePoint lease_sent_at;
   TimePoint call_sent_at;
-  bool holding_key = false;
+  // Whether the store confirmed that the key names this host and lease.
+  bool owns_key = false;
   // Start of the wait by rank, its jitter, and the earliest retry after a failure.
   TimePoint wait_started_at;
   Duration jitter{};
--- a/Source/Watch/watch_messages.h
+++ b/Source/Watch/watch_messages.h
@@ -19,7 +19,8 @@
   bool operator==(const WatchHolder&) const = default;
 };
 
-// Inputs of WatchElection. Every store call ends in one of them.
+// Inputs of WatchElection. Every store call ends in exactly one of them: once a call is
+// reported as failed, a late reply to it is dropped.
 struct WatchTimePassed {};
 // Live hosts of the scope; this host may be missing.
 struct WatchMembersChanged {
