--- a/Source/Routing/target_ejector.h
+++ b/Source/Routing/target_ejector.h
@@ -41,6 +41,7 @@
     bool ejected = false;  // since its last success
   };
 
+  void EndSurplusEjections(TimePoint now);
   std::size_t GetEjectionLimit() const { return this->entries.size() / 2; }
 
   std::map<std::string, Entry, std::less<>> entries;
--- a/Source/Routing/target_stats.h
+++ b/Source/Routing/target_stats.h
@@ -11,7 +11,7 @@
 // What this daemon has seen of one target.
 class TargetStats {
  public:
-  TargetStats(TimePoint first_seen, std::uint32_t slots);
+  TargetStats(TimePoint seen_at, std::uint32_t announced_slots);
 
   void SetSlots(std::uint32_t announced_slots);
   void RecordStart();
