--- a/Source/Admission/admission_backlog.h
+++ b/Source/Admission/admission_backlog.h
@@ -19,19 +19,24 @@
   TimePoint deadline;
 };
 
-// Waiting requests, by priority, found by earliest deadline or by newest arrival.
+// Waiting requests by rank, found by earliest deadline or by newest arrival.
 class AdmissionBacklog {
  public:
-  void Add(const QueuedRequest& request);
+  void Add(std::size_t rank, const QueuedRequest& request);
 
-  std::optional<QueuedRequest> FindEarliest(RequestPriority priority) const;
-  // Removes the request with the earliest deadline, or the newest one.
-  std::optional<QueuedRequest> TakeEarliest(RequestPriority priority);
-  std::optional<QueuedRequest> TakeNewest(RequestPriority priority);
-  // Removes a request whose deadline is before the given time.
-  std::optional<QueuedRequest> TakeDueBefore(TimePoint time);
+  // The caller has checked that the rank is not empty.
+  const QueuedRequest& GetEarliest(std::size_t rank) const;
+  const QueuedRequest& GetNewest(std::size_t rank) const;
+  QueuedRequest TakeEarliest(std::size_t rank);
+  QueuedRequest TakeNewest(std::size_t rank);
+
+  // Removes a request whose deadline is not after the given time.
+  std::optional<QueuedRequest> TakeDue(TimePoint time);
+
+  std::size_t GetSize(std::size_t rank) const { return this->lanes[rank].by_arrival.size(); }
 
  private:
+  // Requests with the same deadline keep the order of their arrival.
   using DeadlineKey = std::pair<TimePoint, std::uint64_t>;
   struct Lane {
     std::map<std::uint64_t, QueuedRequest> by_arrival;
