--- a/Source/Daemon/daemon.cc
+++ b/Source/Daemon/daemon.cc
@@ -15,6 +15,7 @@
 #include "Version/route_snapshot.h"
 #include "membership_codec.h"
 #include "peer_codec.h"
+#include "store_codec.h"
 
 namespace lacewingbridge {
 
--- a/Source/Watch/watch_messages.h
+++ b/Source/Watch/watch_messages.h
@@ -8,17 +8,10 @@
 #include <variant>
 
 #include "Core/time_point.h"
+#include "store.h"
 
 namespace lacewingbridge {
 
-// Value of the key watch/<scope>. The lease id tells a host from its earlier process.
-struct WatchHolder {
-  std::string host;
-  std::uint64_t lease_id = 0;
-
-  bool operator==(const WatchHolder&) const = default;
-};
-
 // Inputs of WatchElection. Every store call ends in exactly one of them: once a call is
 // reported as failed, a late reply to it is dropped.
 struct WatchTimePassed {};
