claims: Add the owner's table, hand-over, owner map and caller's gate

Cause: a keyed request must run at most once although daemons restart, owners change, messages are lost or repeated, and callers send again elsewhere.

Change: ClaimTable grants, finishes and remembers keys; ClaimWaitList keeps keys blocked that a previous owner may have granted; ClaimTransfer hands claims over in ordered parts; ClaimOwnerView, ClaimOwnerPlanner and ClaimIsolation decide who owns a key and when that changes; ClaimGate decides for one attempt in the proxying daemon. A stateful random test drives five daemons against a record of what ran; four deliberately broken variants show that it fails.

--- a/Source/Claims/claim_attempt_set.h
+++ b/Source/Claims/claim_attempt_set.h
@@ -13,7 +13,7 @@
 // it, and the grant only keeps the key from others.
 class ClaimAttemptSet {
  public:
-  explicit ClaimAttemptSet(std::size_t capacity) : capacity(capacity) {}
+  explicit ClaimAttemptSet(std::size_t max_count) : capacity(max_count) {}
 
   void Add(std::uint64_t attempt_id);
   bool Contains(std::uint64_t attempt_id) const { return this->members.contains(attempt_id); }
--- a/Source/Claims/claim_gate.h
+++ b/Source/Claims/claim_gate.h
@@ -113,6 +113,10 @@
   ClaimGateStep Abandon();
   ClaimGateStep HandleResult(const ClaimAttemptResult& result);
 
+  // Whether the request may still be sent to a target after kRunNow; otherwise Abandon.
+  // A request that waits for a slot should ask for its claim after the wait.
+  bool IsStartAllowed(TimePoint now) const;
+
  private:
   enum class Phase { kNew, kAsking, kRefreshing, kRunning, kClosed };
 
--- a/Source/Claims/claim_isolation.h
+++ b/Source/Claims/claim_isolation.h
@@ -16,8 +16,8 @@
 // after which it can be removed.
 class ClaimIsolation {
  public:
-  ClaimIsolation(TimePoint started, std::string_view host, Duration claim_memory)
-      : started(started), host(host), limit(claim_memory / 2) {}
+  ClaimIsolation(TimePoint now, std::string_view own_host, Duration claim_memory)
+      : started(now), host(own_host), limit(claim_memory / 2) {}
 
   // A message of the host has arrived.
   void NoteHeard(TimePoint now, std::string_view from_host);
--- /dev/null
+++ b/Source/Claims/claim_owner_planner.cc
@@ -0,0 +1,103 @@
+#include "Claims/claim_owner_planner.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <utility>
+#include <vector>
+
+namespace lacewingbridge {
+
+void ClaimOwnerPlanner::NoteHost(TimePoint now, std::string_view host, std::uint64_t incarnation,
+                                 ClaimHostStatus status) {
+  const auto found = this->hosts.find(host);
+  if (found == this->hosts.end()) {
+    this->hosts.emplace(host, HostState{incarnation, status, now});
+    return;
+  }
+  HostState& state = found->second;
+  if (state.incarnation != incarnation || state.status != status) {
+    state = HostState{incarnation, status, now};
+  }
+}
+
+std::optional<ClaimOwnerMap> ClaimOwnerPlanner::Propose(TimePoint now, const ClaimOwnerView& view,
+                                                        bool store_has_no_map) {
+  if (view.GetEpoch() == 0) {
+    return store_has_no_map ? this->ProposeFirst(now) : std::nullopt;
+  }
+  if (view.GetEpoch() != this->known_epoch) {
+    this->known_epoch = view.GetEpoch();
+    this->known_since = now;
+  }
+  if (now - this->known_since < this->limits.change_interval) {
+    return std::nullopt;
+  }
+  const std::span<const std::string> current = view.GetHosts();
+  const std::size_t gone_count = this->CountGone(view);
+  const bool few_gone = gone_count * kIsolationDivisor < current.size();
+  ClaimOwnerMap next;
+  next.epoch = view.GetEpoch() + 1;
+  for (const std::string& host : current) {
+    if (!this->IsRemovable(now, host, few_gone)) {
+      next.hosts.push_back(host);
+    }
+  }
+  const bool removed_any = next.hosts.size() != current.size();
+  if (gone_count == 0) {
+    this->AddSettledHosts(now, view, next);
+  }
+  const bool changed = removed_any || next.hosts.size() != current.size();
+  if (!changed || next.hosts.empty()) {
+    return std::nullopt;
+  }
+  return next;
+}
+
+std::optional<ClaimOwnerMap> ClaimOwnerPlanner::ProposeFirst(TimePoint now) const {
+  ClaimOwnerMap first;
+  first.epoch = 1;
+  for (const auto& [host, state] : this->hosts) {
+    if (state.status != ClaimHostStatus::kAlive) {
+      continue;
+    }
+    if (now - state.since < this->limits.founding_settle) {
+      return std::nullopt;
+    }
+    first.hosts.push_back(host);
+    first.founding_incarnations.push_back(state.incarnation);
+  }
+  return first.hosts.empty() ? std::nullopt : std::optional(std::move(first));
+}
+
+bool ClaimOwnerPlanner::IsRemovable(TimePoint now, std::string_view host, bool few_gone) const {
+  const auto found = this->hosts.find(host);
+  if (found == this->hosts.end()) {
+    return false;
+  }
+  const HostState& state = found->second;
+  if (state.status == ClaimHostStatus::kGone) {
+    return few_gone && now - state.since > this->limits.claim_memory;
+  }
+  return state.status == ClaimHostStatus::kDraining;
+}
+
+std::size_t ClaimOwnerPlanner::CountGone(const ClaimOwnerView& view) const {
+  const std::span<const std::string> current = view.GetHosts();
+  return static_cast<std::size_t>(
+      std::count_if(current.begin(), current.end(), [this](const std::string& host) {
+        const auto found = this->hosts.find(host);
+        return found == this->hosts.end() || found->second.status == ClaimHostStatus::kGone;
+      }));
+}
+
+void ClaimOwnerPlanner::AddSettledHosts(TimePoint now, const ClaimOwnerView& view,
+                                        ClaimOwnerMap& next) const {
+  for (const auto& [host, state] : this->hosts) {
+    if (state.status == ClaimHostStatus::kAlive &&
+        now - state.since >= this->limits.addition_settle && !view.HasHost(host)) {
+      next.hosts.push_back(host);
+    }
+  }
+}
+
+}  // namespace lacewingbridge
--- a/Source/Claims/claim_owner_planner.h
+++ b/Source/Claims/claim_owner_planner.h
@@ -43,7 +43,7 @@
 // hand over. A host that restarts under the same name stays in the map.
 class ClaimOwnerPlanner {
  public:
-  explicit ClaimOwnerPlanner(const ClaimPlannerLimits& limits) : limits(limits) {}
+  explicit ClaimOwnerPlanner(const ClaimPlannerLimits& planner_limits) : limits(planner_limits) {}
 
   // Reports a host's status as the membership sees it; repeated reports are harmless.
   void NoteHost(TimePoint now, std::string_view host, std::uint64_t incarnation,
--- /dev/null
+++ b/Source/Claims/claim_table.cc
@@ -0,0 +1,319 @@
+#include "Claims/claim_table.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace lacewingbridge {
+
+namespace {
+
+// Memory of an entry beyond its texts: map node, age index node and the struct itself.
+constexpr std::size_t kEntryOverheadBytes = 320;
+// Cancelled attempts are remembered for claim calls that arrive late. A claim call lasts
+// seconds, so this covers about 100 cancellations a second and shard.
+constexpr std::size_t kCancelledCapacity = 1024;
+
+std::size_t CountBytes(const ClaimRecord& record) {
+  // The key is stored in the index and in the record.
+  return kEntryOverheadBytes + 2 * record.key.size() + record.answer.size() +
+         record.content_type.size() + record.caller_host.size();
+}
+
+bool HasValidTexts(const ClaimRecord& record) {
+  return !record.key.empty() && record.key.size() <= kMaxClaimNameBytes &&
+         record.caller_host.size() <= kMaxClaimNameBytes &&
+         record.content_type.size() <= kMaxClaimNameBytes &&
+         record.answer.size() <= kMaxKeptAnswerBytes;
+}
+
+void DropAnswer(ClaimRecord& record) {
+  record.answer.clear();
+  record.answer_kept = false;
+}
+
+}  // namespace
+
+Result<ClaimTable> ClaimTable::Create(std::string_view host, std::uint64_t incarnation,
+                                      const ClaimLimits& limits) {
+  if (host.empty() || limits.key_capacity == 0 || limits.retention <= Duration::zero()) {
+    return Error{ErrorKind::kInvalidArgument,
+                 "a claim table needs a host name, a capacity and a retention above 0"};
+  }
+  return ClaimTable(host, incarnation, limits);
+}
+
+ClaimTable::ClaimTable(std::string_view own_host, std::uint64_t own_incarnation,
+                       const ClaimLimits& table_limits)
+    : host(own_host),
+      incarnation(own_incarnation),
+      limits(table_limits),
+      waits(own_host, table_limits.GetMemory()),
+      cancelled(kCancelledCapacity) {}
+
+bool ClaimTable::AdoptMap(TimePoint now, const ClaimOwnerView& next) {
+  if (next.GetEpoch() <= this->view.GetEpoch()) {
+    return false;
+  }
+  const ClaimOwnerView before = this->view;
+  this->view = next;
+  const bool is_first = before.GetEpoch() == 0;
+  if (!is_first && next.GetEpoch() == before.GetEpoch() + 1) {
+    this->waits.AddChange(now, before, next);
+  } else if (next.HasHost(this->host) &&
+             !(is_first && next.IsFoundedWith(this->host, this->incarnation))) {
+    this->waits.BlockAll(now, next.GetEpoch());
+  }
+  this->waits.NoteMap(now, next);
+  return true;
+}
+
+ClaimReply ClaimTable::Claim(TimePoint now, const ClaimRequest& request) {
+  this->Expire(now);
+  ClaimReply reply;
+  reply.owner_map_epoch = this->view.GetEpoch();
+  reply.decision = ClaimDecision::kNotRun;
+  if (request.owner_map_epoch != this->view.GetEpoch() || request.attempt_id == 0 ||
+      this->view.FindOwner(request.key) != this->host ||
+      this->cancelled.Contains(request.attempt_id)) {
+    return reply;
+  }
+  const auto found = this->entries.find(request.key);
+  if (found != this->entries.end()) {
+    return this->AnswerHeld(request, found->second);
+  }
+  if (this->waits.IsBlocked(request.key)) {
+    reply.decision = ClaimDecision::kOutcomeUnknown;
+    return reply;
+  }
+  return this->isolated ? reply : this->GrantNew(now, request);
+}
+
+ClaimReply ClaimTable::AnswerHeld(const ClaimRequest& request, const Entry& entry) const {
+  ClaimReply reply;
+  reply.owner_map_epoch = this->view.GetEpoch();
+  if (entry.record.request_hash != request.request_hash) {
+    reply.decision = ClaimDecision::kKeyReused;
+  } else if (entry.record.state == ClaimState::kDone) {
+    reply.decision = ClaimDecision::kAlreadyDone;
+    reply.record = entry.record;
+  } else if (entry.record.state == ClaimState::kRunning &&
+             entry.record.attempt_id == request.attempt_id) {
+    reply.decision = ClaimDecision::kGranted;
+  } else {
+    reply.decision = ClaimDecision::kOutcomeUnknown;
+  }
+  return reply;
+}
+
+ClaimReply ClaimTable::GrantNew(TimePoint now, const ClaimRequest& request) {
+  ClaimReply reply;
+  reply.owner_map_epoch = this->view.GetEpoch();
+  reply.decision = ClaimDecision::kNotRun;
+  ClaimRecord record;
+  record.key = request.key;
+  record.request_hash = request.request_hash;
+  record.state = ClaimState::kRunning;
+  record.attempt_id = request.attempt_id;
+  record.caller_host = request.caller_host;
+  record.caller_incarnation = request.caller_incarnation;
+  if (HasValidTexts(record) && this->HasRoomFor(record)) {
+    this->Insert(now, std::move(record));
+    reply.decision = ClaimDecision::kGranted;
+  }
+  return reply;
+}
+
+ClaimDoneReply ClaimTable::Finish(TimePoint now, const ClaimDoneRequest& request) {
+  this->Expire(now);
+  if (request.outcome == ClaimOutcome::kNotRun) {
+    this->cancelled.Add(request.attempt_id);
+  }
+  const auto found = this->entries.find(request.key);
+  if (this->view.FindOwner(request.key) != this->host || found == this->entries.end() ||
+      found->second.record.attempt_id != request.attempt_id) {
+    return ClaimDoneReply{false};
+  }
+  const ClaimState state = found->second.record.state;
+  if (state == ClaimState::kDone) {
+    // A repeated report; an attempt that has run cannot become not run.
+    return ClaimDoneReply{request.outcome == ClaimOutcome::kDone};
+  }
+  switch (request.outcome) {
+    case ClaimOutcome::kDone:
+      this->RecordAnswer(now, found, request);
+      return ClaimDoneReply{true};
+    case ClaimOutcome::kNotRun:
+      this->Erase(found);
+      return ClaimDoneReply{true};
+    case ClaimOutcome::kLost:
+      found->second.record.state = ClaimState::kOutcomeUnknown;
+      return ClaimDoneReply{true};
+    case ClaimOutcome::kUnknown:
+      break;
+  }
+  return ClaimDoneReply{false};
+}
+
+void ClaimTable::RecordAnswer(TimePoint now, EntryMap::iterator found,
+                              const ClaimDoneRequest& request) {
+  ClaimRecord record = found->second.record;
+  record.state = ClaimState::kDone;
+  record.status_code = request.status_code;
+  if (request.answer.size() <= kMaxKeptAnswerBytes &&
+      request.content_type.size() <= kMaxClaimNameBytes &&
+      this->byte_count + request.answer.size() + request.content_type.size() <=
+          this->limits.byte_capacity) {
+    record.answer = request.answer;
+    record.content_type = request.content_type;
+    record.answer_kept = true;
+  }
+  this->Replace(found, now, std::move(record));
+}
+
+std::size_t ClaimTable::MarkCallerGone(TimePoint now, std::string_view caller_host,
+                                       std::uint64_t caller_incarnation) {
+  this->Expire(now);
+  std::size_t count = 0;
+  for (auto& [key, entry] : this->entries) {
+    ClaimRecord& record = entry.record;
+    if (record.state == ClaimState::kRunning && record.caller_host == caller_host &&
+        record.caller_incarnation <= caller_incarnation) {
+      record.state = ClaimState::kOutcomeUnknown;
+      ++count;
+    }
+  }
+  return count;
+}
+
+ClaimTransferReply ClaimTable::AcceptTransfer(TimePoint now, const ClaimTransferRequest& request) {
+  this->Expire(now);
+  ClaimTransferReply reply;
+  reply.owner_map_epoch = this->view.GetEpoch();
+  const ClaimWait wait{request.from_host, request.change_epoch};
+  const std::optional<std::uint32_t> expected = this->waits.GetNextPart(wait);
+  this->waits.ConfirmEpoch(now, request.from_host, request.owner_map_epoch);
+  if (!expected.has_value()) {
+    const bool is_known = this->view.HasHost(request.from_host) || request.change_epoch == 0;
+    // Nothing is awaited: a repeated part, or a process that lost its waits by a restart
+    // and answers "outcome unknown" for every key meanwhile.
+    reply.accepted = is_known && request.change_epoch <= this->view.GetEpoch();
+    return reply;
+  }
+  reply.next_part = *expected;
+  reply.accepted = request.part < *expected;
+  if (request.part != *expected) {
+    return reply;
+  }
+  for (const ClaimRecord& record : request.claims) {
+    if (this->waits.IsFromOwner(wait, record.key) && !this->StoreRecord(now, record)) {
+      return reply;
+    }
+  }
+  this->waits.NotePart(wait, request.complete);
+  reply.accepted = true;
+  ++reply.next_part;
+  return reply;
+}
+
+void ClaimTable::ConfirmEpoch(TimePoint now, std::string_view from_host, std::uint64_t epoch) {
+  this->waits.ConfirmEpoch(now, from_host, epoch);
+}
+
+std::vector<ClaimWait> ClaimTable::ListWaits(TimePoint now) {
+  this->waits.Expire(now);
+  return this->waits.ListWaits();
+}
+
+std::vector<ClaimRecord> ClaimTable::CollectClaims(TimePoint now, const ClaimOwnerView& after,
+                                                   std::string_view to_host) {
+  this->Expire(now);
+  std::vector<ClaimRecord> records;
+  for (const auto& [key, entry] : this->entries) {
+    if (after.FindOwner(key) == to_host) {
+      records.push_back(entry.record);
+      records.back().age_ms = static_cast<std::uint64_t>(CountMilliseconds(now - entry.changed));
+    }
+  }
+  return records;
+}
+
+bool ClaimTable::IsReadyToHandOver(TimePoint now, std::uint64_t change_epoch) {
+  this->waits.Expire(now);
+  return !this->waits.HasWaitBefore(change_epoch);
+}
+
+void ClaimTable::ForgetClaims(const ClaimOwnerView& after, std::string_view to_host) {
+  for (auto entry = this->entries.begin(); entry != this->entries.end();) {
+    const auto current = entry++;
+    if (after.FindOwner(current->first) == to_host &&
+        this->view.FindOwner(current->first) != this->host) {
+      this->Erase(current);
+    }
+  }
+}
+
+void ClaimTable::Expire(TimePoint now) {
+  this->waits.Expire(now);
+  while (!this->by_age.empty() && this->by_age.begin()->first + this->limits.GetMemory() <= now) {
+    const auto found = this->entries.find(std::string(this->by_age.begin()->second));
+    if (found->second.record.state == ClaimState::kRunning) {
+      // A run without a report for the whole memory may still go on; keep it once more.
+      ClaimRecord record = found->second.record;
+      record.state = ClaimState::kOutcomeUnknown;
+      this->Replace(found, now, std::move(record));
+    } else {
+      this->Erase(found);
+    }
+  }
+}
+
+bool ClaimTable::HasRoomFor(const ClaimRecord& record) const {
+  return this->entries.size() < this->limits.key_capacity &&
+         this->byte_count + CountBytes(record) <= this->limits.byte_capacity;
+}
+
+bool ClaimTable::StoreRecord(TimePoint now, const ClaimRecord& received) {
+  const auto found = this->entries.find(received.key);
+  const bool is_held = found != this->entries.end();
+  if (!HasValidTexts(received) || (is_held && found->second.record.state == ClaimState::kDone) ||
+      (received.state == ClaimState::kRunning && this->cancelled.Contains(received.attempt_id))) {
+    return true;
+  }
+  ClaimRecord record = received;
+  const auto memory_ms = static_cast<std::uint64_t>(CountMilliseconds(this->limits.GetMemory()));
+  const TimePoint changed = now - std::chrono::milliseconds(std::min(record.age_ms, memory_ms));
+  record.age_ms = 0;
+  if (is_held) {
+    this->Erase(found);
+  }
+  if (!this->HasRoomFor(record)) {
+    DropAnswer(record);
+  }
+  if (!this->HasRoomFor(record)) {
+    return false;
+  }
+  this->Insert(changed, std::move(record));
+  return true;
+}
+
+void ClaimTable::Insert(TimePoint changed, ClaimRecord record) {
+  this->byte_count += CountBytes(record);
+  std::string key = record.key;
+  const auto inserted =
+      this->entries.emplace(std::move(key), Entry{std::move(record), changed}).first;
+  this->by_age.emplace(changed, inserted->first);
+}
+
+void ClaimTable::Replace(EntryMap::iterator found, TimePoint changed, ClaimRecord record) {
+  this->Erase(found);
+  this->Insert(changed, std::move(record));
+}
+
+void ClaimTable::Erase(EntryMap::iterator found) {
+  this->byte_count -= CountBytes(found->second.record);
+  const std::pair<TimePoint, std::string_view> age(found->second.changed, found->first);
+  this->by_age.erase(age);
+  this->entries.erase(found);
+}
+
+}  // namespace lacewingbridge
--- a/Source/Claims/claim_table.h
+++ b/Source/Claims/claim_table.h
@@ -30,6 +30,9 @@
 // ClaimOwnerView::IsFoundedWith). The same holds after it missed an epoch, since another
 // host may have owned a key in between.
 //
+// A draining daemon that was removed from the map has to end within the retention, as the
+// new owners count from the map's change.
+//
 // A host shards its table by HashBytes(key). Every shard gets every map and every part
 // of a hand-over, with only its own records in it.
 class ClaimTable {
@@ -77,7 +80,8 @@
   };
   using EntryMap = std::unordered_map<std::string, Entry>;
 
-  ClaimTable(std::string_view host, std::uint64_t incarnation, const ClaimLimits& limits);
+  ClaimTable(std::string_view own_host, std::uint64_t own_incarnation,
+             const ClaimLimits& table_limits);
 
   void Expire(TimePoint now);
   ClaimReply AnswerHeld(const ClaimRequest& request, const Entry& entry) const;
--- /dev/null
+++ b/Source/Claims/claim_transfer.cc
@@ -0,0 +1,114 @@
+#include "Claims/claim_transfer.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Claims/claim_limits.h"
+
+namespace lacewingbridge {
+
+namespace {
+
+// Fields of the request around its records, with the sender's name.
+constexpr std::size_t kPartHeaderBytes = 512;
+
+std::size_t CountEncodedBytes(const ClaimRecord& record) {
+  return kClaimRecordOverheadBytes + record.key.size() + record.answer.size() +
+         record.content_type.size() + record.caller_host.size();
+}
+
+}  // namespace
+
+std::vector<std::vector<ClaimRecord>> SplitClaims(std::vector<ClaimRecord> records) {
+  std::vector<std::vector<ClaimRecord>> parts(1);
+  std::size_t part_bytes = kPartHeaderBytes;
+  for (ClaimRecord& record : records) {
+    const std::size_t bytes = CountEncodedBytes(record);
+    if (part_bytes + bytes > kMaxTransferPartBytes) {
+      parts.emplace_back();
+      part_bytes = kPartHeaderBytes;
+    }
+    part_bytes += bytes;
+    parts.back().push_back(std::move(record));
+  }
+  return parts;
+}
+
+void ClaimTransfer::AdoptMap(const ClaimOwnerView& next) {
+  if (next.GetEpoch() <= this->view.GetEpoch()) {
+    return;
+  }
+  const ClaimOwnerView before = this->view;
+  this->view = next;
+  std::erase_if(this->pending,
+                [&next](const HandOver& item) { return !next.HasHost(item.to_host); });
+  if (next.GetEpoch() != before.GetEpoch() + 1 || !before.HasHost(this->host)) {
+    return;
+  }
+  const bool removed = !next.HasHost(this->host);
+  for (const std::string& to_host : next.GetHosts()) {
+    if (removed || !before.HasHost(to_host)) {
+      HandOver hand_over;
+      hand_over.to_host = to_host;
+      hand_over.after = next;
+      this->pending.push_back(std::move(hand_over));
+    }
+  }
+}
+
+std::vector<std::string> ClaimTransfer::ListDestinations() const {
+  std::vector<std::string> hosts;
+  for (const HandOver& hand_over : this->pending) {
+    if (std::find(hosts.begin(), hosts.end(), hand_over.to_host) == hosts.end()) {
+      hosts.push_back(hand_over.to_host);
+    }
+  }
+  return hosts;
+}
+
+ClaimTransferRequest ClaimTransfer::MakeQuery() const {
+  ClaimTransferRequest request;
+  request.owner_map_epoch = this->view.GetEpoch();
+  request.from_host = this->host;
+  return request;
+}
+
+ClaimTransfer::HandOver* ClaimTransfer::FindFirst(std::string_view to_host) {
+  const auto found =
+      std::find_if(this->pending.begin(), this->pending.end(),
+                   [to_host](const HandOver& item) { return item.to_host == to_host; });
+  return found == this->pending.end() ? nullptr : &*found;
+}
+
+void ClaimTransfer::RemoveFirst(std::string_view to_host) {
+  const auto found =
+      std::find_if(this->pending.begin(), this->pending.end(),
+                   [to_host](const HandOver& item) { return item.to_host == to_host; });
+  this->pending.erase(found);
+}
+
+ClaimTransferRequest ClaimTransfer::MakeRequest(const HandOver& hand_over) const {
+  ClaimTransferRequest request = this->MakeQuery();
+  request.change_epoch = hand_over.after.GetEpoch();
+  request.part = hand_over.next_part;
+  request.claims = hand_over.parts[hand_over.next_part];
+  request.complete = hand_over.next_part + 1 == hand_over.parts.size();
+  return request;
+}
+
+bool ClaimTransfer::Advance(HandOver& hand_over, const ClaimTransferRequest& sent,
+                            const ClaimTransferReply& reply) {
+  const std::uint64_t change_epoch = hand_over.after.GetEpoch();
+  if (sent.change_epoch != change_epoch || sent.part != hand_over.next_part ||
+      reply.owner_map_epoch < change_epoch) {
+    return false;
+  }
+  if (!reply.accepted) {
+    hand_over.next_part = std::min(hand_over.next_part, reply.next_part);
+    return false;
+  }
+  ++hand_over.next_part;
+  return hand_over.next_part == hand_over.parts.size();
+}
+
+}  // namespace lacewingbridge
--- a/Source/Claims/claim_transfer.h
+++ b/Source/Claims/claim_transfer.h
@@ -4,7 +4,6 @@
 #include <concepts>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <optional>
 #include <span>
 #include <string>
@@ -27,21 +26,20 @@
 };
 
 // Divides records into parts whose encoding fits kMaxTransferPartBytes; at least one part.
-std::deque<std::vector<ClaimRecord>> SplitClaims(std::vector<ClaimRecord> records);
+std::vector<std::vector<ClaimRecord>> SplitClaims(std::vector<ClaimRecord> records);
 
 // Sender side of hand-overs. A host hands over to the hosts that a map change added, and
 // when it was removed itself, to all hosts of the new map. It sends one part at a time
-// and the next one after the receiver accepted it, so that "complete" arrives last; a
-// receiver that was restarted in between asks for an earlier part and is then left to
-// wait out the claim memory. A host that missed an epoch hands over nothing.
+// and the next one after the receiver accepted it, so that "complete" arrives last. A host
+// that missed an epoch hands over nothing; the receivers wait out the claim memory.
 class ClaimTransfer {
  public:
-  explicit ClaimTransfer(std::string_view host) : host(host) {}
+  explicit ClaimTransfer(std::string_view own_host) : host(own_host) {}
 
   // Called after every shard of the table has adopted the map.
   void AdoptMap(const ClaimOwnerView& next);
 
-  // Hosts with parts left, each once.
+  // Hosts that wait for a hand-over, each once.
   std::vector<std::string> ListDestinations() const;
   // Whether everything has been handed over; a draining daemon then may exit.
   bool IsDone() const { return this->pending.empty(); }
@@ -86,8 +84,10 @@
     std::string to_host;
     ClaimOwnerView after;
     bool collected = false;
-    std::deque<std::vector<ClaimRecord>> parts;
-    std::uint32_t first_part = 0;
+    // Kept whole until the last part is accepted: a receiver that was restarted before it
+    // adopted the map asks for the first part again.
+    std::vector<std::vector<ClaimRecord>> parts;
+    std::uint32_t next_part = 0;
   };
 
   HandOver* FindFirst(std::string_view to_host);
--- a/Source/Claims/claim_wait_list.h
+++ b/Source/Claims/claim_wait_list.h
@@ -33,12 +33,15 @@
 // from the own adoption would let both hosts grant a key.
 class ClaimWaitList {
  public:
-  ClaimWaitList(std::string_view host, Duration claim_memory)
-      : host(host), claim_memory(claim_memory) {}
+  ClaimWaitList(std::string_view own_host, Duration memory)
+      : host(own_host), claim_memory(memory) {}
 
   // Blocks the keys that the host gains by the change between two consecutive maps.
   void AddChange(TimePoint now, const ClaimOwnerView& before, const ClaimOwnerView& after);
 
+  // Starts the release of waits for hosts that the adopted map no longer names.
+  void NoteMap(TimePoint now, const ClaimOwnerView& view);
+
   // Blocks every key for one claim memory: previous owners are unknown.
   void BlockAll(TimePoint now, std::uint64_t epoch);
 
--- /dev/null
+++ b/Tests/Fakes/claims_cluster.h
@@ -0,0 +1,406 @@
+#ifndef LACEWINGBRIDGE_TESTS_FAKES_CLAIMS_CLUSTER_H_
+#define LACEWINGBRIDGE_TESTS_FAKES_CLAIMS_CLUSTER_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "Claims/claim_gate.h"
+#include "Claims/claim_owner_view.h"
+#include "Claims/claim_table.h"
+#include "Claims/claim_transfer.h"
+#include "Fakes/claims_network.h"
+
+namespace lacewingbridge {
+
+// One random decision of a test: which action, and two choices within it.
+struct ClusterStep {
+  std::uint8_t action = 0;
+  std::uint16_t first = 0;
+  std::uint16_t second = 0;
+};
+
+// Daemons that are owners and callers at once, with a network that loses, repeats and
+// reorders messages. Records what ran and checks it against what callers were told.
+// Table and Gate are the classes under test or deliberately broken variants of them.
+template <typename Table, typename Gate>
+class ClaimsCluster {
+ public:
+  static constexpr std::size_t kHostCount = 5;
+  static constexpr std::size_t kKeyCount = 6;
+
+  explicit ClaimsCluster(std::size_t founding_count) {
+    ClaimOwnerMap map{1, {}, {}};
+    for (std::size_t i = 0; i < kHostCount; ++i) {
+      this->hosts.push_back(this->MakeHost(i));
+      if (i < founding_count) {
+        map.hosts.push_back(this->hosts[i].name);
+        map.founding_incarnations.push_back(this->hosts[i].incarnation);
+      }
+    }
+    this->maps.push_back(map);
+    for (std::size_t i = 0; i < kHostCount; ++i) {
+      this->AdoptUpTo(i, 1);
+    }
+  }
+
+  void RunStep(const ClusterStep& step) {
+    const std::size_t host = step.first % kHostCount;
+    const int action = step.action % 20;
+    if (action < 3) {
+      this->SendRequest(host, step.second % kKeyCount);
+    } else if (action < 9) {
+      this->DeliverOne(step.first, action == 8);
+    } else if (action == 9) {
+      this->network.Take(step.first, false);
+    } else if (action == 10) {
+      this->TimeOutOne(step.first);
+    } else if (action < 14) {
+      this->EndRunOne(step.first, step.second);
+    } else if (action == 14) {
+      this->Restart(host, step.second);
+    } else if (action == 15) {
+      this->ChangeMap(host);
+    } else if (action == 16) {
+      this->AdoptUpTo(host, 1 + step.second % this->maps.size());
+    } else if (action == 17) {
+      this->SendPart(host, step.second);
+    } else if (action == 18) {
+      this->ConfirmAll(host);
+    } else {
+      this->Advance(std::chrono::milliseconds(step.second % 4000));
+    }
+  }
+
+  // Sends the request of the key to a daemon.
+  void SendRequest(std::size_t host, std::size_t key) {
+    const std::string name = "key-" + std::to_string(key);
+    const std::uint64_t id = this->attempts.size() + 1;
+    const ClaimFacts facts{false, ClaimKeyRule::kRequired, name, key};
+    Attempt attempt{Gate(facts, {this->hosts[host].name, this->hosts[host].incarnation, id}), host,
+                    this->hosts[host].incarnation, key};
+    this->attempts.push_back(std::move(attempt));
+    Attempt& added = this->attempts.back();
+    this->Follow(id, added.gate.Begin(this->now, this->hosts[host].view.GetEpoch(),
+                                      this->limits.grant_delivery));
+  }
+
+  // Delivers everything and ends every run with an answer, without faults.
+  void Settle() {
+    while (!this->network.IsEmpty()) {
+      this->DeliverOne(0, false);
+      for (std::size_t i = 0; i < this->attempts.size(); ++i) {
+        if (this->attempts[i].running) {
+          this->EndRun(i + 1, ClaimAttemptOutcome::kAnswered);
+        }
+      }
+    }
+  }
+
+  // Whether two runs of one key started within the retention, unless one was surely not run.
+  bool HasDoubleRun() const {
+    for (const Attempt& left : this->attempts) {
+      for (const Attempt& right : this->attempts) {
+        if (&left < &right && left.key == right.key && left.HasRun() && right.HasRun() &&
+            std::chrono::abs(*left.started - *right.started) < this->limits.retention) {
+          return true;
+        }
+      }
+    }
+    return false;
+  }
+
+  // An attempt that was refused as not run had run, ran twice, or got another key's answer.
+  bool HasWrongAnswer() const { return this->wrong_answer; }
+
+  std::size_t CountKeysRun() const {
+    std::map<std::size_t, bool> run;
+    for (const Attempt& attempt : this->attempts) {
+      if (attempt.HasRun()) {
+        run[attempt.key] = true;
+      }
+    }
+    return run.size();
+  }
+  std::size_t CountStoredAnswers() const { return this->stored_answers; }
+  std::size_t CountRuns() const { return this->runs; }
+
+  void ChangeMap(std::size_t index) {
+    ClaimOwnerMap next = this->maps.back();
+    next.epoch += 1;
+    next.founding_incarnations.clear();
+    const std::string& name = this->hosts[index].name;
+    if (std::erase(next.hosts, name) == 0) {
+      next.hosts.push_back(name);
+    }
+    if (!next.hosts.empty()) {
+      this->maps.push_back(next);
+      this->changed_at.push_back(this->now);
+    }
+  }
+
+  void AdoptUpTo(std::size_t index, std::size_t epoch) {
+    Host& host = this->hosts[index];
+    ClaimOwnerView next;
+    next.Adopt(this->maps[epoch - 1]);
+    if (next.GetEpoch() > host.view.GetEpoch()) {
+      host.view = next;
+      host.table.AdoptMap(this->now, next);
+      host.transfer.AdoptMap(next);
+    }
+  }
+
+  // No host holds a map for longer than half the claim memory after it was replaced: the
+  // waits after a restart or a missed epoch are timed and rely on it.
+  void Advance(Duration duration) {
+    this->now += duration;
+    for (std::size_t i = 0; i < kHostCount; ++i) {
+      std::size_t epoch = this->hosts[i].view.GetEpoch();
+      while (epoch < this->maps.size() &&
+             this->now - this->changed_at[epoch - 1] > this->limits.GetMemory() / 2) {
+        this->AdoptUpTo(i, ++epoch);
+      }
+    }
+  }
+
+  void SendPart(std::size_t index, std::size_t choice) {
+    Host& host = this->hosts[index];
+    const std::vector<std::string> destinations = host.transfer.ListDestinations();
+    if (destinations.empty()) {
+      return;
+    }
+    const std::string& to = destinations[choice % destinations.size()];
+    const auto part = host.transfer.MakePart(this->now, host.table, to);
+    if (part.has_value()) {
+      Message message;
+      message.kind = Kind::kPart;
+      message.to = this->FindHost(to);
+      message.part = *part;
+      message.from = index;
+      message.from_incarnation = host.incarnation;
+      this->network.Send(message);
+    }
+  }
+
+  void ConfirmAll(std::size_t index) {
+    for (const Host& other : this->hosts) {
+      this->hosts[index].table.ConfirmEpoch(this->now, other.name, other.view.GetEpoch());
+    }
+  }
+
+  bool HasOpenHandOver(std::size_t index) const { return !this->hosts[index].transfer.IsDone(); }
+
+ private:
+  using Message = ClaimsMessage;
+  using Kind = ClaimsMessage::Kind;
+  struct Host {
+    std::string name;
+    std::uint64_t incarnation;
+    Table table;
+    ClaimTransfer transfer;
+    ClaimOwnerView view;
+  };
+  struct Attempt {
+    Gate gate;
+    std::size_t host;
+    std::uint64_t incarnation;
+    std::size_t key;
+    std::optional<TimePoint> started{};
+    bool running = false;
+    bool surely_not_run = false;
+    bool told_not_run = false;
+    bool HasRun() const { return this->started.has_value() && !this->surely_not_run; }
+  };
+  Host MakeHost(std::size_t index) {
+    const std::string name = "host-" + std::to_string(index);
+    const std::uint64_t incarnation = ++this->last_incarnation;
+    return Host{name,
+                incarnation,
+                GetValue(Table::Create(name, incarnation, this->limits)),
+                ClaimTransfer(name),
+                {}};
+  }
+
+  std::size_t FindHost(std::string_view name) const {
+    return static_cast<std::size_t>(name.back() - '0');
+  }
+
+  void Restart(std::size_t index, std::size_t choice) {
+    const std::uint64_t lost = this->hosts[index].incarnation;
+    for (Attempt& attempt : this->attempts) {
+      attempt.running = attempt.running && attempt.incarnation != lost;
+    }
+    this->hosts[index] = this->MakeHost(index);
+    // A process learns the newest map from the store, or an older one from a peer first.
+    this->AdoptUpTo(index,
+                    this->maps.size() - choice % std::min<std::size_t>(2, this->maps.size()));
+    for (Host& host : this->hosts) {
+      host.table.MarkCallerGone(this->now, this->hosts[index].name, lost);
+    }
+  }
+
+  void Follow(std::uint64_t id, const ClaimGateStep& step) {
+    Attempt& attempt = this->attempts[id - 1];
+    switch (step.action) {
+      case ClaimGateAction::kAskOwner:
+        this->SendClaim(id, *step.ask);
+        break;
+      case ClaimGateAction::kRefreshMap:
+        this->AdoptUpTo(attempt.host, this->maps.size());
+        this->Follow(id,
+                     attempt.gate.AskAgain(this->now, this->hosts[attempt.host].view.GetEpoch()));
+        break;
+      case ClaimGateAction::kRunNow:
+        this->wrong_answer |= attempt.started.has_value() || attempt.told_not_run;
+        attempt.started = this->now;
+        attempt.running = true;
+        ++this->runs;
+        break;
+      case ClaimGateAction::kAnswerStored:
+        this->CheckStored(attempt, *step.stored);
+        break;
+      case ClaimGateAction::kRefuseNotRun:
+        attempt.told_not_run = true;
+        this->wrong_answer |= attempt.HasRun();
+        break;
+      default:
+        break;
+    }
+    if (step.report.has_value()) {
+      Message message;
+      message.kind = Kind::kDone;
+      message.attempt = id;
+      message.done = *step.report;
+      this->Route(message);
+    }
+  }
+
+  void CheckStored(const Attempt& attempt, const ClaimRecord& stored) {
+    ++this->stored_answers;
+    const std::uint64_t id = std::stoull(stored.answer);
+    const Attempt& origin = this->attempts[id - 1];
+    this->wrong_answer |= origin.key != attempt.key || !origin.HasRun();
+  }
+
+  void SendClaim(std::uint64_t id, const ClaimRequest& request) {
+    Message message;
+    message.kind = Kind::kClaim;
+    message.attempt = id;
+    message.claim = request;
+    this->Route(message);
+  }
+
+  // Sends a message of an attempt to the owner in the view of its daemon.
+  void Route(Message message) {
+    const Host& host = this->hosts[this->attempts[message.attempt - 1].host];
+    const std::string key = "key-" + std::to_string(this->attempts[message.attempt - 1].key);
+    const std::string_view owner = host.view.FindOwner(key);
+    if (!owner.empty()) {
+      message.to = this->FindHost(owner);
+      this->network.Send(message);
+    }
+  }
+
+  void DeliverOne(std::size_t choice, bool keep) {
+    const std::optional<Message> message = this->network.Take(choice, keep);
+    if (message.has_value()) {
+      this->Deliver(*message);
+    }
+  }
+
+  void Deliver(Message message) {
+    Host& to = this->hosts[message.to];
+    switch (message.kind) {
+      case Kind::kClaim:
+        message.reply = to.table.Claim(this->now, message.claim);
+        message.kind = Kind::kReply;
+        this->network.Send(message);
+        break;
+      case Kind::kReply:
+        this->DeliverReply(message);
+        break;
+      case Kind::kDone:
+        if (!to.table.Finish(this->now, message.done).recorded && message.tries_left-- > 0) {
+          this->Route(message);
+        }
+        break;
+      case Kind::kPart:
+        message.part_reply = to.table.AcceptTransfer(this->now, message.part);
+        message.kind = Kind::kPartReply;
+        this->network.Send(message);
+        break;
+      case Kind::kPartReply: {
+        Host& from = this->hosts[message.from];
+        if (from.incarnation == message.from_incarnation) {
+          from.transfer.HandleReply(from.table, to.name, message.part, message.part_reply);
+        }
+        break;
+      }
+    }
+  }
+
+  void DeliverReply(const Message& message) {
+    Attempt& attempt = this->attempts[message.attempt - 1];
+    if (this->hosts[attempt.host].incarnation == attempt.incarnation && !attempt.running &&
+        !attempt.started.has_value() && !attempt.told_not_run) {
+      this->Follow(message.attempt, attempt.gate.HandleReply(this->now, message.reply));
+    }
+  }
+
+  void TimeOutOne(std::size_t choice) {
+    if (this->attempts.empty()) {
+      return;
+    }
+    // Late attempts are the ones that still wait.
+    const std::size_t back = choice % std::min<std::size_t>(8, this->attempts.size());
+    Attempt& attempt = this->attempts[this->attempts.size() - 1 - back];
+    if (this->hosts[attempt.host].incarnation == attempt.incarnation && !attempt.started &&
+        !attempt.told_not_run) {
+      this->Follow(this->attempts.size() - back, attempt.gate.HandleReply(this->now, std::nullopt));
+    }
+  }
+
+  void EndRunOne(std::size_t choice, std::size_t outcome) {
+    std::vector<std::uint64_t> running;
+    for (std::size_t i = 0; i < this->attempts.size(); ++i) {
+      if (this->attempts[i].running) {
+        running.push_back(i + 1);
+      }
+    }
+    if (!running.empty()) {
+      constexpr ClaimAttemptOutcome kOutcomes[] = {
+          ClaimAttemptOutcome::kAnswered, ClaimAttemptOutcome::kNotRun, ClaimAttemptOutcome::kLost};
+      this->EndRun(running[choice % running.size()], kOutcomes[outcome % 3]);
+    }
+  }
+
+  void EndRun(std::uint64_t id, ClaimAttemptOutcome outcome) {
+    Attempt& attempt = this->attempts[id - 1];
+    attempt.running = false;
+    attempt.surely_not_run = outcome == ClaimAttemptOutcome::kNotRun;
+    const std::string answer = std::to_string(id);
+    this->Follow(id, attempt.gate.HandleResult({outcome, 200, answer, "text/plain"}));
+  }
+
+  ClaimLimits limits{std::chrono::seconds(20), std::chrono::seconds(5), 100, 1 << 20};
+  TimePoint now{};
+  std::uint64_t last_incarnation = 0;
+  std::vector<Host> hosts;
+  // The store's maps, epoch 1 first, and when each one was replaced.
+  std::vector<ClaimOwnerMap> maps;
+  std::vector<TimePoint> changed_at;
+  std::vector<Attempt> attempts;
+  ClaimsNetwork network;
+  std::size_t runs = 0;
+  std::size_t stored_answers = 0;
+  bool wrong_answer = false;
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_TESTS_FAKES_CLAIMS_CLUSTER_H_
--- /dev/null
+++ b/Tests/test_claims_cluster.cc
@@ -0,0 +1,202 @@
+// Guards against keys that run twice within the retention, refusals as not run of
+// requests that ran, and keys that never run, with several owners and callers, restarts,
+// lost, repeated and reordered messages, map changes and hand-overs.
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "Fakes/claims_cluster.h"
+
+using namespace lacewingbridge;  // NOLINT(google-build-using-namespace)
+
+namespace rc {
+template <>
+struct Arbitrary<ClusterStep> {
+  static Gen<ClusterStep> arbitrary() {
+    return gen::build<ClusterStep>(
+        gen::set(&ClusterStep::action, gen::inRange<std::uint8_t>(0, 20)),
+        gen::set(&ClusterStep::first, gen::inRange<std::uint16_t>(0, 5040)),
+        gen::set(&ClusterStep::second, gen::inRange<std::uint16_t>(0, 5040)));
+  }
+};
+}  // namespace rc
+
+namespace {
+
+// Broken on purpose: a process that starts takes every key for free.
+class ForgetfulTable : public ClaimTable {
+ public:
+  static Result<ForgetfulTable> Create(std::string_view host, std::uint64_t incarnation,
+                                       const ClaimLimits& limits) {
+    return ForgetfulTable(GetValue(ClaimTable::Create(host, incarnation, limits)));
+  }
+  bool AdoptMap(TimePoint now, const ClaimOwnerView& next) {
+    ClaimOwnerView empty;
+    if (this->GetEpoch() == 0 && empty.Adopt({next.GetEpoch() - 1, {}, {}})) {
+      ClaimTable::AdoptMap(now, empty);
+    }
+    return ClaimTable::AdoptMap(now, next);
+  }
+
+ private:
+  explicit ForgetfulTable(ClaimTable table) : ClaimTable(std::move(table)) {}
+};
+
+// Broken on purpose: a cancellation frees the key whichever attempt holds it.
+class LaxCancelTable : public ClaimTable {
+ public:
+  static Result<LaxCancelTable> Create(std::string_view host, std::uint64_t incarnation,
+                                       const ClaimLimits& limits) {
+    return LaxCancelTable(GetValue(ClaimTable::Create(host, incarnation, limits)));
+  }
+  ClaimReply Claim(TimePoint now, const ClaimRequest& request) {
+    ClaimReply reply = ClaimTable::Claim(now, request);
+    if (reply.decision == ClaimDecision::kGranted) {
+      this->holders[request.key] = request.attempt_id;
+    }
+    return reply;
+  }
+  ClaimDoneReply Finish(TimePoint now, ClaimDoneRequest request) {
+    if (request.outcome == ClaimOutcome::kNotRun && this->holders.contains(request.key)) {
+      request.attempt_id = this->holders[request.key];
+    }
+    return ClaimTable::Finish(now, request);
+  }
+
+ private:
+  explicit LaxCancelTable(ClaimTable table) : ClaimTable(std::move(table)) {}
+  std::map<std::string, std::uint64_t> holders;
+};
+
+// Broken on purpose: a new owner does not wait for hand-overs.
+class ImpatientTable : public ClaimTable {
+ public:
+  static Result<ImpatientTable> Create(std::string_view host, std::uint64_t incarnation,
+                                       const ClaimLimits& limits) {
+    return ImpatientTable(GetValue(ClaimTable::Create(host, incarnation, limits)), host);
+  }
+  ClaimReply Claim(TimePoint now, const ClaimRequest& request) {
+    for (const ClaimWait& wait : this->ListWaits(now)) {
+      ClaimTransferRequest part;
+      part.from_host = wait.host;
+      part.change_epoch = wait.change_epoch;
+      part.complete = true;
+      this->AcceptTransfer(now, part);
+    }
+    return ClaimTable::Claim(now, request);
+  }
+
+ private:
+  ImpatientTable(ClaimTable table, std::string_view) : ClaimTable(std::move(table)) {}
+};
+
+// Broken on purpose: runs the request when the owner does not answer.
+class EagerGate : public ClaimGate {
+ public:
+  using ClaimGate::ClaimGate;
+  ClaimGateStep HandleReply(TimePoint now, const std::optional<ClaimReply>& reply) {
+    ClaimReply granted;
+    granted.decision = ClaimDecision::kGranted;
+    return ClaimGate::HandleReply(now, reply.has_value() ? reply : granted);
+  }
+};
+
+template <typename Table, typename Gate>
+bool RunsOnlyOnce(const std::vector<ClusterStep>& steps, std::size_t* runs = nullptr) {
+  ClaimsCluster<Table, Gate> cluster(3);
+  for (const ClusterStep& step : steps) {
+    cluster.RunStep(step);
+  }
+  if (runs != nullptr) {
+    *runs += cluster.CountRuns();
+  }
+  return !cluster.HasDoubleRun() && !cluster.HasWrongAnswer();
+}
+
+rc::Gen<std::vector<ClusterStep>> GenSteps() {
+  return rc::gen::container<std::vector<ClusterStep>>(1200, rc::gen::arbitrary<ClusterStep>());
+}
+
+// Finds a violation of a broken variant within a bounded number of random histories.
+template <typename Table, typename Gate>
+bool IsBrokenVariantFound() {
+  bool found = false;
+  rc::check("searches a violation", [&found] {
+    if (!found) {
+      found = !RunsOnlyOnce<Table, Gate>(*GenSteps());
+    }
+  });
+  return found;
+}
+
+}  // namespace
+
+Test(claims_cluster, a_key_runs_at_most_once_within_the_retention) {
+  std::size_t runs = 0;
+  cr_assert(rc::check("at most once", [&runs] {
+    RC_ASSERT((RunsOnlyOnce<ClaimTable, ClaimGate>(*GenSteps(), &runs)));
+  }));
+  // A cluster that refuses everything would pass the check above.
+  cr_assert_gt(runs, 100);
+}
+
+Test(claims_cluster, the_check_finds_a_table_that_forgets_after_a_restart) {
+  cr_assert((IsBrokenVariantFound<ForgetfulTable, ClaimGate>()));
+}
+
+Test(claims_cluster, the_check_finds_a_cancellation_that_frees_a_running_key) {
+  cr_assert((IsBrokenVariantFound<LaxCancelTable, ClaimGate>()));
+}
+
+Test(claims_cluster, the_check_finds_an_owner_that_does_not_wait_for_a_hand_over) {
+  cr_assert((IsBrokenVariantFound<ImpatientTable, ClaimGate>()));
+}
+
+Test(claims_cluster, the_check_finds_a_gate_that_runs_without_an_answer) {
+  cr_assert((IsBrokenVariantFound<ClaimTable, EagerGate>()));
+}
+
+Test(claims_cluster, every_key_runs_without_faults_and_a_resend_gets_its_answer) {
+  using Cluster = ClaimsCluster<ClaimTable, ClaimGate>;
+  Cluster cluster(3);
+  for (int round = 0; round < 2; ++round) {
+    for (std::size_t key = 0; key < Cluster::kKeyCount; ++key) {
+      cluster.SendRequest((key + static_cast<std::size_t>(round)) % Cluster::kHostCount, key);
+      cluster.Settle();
+    }
+  }
+  cr_assert_eq(cluster.CountKeysRun(), Cluster::kKeyCount);
+  cr_assert_eq(cluster.CountStoredAnswers(), Cluster::kKeyCount);
+}
+
+Test(claims_cluster, answers_survive_a_map_change_with_hand_over) {
+  using Cluster = ClaimsCluster<ClaimTable, ClaimGate>;
+  Cluster cluster(3);
+  for (std::size_t key = 0; key < Cluster::kKeyCount; ++key) {
+    cluster.SendRequest(0, key);
+    cluster.Settle();
+  }
+  // Host 3 joins, then host 0 leaves; nothing has to wait for the retention.
+  for (const std::size_t changed : {std::size_t{3}, std::size_t{0}}) {
+    cluster.ChangeMap(changed);
+    for (std::size_t host = 0; host < Cluster::kHostCount; ++host) {
+      cluster.AdoptUpTo(host, changed == 3 ? 2 : 3);
+    }
+    for (std::size_t host = 0; host < Cluster::kHostCount; ++host) {
+      while (cluster.HasOpenHandOver(host)) {
+        cluster.SendPart(host, 0);
+        cluster.Settle();
+      }
+    }
+  }
+  for (std::size_t key = 0; key < Cluster::kKeyCount; ++key) {
+    cluster.SendRequest(4, key);
+    cluster.Settle();
+  }
+  cr_assert_eq(cluster.CountStoredAnswers(), Cluster::kKeyCount);
+  cr_assert_not(cluster.HasDoubleRun());
+}
