--- /dev/null
+++ b/Source/Retry/retry_policy.cc
@@ -0,0 +1,92 @@
+#include "Retry/retry_policy.h"
+
+#include <algorithm>
+
+#include "Retry/retry_budget.h"
+
+namespace lacewingbridge {
+
+namespace {
+
+bool SurelyDidNotRun(TargetOutcome outcome) {
+  return outcome == TargetOutcome::kShed || outcome == TargetOutcome::kConnectionRefused;
+}
+
+// Without a complete answer, "not run" may be stated only if no attempt can have run.
+RetryDecision GiveUp(const RetryAttempt& attempt, RetryReason reason) {
+  RetryDecision decision;
+  decision.reason = reason;
+  decision.mark_do_not_retry = true;
+  if (attempt.outcome == TargetOutcome::kFailed) {
+    decision.action = RetryAction::kDeliverAnswer;
+  } else if (SurelyDidNotRun(attempt.outcome) && !attempt.earlier_may_have_run &&
+             attempt.bytes_sent_to_caller == 0) {
+    decision.action = RetryAction::kGiveUpNotRun;
+  } else {
+    decision.action = RetryAction::kGiveUpUnknown;
+  }
+  return decision;
+}
+
+std::uint32_t GetMaxAttempts(const RetryRoute& route, bool did_not_run) {
+  const std::uint32_t retries = route.idempotent ? route.retries : 0;
+  return 1 + (did_not_run ? std::max(retries, RetryPolicy::kNotRunRetries) : retries);
+}
+
+}  // namespace
+
+bool RetryPolicy::MayHaveRun(TargetOutcome outcome) { return !SurelyDidNotRun(outcome); }
+
+RetryDecision RetryPolicy::Decide(TimePoint now, const RetryRoute& route,
+                                  const RetryAttempt& attempt, RetryBudget& budget) {
+  if (attempt.outcome == TargetOutcome::kOk) {
+    return {RetryAction::kDeliverAnswer, RetryReason::kAnswered, attempt.marked_do_not_retry};
+  }
+  if (attempt.bytes_sent_to_caller > 0) {
+    return GiveUp(attempt, RetryReason::kAnswerBegun);
+  }
+  if (attempt.marked_do_not_retry) {
+    return GiveUp(attempt, RetryReason::kMarked);
+  }
+  const bool did_not_run = SurelyDidNotRun(attempt.outcome);
+  if (!route.idempotent && (!did_not_run || attempt.earlier_may_have_run)) {
+    return GiveUp(attempt, RetryReason::kNotRepeatable);
+  }
+  if (attempt.attempts >= GetMaxAttempts(route, did_not_run)) {
+    return GiveUp(attempt, RetryReason::kAttemptsUsedUp);
+  }
+  if (attempt.time_left <= attempt.expected_latency) {
+    return GiveUp(attempt, RetryReason::kTimeUsedUp);
+  }
+  if (!budget.TryTake(now)) {
+    return GiveUp(attempt, RetryReason::kBudgetExhausted);
+  }
+  return {RetryAction::kRetryElsewhere,
+          did_not_run ? RetryReason::kDidNotRun : RetryReason::kMayRunAgain, false};
+}
+
+std::string_view DescribeRetryReason(RetryReason reason) {
+  switch (reason) {
+    case RetryReason::kAnswered:
+      return "the target answered";
+    case RetryReason::kMayRunAgain:
+      return "sent again because the route is idempotent";
+    case RetryReason::kDidNotRun:
+      return "sent again because the request did not run";
+    case RetryReason::kAnswerBegun:
+      return "not sent again because the caller has received part of the answer";
+    case RetryReason::kMarked:
+      return "not sent again because a deeper level has decided so";
+    case RetryReason::kNotRepeatable:
+      return "not sent again because it may have run and the route is not idempotent";
+    case RetryReason::kAttemptsUsedUp:
+      return "not sent again because the route allows no further attempt";
+    case RetryReason::kTimeUsedUp:
+      return "not sent again because the deadline is too close";
+    case RetryReason::kBudgetExhausted:
+      return "not sent again because the retry budget of the service is used up";
+  }
+  return "unknown reason";
+}
+
+}  // namespace lacewingbridge
--- a/Source/Retry/retry_policy.h
+++ b/Source/Retry/retry_policy.h
@@ -22,6 +22,8 @@
   TargetOutcome outcome = TargetOutcome::kOk;
   // The answer carries the mark of a deeper level that has already decided.
   bool marked_do_not_retry = false;
+  // An earlier attempt of the same request may have run.
+  bool earlier_may_have_run = false;
   std::uint32_t attempts = 1;  // sent so far, including this one
   Duration time_left{0};       // until the deadline of the request
   Duration expected_latency{0};
@@ -64,6 +66,9 @@
   // without retries.
   static constexpr std::uint32_t kNotRunRetries = 2;
 
+  // Whether a request may have run on a target whose attempt ended in this way.
+  static bool MayHaveRun(TargetOutcome outcome);
+
   // Takes a token of the budget if the request is to be sent again.
   static RetryDecision Decide(TimePoint now, const RetryRoute& route, const RetryAttempt& attempt,
                               RetryBudget& budget);
