claims: Let peers read the held owner map

Cause: a daemon with an older owner map asks its peers for the newer one. Change: ClaimOwnerView::GetMap.

--- a/Source/Claims/claim_owner_view.cc
+++ b/Source/Claims/claim_owner_view.cc
@@ -30,6 +30,10 @@
   return true;
 }
 
+ClaimOwnerMap ClaimOwnerView::GetMap() const {
+  return this->content == nullptr ? ClaimOwnerMap{} : this->content->map;
+}
+
 std::uint64_t ClaimOwnerView::GetEpoch() const {
   return this->content == nullptr ? 0 : this->content->map.epoch;
 }
--- a/Source/Claims/claim_owner_view.h
+++ b/Source/Claims/claim_owner_view.h
@@ -19,6 +19,8 @@
   // Adopts the map when its epoch is larger than the held one; otherwise returns false.
   bool Adopt(ClaimOwnerMap map);
 
+  // The held map, for passing it on; epoch 0 when none is held.
+  ClaimOwnerMap GetMap() const;
   // 0 when no map is held.
   std::uint64_t GetEpoch() const;
   std::span<const std::string> GetHosts() const;
