rules: Add line-based deltas

Cause: a small edit should cost few bytes on the region links.

Change: RulesDelta keeps the common head and tail and matches the rest by the lines that occur once in both texts.

--- /dev/null
+++ b/Source/Rules/rules_line_matching.cc
@@ -0,0 +1,123 @@
+#include "Rules/rules_line_matching.h"
+
+#include <algorithm>
+#include <limits>
+#include <unordered_map>
+
+namespace lacewingbridge {
+
+namespace {
+
+using Lines = std::span<const std::string_view>;
+
+constexpr std::size_t kNone = std::numeric_limits<std::size_t>::max();
+
+struct Pair {
+  std::size_t old_index;
+  std::size_t new_index;
+};
+
+struct Occurrences {
+  std::size_t old_count = 0;
+  std::size_t new_count = 0;
+  std::size_t new_index = 0;
+};
+
+// Lines that occur once in each text, in the order of the old one.
+std::vector<Pair> FindUniquePairs(Lines old_lines, Lines new_lines) {
+  std::unordered_map<std::string_view, Occurrences> table;
+  table.reserve(old_lines.size());
+  for (std::string_view line : old_lines) {
+    ++table[line].old_count;
+  }
+  for (std::size_t i = 0; i < new_lines.size(); ++i) {
+    const auto position = table.find(new_lines[i]);
+    if (position != table.end()) {
+      ++position->second.new_count;
+      position->second.new_index = i;
+    }
+  }
+  std::vector<Pair> pairs;
+  for (std::size_t i = 0; i < old_lines.size(); ++i) {
+    const Occurrences& found = table[old_lines[i]];
+    if (found.old_count == 1 && found.new_count == 1) {
+      pairs.push_back({i, found.new_index});
+    }
+  }
+  return pairs;
+}
+
+// The longest subsequence of the pairs that also ascends in the new text.
+std::vector<Pair> SelectAscending(std::span<const Pair> pairs) {
+  // For each length, the pair that ends a subsequence of it with the lowest new index.
+  std::vector<std::size_t> ends;
+  std::vector<std::size_t> previous(pairs.size(), kNone);
+  for (std::size_t i = 0; i < pairs.size(); ++i) {
+    const auto position = std::lower_bound(
+        ends.begin(), ends.end(), pairs[i].new_index,
+        [&](std::size_t pair, std::size_t new_index) { return pairs[pair].new_index < new_index; });
+    previous[i] = position == ends.begin() ? kNone : *(position - 1);
+    if (position == ends.end()) {
+      ends.push_back(i);
+    } else {
+      *position = i;
+    }
+  }
+  std::vector<Pair> selected(ends.size());
+  std::size_t pair = ends.empty() ? kNone : ends.back();
+  for (std::size_t i = ends.size(); i > 0; --i) {
+    selected[i - 1] = pairs[pair];
+    pair = previous[pair];
+  }
+  return selected;
+}
+
+std::size_t CountCommonHead(Lines old_lines, Lines new_lines) {
+  const std::size_t limit = std::min(old_lines.size(), new_lines.size());
+  std::size_t count = 0;
+  while (count < limit && old_lines[count] == new_lines[count]) {
+    ++count;
+  }
+  return count;
+}
+
+std::size_t CountCommonTail(Lines old_lines, Lines new_lines) {
+  const std::size_t limit = std::min(old_lines.size(), new_lines.size());
+  std::size_t count = 0;
+  while (count < limit &&
+         old_lines[old_lines.size() - 1 - count] == new_lines[new_lines.size() - 1 - count]) {
+    ++count;
+  }
+  return count;
+}
+
+}  // namespace
+
+std::vector<LineRun> MatchLines(Lines old_lines, Lines new_lines) {
+  const std::size_t head = CountCommonHead(old_lines, new_lines);
+  const std::size_t tail = CountCommonTail(old_lines.subspan(head), new_lines.subspan(head));
+  const Lines old_middle = old_lines.subspan(head, old_lines.size() - head - tail);
+  const Lines new_middle = new_lines.subspan(head, new_lines.size() - head - tail);
+  std::vector<LineRun> runs = {{0, 0, head}};
+  // Ends of the last run, counted in the middle parts.
+  std::size_t old_end = 0;
+  std::size_t new_end = 0;
+  for (const Pair& pair : SelectAscending(FindUniquePairs(old_middle, new_middle))) {
+    if (pair.old_index < old_end) {
+      continue;  // Part of the last run already.
+    }
+    const std::size_t before =
+        CountCommonTail(old_middle.subspan(old_end, pair.old_index - old_end),
+                        new_middle.subspan(new_end, pair.new_index - new_end));
+    const std::size_t after =
+        CountCommonHead(old_middle.subspan(pair.old_index), new_middle.subspan(pair.new_index));
+    runs.push_back(
+        {head + pair.old_index - before, head + pair.new_index - before, before + after});
+    old_end = pair.old_index + after;
+    new_end = pair.new_index + after;
+  }
+  runs.push_back({old_lines.size() - tail, new_lines.size() - tail, tail});
+  return runs;
+}
+
+}  // namespace lacewingbridge
