version: Refuse submission ids and names that cannot be decoded

Cause: a test with arbitrary bytes in a submission id wrote a head that the codec could not decode. Such a head would block every later submission.

Change: SubmitProcess::Create accepts ids of 1 to 64 letters, digits, '.', '_' or '-', and operator names of at most 128 bytes of UTF-8.

Conclusion: a submission can no longer make the head undecodable.

--- a/Source/Version/submit_process.cc
+++ b/Source/Version/submit_process.cc
@@ -16,8 +16,52 @@
   return stored.head ? stored.head->stamp : VersionStamp{};
 }
 
+// Length of the UTF-8 sequence at the start of the text; 0 when it is malformed.
+std::size_t MeasureUtf8(std::string_view text) {
+  const auto byte = [&](std::size_t index) { return static_cast<unsigned char>(text[index]); };
+  const unsigned lead = byte(0);
+  if (lead < 0x80) {
+    return 1;
+  }
+  const std::size_t length = lead >= 0xf0 ? 4 : (lead >= 0xe0 ? 3 : 2);
+  if (lead < 0xc2 || lead > 0xf4 || text.size() < length) {
+    return 0;
+  }
+  for (std::size_t i = 1; i < length; ++i) {
+    if ((byte(i) & 0xc0U) != 0x80U) {
+      return 0;
+    }
+  }
+  // Overlong forms, surrogates, and values above U+10FFFF.
+  const unsigned second = byte(1);
+  const bool invalid = (lead == 0xe0 && second < 0xa0) || (lead == 0xed && second > 0x9f) ||
+                       (lead == 0xf0 && second < 0x90) || (lead == 0xf4 && second > 0x8f);
+  return invalid ? 0 : length;
+}
+
+// The head's text fields must be UTF-8: a head that daemons cannot decode would block
+// every later submission.
+bool IsUtf8(std::string_view text) {
+  while (!text.empty()) {
+    const std::size_t length = MeasureUtf8(text);
+    if (length == 0) {
+      return false;
+    }
+    text.remove_prefix(length);
+  }
+  return true;
+}
+
 }  // namespace
 
+bool SubmitProcess::IsValidSubmissionId(std::string_view id) {
+  const auto is_allowed = [](char letter) {
+    return (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z') ||
+           (letter >= '0' && letter <= '9') || letter == '.' || letter == '_' || letter == '-';
+  };
+  return !id.empty() && id.size() <= kMaxIdBytes && std::all_of(id.begin(), id.end(), is_allowed);
+}
+
 ErrorKind GetErrorKind(const SubmitOutcome& outcome) {
   if (std::holds_alternative<SubmitAccepted>(outcome)) {
     return ErrorKind::kNone;
@@ -31,8 +75,13 @@
 
 Result<SubmitProcess> SubmitProcess::Create(SubmitRequest request, SubmitSettings settings,
                                             TimePoint now) {
-  if (request.submission_id.empty()) {
-    return Error{ErrorKind::kInvalidArgument, "the submission id is empty"};
+  if (!IsValidSubmissionId(request.submission_id)) {
+    return Error{ErrorKind::kInvalidArgument,
+                 "the submission id must have 1 to 64 letters, digits, '.', '_' or '-'"};
+  }
+  if (request.operator_name.size() > kMaxOperatorBytes || !IsUtf8(request.operator_name)) {
+    return Error{ErrorKind::kInvalidArgument,
+                 "the operator's name must be UTF-8 of at most 128 bytes"};
   }
   if (request.text.size() > kMaxTextBytes) {
     return Error{ErrorKind::kLimitExceeded,
--- a/Source/Version/submit_process.h
+++ b/Source/Version/submit_process.h
@@ -28,8 +28,14 @@
   static constexpr std::size_t kMaxTextBytes = 1'000'000;
   // Larger deltas are fetched from a daemon instead of growing the head.
   static constexpr std::size_t kMaxDeltaBytes = 2048;
+  static constexpr std::size_t kMaxIdBytes = 64;
+  static constexpr std::size_t kMaxOperatorBytes = 128;
 
-  // Fails when the id is empty or the text is too long.
+  // An id that every daemon can decode and that keeps the head small: 1 to 64 letters,
+  // digits, '.', '_' or '-'.
+  static bool IsValidSubmissionId(std::string_view id);
+
+  // Fails when the id or the operator's name is not valid or the text is too long.
   static Result<SubmitProcess> Create(SubmitRequest request, SubmitSettings settings,
                                       TimePoint now);
 
--- a/Tests/test_version_submit.cc
+++ b/Tests/test_version_submit.cc
@@ -315,3 +315,24 @@
   action = process.Handle(SubmitTimePassed{}, kStart + std::chrono::seconds(60), random);
   cr_assert(GetErrorKind(std::get<SubmitFinished>(action).outcome) == ErrorKind::kSubmitUnknown);
 }
+
+// A head that cannot be decoded would block every later submission.
+Test(version_submit, refuses_ids_and_names_that_cannot_be_decoded_and_long_texts) {
+  const auto is_created = [](const std::string& id, const std::string& name, std::size_t bytes) {
+    SubmitRequest request;
+    request.submission_id = id;
+    request.operator_name = name;
+    request.text = std::string(bytes, 'a');
+    return IsOk(SubmitProcess::Create(std::move(request), {}, kStart));
+  };
+  cr_assert(is_created("a-1", "Mar\u00eda \u20ac \U0001f600", 1'000'000));
+  for (const std::string id : {"", "\xff", "a b", "\u00ed"}) {
+    cr_assert(!is_created(id, "", 1));
+  }
+  cr_assert(!is_created(std::string(65, 'a'), "", 1));
+  for (const std::string name : {"\xff", "\xc3", "\xc0\x80", "\xed\xa0\x80", "\xf4\x90\x80\x80"}) {
+    cr_assert(!is_created("a", name, 1));
+  }
+  cr_assert(!is_created("a", std::string(129, 'a'), 1));
+  cr_assert(!is_created("a", "", 1'000'001));
+}
