--- a/Source/Watch/watch_election.h
+++ b/Source/Watch/watch_election.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <random>
 #include <span>
@@ -21,12 +22,12 @@
   Duration lease = std::chrono::seconds(9);
   // Rank k waits k steps plus a jitter of up to one step.
   Duration rank_step = std::chrono::seconds(1);
-  // Hosts of a higher rank make no call. 225 daemons that restart together then cost
-  // a scope at most one read for each of these ranks.
+  // Hosts of this or a higher rank make no call unless they held the lease before. 225 daemons that
+  // restart together then cost a scope at most one read for each of these ranks.
   std::size_t max_candidates = 8;
-  // The first candidate that does not hold the lease reads the key this often. It
-  // covers a holder that its peers see alive but that cannot reach the store.
-  Duration standby_check = std::chrono::seconds(60);
+  // The first candidate without the lease reads the key when the holder is doubted, but
+  // not more often than this. At rest it makes no call.
+  Duration doubt_interval = std::chrono::seconds(60);
   Duration longest_backoff = std::chrono::seconds(30);
 };
 
@@ -51,6 +52,7 @@
 
   WatchCall Apply(const WatchTimePassed& event, TimePoint now, std::mt19937_64& random);
   WatchCall Apply(const WatchMembersChanged& event, TimePoint now, std::mt19937_64& random);
+  WatchCall Apply(const WatchHolderDoubted& event, TimePoint now, std::mt19937_64& random);
   WatchCall Apply(const WatchKeyRead& event, TimePoint now, std::mt19937_64& random);
   WatchCall Apply(const WatchLeaseReplied& event, TimePoint now, std::mt19937_64& random);
   WatchCall Apply(const WatchKeySwapped& event, TimePoint now, std::mt19937_64& random);
@@ -59,11 +61,16 @@
   WatchCall KeepLease();
   void StartHolding();
   void StartWaiting(TimePoint now, std::mt19937_64& random);
-  void StartStandby(TimePoint now, std::mt19937_64& random);
+  void StartStandby(TimePoint now);
   // Waits for a live holder's report, or retries while a dead holder's lease runs.
   void YieldToHolder(TimePoint now, std::mt19937_64& random);
   void RetryAfter(Duration wait, TimePoint now);
-  void UpdateRanks(std::span<const std::string> live_hosts);
+  void UpdateRanks(std::span<const WatchMember> live);
+  // Reads the key at that time if this daemon is the first standby.
+  void CheckAt(TimePoint time, std::mt19937_64& random);
+  bool IsCandidate() const;
+  // End of the wait by rank.
+  TimePoint GetRankTime() const;
   bool IsHolderLive() const;
   bool IsFirstStandby() const;
   // When this daemon must stop acting under its last granted lease.
@@ -77,6 +84,7 @@
   // WatchMembersChanged, and no call is made before it.
   std::vector<std::string> ranking;
   std::size_t rank = 0;
+  std::map<std::string, std::uint64_t> incarnations;
   std::optional<WatchHolder> holder;
   std::uint64_t key_revision = 0;
   std::uint64_t lease_id = 0;
@@ -85,11 +93,16 @@
   TimePoint call_sent_at;
   // Whether the store confirmed that the key names this host and lease.
   bool owns_key = false;
+  // A former holder of any rank stays a candidate until it sees a live holder, because
+  // the others may still take it for the holder.
+  bool was_holder = false;
   // Start of the wait by rank, its jitter, and the earliest retry after a failure.
   TimePoint wait_started_at;
   Duration jitter{};
   TimePoint retry_at;
   TimePoint renew_at;
+  // On standby: start of the standby, and when the key is read if at all.
+  TimePoint standby_since;
   TimePoint check_at;
 };
 
--- a/Source/Watch/watch_messages.h
+++ b/Source/Watch/watch_messages.h
@@ -19,13 +19,22 @@
   bool operator==(const WatchHolder&) const = default;
 };
 
+// A live daemon of the scope, as MemberRecord names it.
+struct WatchMember {
+  std::string host;
+  std::uint64_t incarnation = 0;
+};
+
 // Inputs of WatchElection. Every store call ends in exactly one of them: once a call is
 // reported as failed, a late reply to it is dropped.
 struct WatchTimePassed {};
-// Live hosts of the scope; this host may be missing.
+// Live members of the scope; this host may be missing.
 struct WatchMembersChanged {
-  std::span<const std::string> live_hosts;
+  std::span<const WatchMember> live;
 };
+// Versions reach this daemon from other scopes but not from its own holder, for example
+// because a holder that its peers see alive cannot reach the store.
+struct WatchHolderDoubted {};
 struct WatchKeyRead {
   std::optional<WatchHolder> holder;
   std::uint64_t revision = 0;
@@ -42,8 +51,8 @@
 };
 struct WatchCallFailed {};
 
-using WatchEvent = std::variant<WatchTimePassed, WatchMembersChanged, WatchKeyRead,
-                                WatchLeaseReplied, WatchKeySwapped, WatchCallFailed>;
+using WatchEvent = std::variant<WatchTimePassed, WatchMembersChanged, WatchHolderDoubted,
+                                WatchKeyRead, WatchLeaseReplied, WatchKeySwapped, WatchCallFailed>;
 
 // Store calls of WatchElection.
 struct WatchNoCall {};
