--- a/Source/Daemon/cluster_node.cc
+++ b/Source/Daemon/cluster_node.cc
@@ -20,7 +20,7 @@
 MemberProberOptions MakeProberOptions(const Settings& settings) {
   MemberProberOptions options;
   options.probe_interval = std::chrono::milliseconds(settings.probe_interval_ms);
-  options.suspicion = std::chrono::milliseconds(settings.suspicion_ms);
+  options.suspicions.suspicion = std::chrono::milliseconds(settings.suspicion_ms);
   return options;
 }
 
@@ -130,7 +130,7 @@
     return result;
   }
   this->join.RecordHeard(datagram.sender_host);
-  this->progress.RecordStamp(this->table, datagram.sender_host, datagram.held);
+  this->progress.RecordStamp(this->table, datagram);
   this->Append(this->spread.HandleDatagram(this->table, datagram, now, this->random), now, result);
   return result;
 }
@@ -142,10 +142,9 @@
   this->Append(this->spread.HandleHeld(this->table, stamp, std::move(delta), now, this->random,
                                        GetEncodedSize),
                now, result);
-  this->Append(this->relay.HandleHeld(this->table, this->spread, this->role, this->random), now,
-               result);
+  this->Append(this->relay.HandleHeld(this->table, this->spread, this->role, now, this->random),
+               now, result);
   this->progress.HandleHeld(stamp, now, this->random);
-  this->progress.RecordStamp(this->table, this->settings.host, stamp);
   return result;
 }
 
@@ -345,18 +344,17 @@
   return members;
 }
 
-std::vector<std::string> ClusterNode::ListScopeHosts(bool region_scope) {
+std::vector<WatchMember> ClusterNode::ListScopeMembers(bool region_scope) {
   const std::lock_guard guard(this->mutex);
-  if (!region_scope) {
-    return this->table.ListHosts(this->settings.data_centre);
-  }
-  std::vector<std::string> hosts;
+  std::vector<WatchMember> members;
   for (const MemberRecord* record : this->table.ListMembers("")) {
-    if (record->region == this->settings.region) {
-      hosts.push_back(record->host);
+    const bool in_scope = region_scope ? record->region == this->settings.region
+                                       : record->data_centre == this->settings.data_centre;
+    if (in_scope) {
+      members.push_back({record->host, record->incarnation});
     }
   }
-  return hosts;
+  return members;
 }
 
 std::vector<DataCentreProgress> ClusterNode::ListProgress(TimePoint now) {
--- a/Source/Daemon/cluster_node.h
+++ b/Source/Daemon/cluster_node.h
@@ -20,6 +20,7 @@
 #include "Spread/spread_node.h"
 #include "Spread/spread_progress.h"
 #include "Spread/spread_relay.h"
+#include "Watch/watch_messages.h"
 #include "peer.h"
 #include "settings.h"
 
@@ -72,7 +73,7 @@
   bool IsDistrusted();
   std::vector<MemberRecord> ListMembers();
   // Live members of the scope of the watch: the own data centre or the own region.
-  std::vector<std::string> ListScopeHosts(bool region_scope);
+  std::vector<WatchMember> ListScopeMembers(bool region_scope);
   std::vector<DataCentreProgress> ListProgress(TimePoint now);
   std::string FindControlAddress(std::string_view host);
   // Control addresses of up to count live members of the own data centre.
--- a/Source/Daemon/daemon.cc
+++ b/Source/Daemon/daemon.cc
@@ -107,8 +107,8 @@
 
 StoreWatcher::Hooks Daemon::MakeWatcherHooks() {
   StoreWatcher::Hooks hooks;
-  hooks.list_hosts = [this] {
-    return this->cluster->ListScopeHosts(IsRegionScope(this->settings));
+  hooks.list_members = [this] {
+    return this->cluster->ListScopeMembers(IsRegionScope(this->settings));
   };
   hooks.list_seeds = [this] {
     return std::vector<std::pair<std::string, std::vector<std::string>>>{
--- a/Source/Daemon/store_watcher.cc
+++ b/Source/Daemon/store_watcher.cc
@@ -140,15 +140,15 @@
   WatchElection election(MakeElectionSettings(this->settings, this->scope), GetNow(),
                          this->election_random);
   bool members_reported = false;
-  std::vector<std::string> hosts;
+  std::vector<WatchMember> members;
   std::optional<WatchEvent> answer;
   while (!this->IsStopped()) {
     WatchEvent event = WatchTimePassed{};
     if (answer.has_value()) {
       event = *answer;
     } else if (!members_reported) {
-      hosts = this->hooks.list_hosts();
-      event = WatchMembersChanged{hosts};
+      members = this->hooks.list_members();
+      event = WatchMembersChanged{members};
     }
     const WatchDecision decision = election.Handle(event, GetNow(), this->election_random);
     this->SetActing(decision);
--- a/Source/Daemon/store_watcher.h
+++ b/Source/Daemon/store_watcher.h
@@ -31,8 +31,8 @@
 class StoreWatcher {
  public:
   struct Hooks {
-    // Live hosts of the scope.
-    std::function<std::vector<std::string>()> list_hosts;
+    // Live members of the scope.
+    std::function<std::vector<WatchMember>()> list_members;
     // Lists of seeds to keep at the store, by data centre.
     std::function<std::vector<std::pair<std::string, std::vector<std::string>>>()> list_seeds;
     // A version or a delta was read; returns when it was offered to this daemon.
