--- a/Source/Quarantine/quarantine_table.h
+++ b/Source/Quarantine/quarantine_table.h
@@ -8,7 +8,6 @@
 #include <functional>
 #include <list>
 #include <map>
-#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -43,29 +42,37 @@
   kQuarantined,
 };
 
-// Fingerprint of a request: the route and a hash of its key, or of its body.
-std::uint64_t ComputeFingerprint(std::string_view route, std::string_view key_or_body);
+// Fingerprint of a request: the route and a hash of its key. A request without a key is
+// identified by its path, query and body; with the body alone, all lookups of a route
+// would share one fingerprint.
+std::uint64_t ComputeFingerprint(std::string_view route, std::string_view content);
 
 // Strikes of requests that were in flight on targets which died.
 //
 // A lost connection alone is no strike: every request that was lost on a target gets one
 // when the target proves dead, that is, refuses a connection or shows a new incarnation
 // within proof_window. Until then a lost request counts as struck for the decision where
-// it may start, so a resend that comes before the proof is held to the same limit. A
-// struck request runs on one target at a time and never beside another struck request.
+// it may start, so a resend that comes before the proof is held to the same limit.
+//
+// A struck request never starts beside another struck request, and on one target at a time
+// until one of its runs was answered: several copies of a crashing request could otherwise
+// take down as many targets at once, while a frequent innocent one has to wait for a single
+// answer only.
 //
 // A daemon shards its table by service: a fingerprint contains the route, and a target
 // belongs to one service.
 class QuarantineTable {
  public:
-  explicit QuarantineTable(const QuarantineLimits& limits) : limits(limits) {}
+  explicit QuarantineTable(const QuarantineLimits& table_limits) : limits(table_limits) {}
 
+  // kRun is followed by Start without giving up the lock of the shard.
   QuarantineDecision MayStart(TimePoint now, std::uint64_t fingerprint, std::string_view target);
   void Start(std::uint64_t fingerprint, std::string_view target);
-  void Finish(std::uint64_t fingerprint, std::string_view target);
+  // answered: the target sent a complete answer.
+  void Finish(std::uint64_t fingerprint, std::string_view target, bool answered);
 
   // The connection was lost mid-request on the target of that incarnation. Followed by
-  // Finish.
+  // Finish, and by an attempt to connect again, which provides the proof in time.
   void NoteLost(TimePoint now, std::uint64_t fingerprint, std::string_view target,
                 std::uint64_t incarnation);
   // Proof that the target died; both return the number of requests that are quarantined
@@ -87,8 +94,9 @@
   struct Entry {
     // At most strike_limit strikes, distinct by target and incarnation.
     std::vector<QuarantineStrike> strikes;
-    std::optional<TimePoint> quarantined_until;
     TimePoint last_strike;
+    // A run was answered since the last strike.
+    bool answered = false;
     std::list<std::uint64_t>::iterator order;
   };
   struct Suspicion {
@@ -111,6 +119,7 @@
   void QueueStrike(const QuarantineStrike& strike);
   // Strikes and unproved losses of the request, by distinct target and incarnation.
   std::size_t CountStrikes(std::uint64_t fingerprint) const;
+  bool IsAnswered(std::uint64_t fingerprint) const;
   bool IsOtherStruckRunning(std::uint64_t fingerprint, std::string_view target) const;
 
   QuarantineLimits limits;
--- /dev/null
+++ b/Tests/test_quarantine_table.cc
@@ -0,0 +1,248 @@
+// Guards against a request that crashes target after target, innocent requests that are
+// quarantined without having shared two crashes, and tables that grow without bound.
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Quarantine/quarantine_table.h"
+
+using namespace lacewingbridge;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr TimePoint kStart{};
+constexpr std::uint64_t kCrashing = 1;
+
+void Crash(QuarantineTable& table, TimePoint now, std::uint64_t fingerprint,
+           std::string_view target) {
+  table.Start(fingerprint, target);
+  table.NoteLost(now, fingerprint, target, 1);
+  table.Finish(fingerprint, target, false);
+  table.NoteRefused(now, target);
+}
+
+// One daemon's view: a random load in which one request crashes every target it runs on.
+class MixedLoad {
+ public:
+  explicit MixedLoad(const QuarantineLimits& limits) : table(limits) {}
+
+  void RunStep(std::uint32_t choice) {
+    this->now += milliseconds(choice % 700);
+    this->ProveDeaths();
+    const std::string target = "target-" + std::to_string(choice % 7);
+    const std::uint64_t fingerprint = choice % 5 == 0 ? kCrashing : 2 + choice % 11;
+    // The caller of the crashing request sends it again once the last one has failed.
+    const bool is_repeated = fingerprint == kCrashing && this->IsRunning(kCrashing);
+    if (choice % 3 == 0) {
+      this->EndOne(choice);
+    } else if (!is_repeated && !this->dead.contains(target) &&
+               this->table.MayStart(this->now, fingerprint, target) == QuarantineDecision::kRun) {
+      this->table.Start(fingerprint, target);
+      this->running.emplace_back(fingerprint, target);
+      // Otherwise it runs on for a while before it crashes the target.
+      if (fingerprint == kCrashing && choice % 2 == 0) {
+        this->CrashTarget(target);
+      }
+    }
+    this->CheckInnocents();
+  }
+
+  std::size_t GetCrashCount() const { return this->crash_count; }
+  bool HasWrongQuarantine() const { return this->wrong_quarantine; }
+  TimePoint GetNow() const { return this->now; }
+
+ private:
+  bool IsRunning(std::uint64_t fingerprint) const {
+    return std::any_of(this->running.begin(), this->running.end(),
+                       [fingerprint](const auto& item) { return item.first == fingerprint; });
+  }
+
+  // Within 3 s of a crash a daemon has connected to the target again.
+  void ProveDeaths() {
+    std::erase_if(this->dead, [this](const auto& item) {
+      if (this->now - item.second < seconds(2)) {
+        return false;
+      }
+      const std::uint64_t incarnation = ++this->incarnations[item.first];
+      if (incarnation % 2 == 0) {
+        this->table.NoteRefused(this->now, item.first);
+      } else {
+        this->table.NoteIncarnation(this->now, item.first, incarnation);
+      }
+      return true;
+    });
+  }
+
+  void EndOne(std::uint32_t choice) {
+    if (this->running.empty()) {
+      return;
+    }
+    const auto [fingerprint, target] = this->running[choice % this->running.size()];
+    if (fingerprint == kCrashing) {
+      this->CrashTarget(target);
+      return;
+    }
+    this->table.Finish(fingerprint, target, true);
+    this->running.erase(this->running.begin() +
+                        static_cast<std::ptrdiff_t>(choice % this->running.size()));
+  }
+
+  void CrashTarget(const std::string& target) {
+    ++this->crash_count;
+    this->dead.emplace(target, this->now);
+    const std::uint64_t incarnation = this->incarnations.emplace(target, 1).first->second;
+    std::set<std::uint64_t> victims;
+    std::erase_if(this->running, [&](const auto& item) {
+      if (item.second != target) {
+        return false;
+      }
+      victims.insert(item.first);
+      this->table.NoteLost(this->now, item.first, target, incarnation);
+      this->table.Finish(item.first, target, false);
+      return true;
+    });
+    for (const std::uint64_t victim : victims) {
+      ++this->shared_crashes[victim];
+    }
+  }
+
+  void CheckInnocents() {
+    for (std::uint64_t innocent = 2; innocent < 13; ++innocent) {
+      this->wrong_quarantine |=
+          this->table.IsQuarantined(this->now, innocent) && this->shared_crashes[innocent] < 2;
+    }
+  }
+
+  QuarantineTable table;
+  TimePoint now{};
+  std::map<std::string, TimePoint> dead;
+  std::map<std::string, std::uint64_t> incarnations;
+  std::vector<std::pair<std::uint64_t, std::string>> running;
+  std::map<std::uint64_t, std::size_t> shared_crashes;
+  std::size_t crash_count = 0;
+  bool wrong_quarantine = false;
+};
+
+// Runs random loads of less than a quarantine's length; returns the most crashes in one.
+std::size_t FindMostCrashes(const QuarantineLimits& limits, bool& innocent_quarantined) {
+  std::size_t most_crashes = 0;
+  cr_assert(rc::check("mixed load", [&] {
+    MixedLoad load(limits);
+    const auto choices = *rc::gen::container<std::vector<std::uint32_t>>(
+        400, rc::gen::inRange<std::uint32_t>(0, 1U << 30U));
+    for (const std::uint32_t choice : choices) {
+      load.RunStep(choice);
+    }
+    RC_ASSERT(load.GetNow() < kStart + minutes(10));
+    most_crashes = std::max(most_crashes, load.GetCrashCount());
+    innocent_quarantined |= load.HasWrongQuarantine();
+  }));
+  return most_crashes;
+}
+
+}  // namespace
+
+Test(quarantine_table, two_targets_quarantine_a_request_for_ten_minutes) {
+  QuarantineTable table{QuarantineLimits{}};
+  Crash(table, kStart, kCrashing, "t1");
+  cr_assert(table.MayStart(kStart, kCrashing, "t2") == QuarantineDecision::kRun);
+  Crash(table, kStart, kCrashing, "t1");
+  cr_assert_not(table.IsQuarantined(kStart, kCrashing), "one target counts once");
+  Crash(table, kStart, kCrashing, "t2");
+  cr_assert(table.MayStart(kStart, kCrashing, "t3") == QuarantineDecision::kQuarantined);
+  cr_assert(table.IsQuarantined(kStart + minutes(9), kCrashing));
+  cr_assert_not(table.IsQuarantined(kStart + minutes(10), kCrashing));
+  cr_assert_eq(table.GetEntryCount(), 0);
+}
+
+Test(quarantine_table, a_lost_connection_without_proof_is_no_strike) {
+  QuarantineTable table{QuarantineLimits{}};
+  table.NoteLost(kStart, 5, "t1", 1);
+  cr_assert_eq(table.NoteIncarnation(kStart, "t1", 1), 0);
+  table.NoteRefused(kStart + seconds(6), "t1");
+  cr_assert_eq(table.GetEntryCount(), 0);
+  table.NoteLost(kStart + seconds(7), 5, "t1", 1);
+  table.NoteIncarnation(kStart + seconds(8), "t1", 2);
+  cr_assert_eq(table.GetEntryCount(), 1);
+}
+
+Test(quarantine_table, an_unproved_loss_holds_a_resend_back) {
+  QuarantineTable table{QuarantineLimits{}};
+  table.NoteLost(kStart, kCrashing, "t1", 1);
+  table.NoteLost(kStart, kCrashing, "t2", 1);
+  cr_assert(table.MayStart(kStart, kCrashing, "t3") == QuarantineDecision::kWait);
+  cr_assert(table.MayStart(kStart + seconds(5), kCrashing, "t3") == QuarantineDecision::kRun);
+}
+
+Test(quarantine_table, struck_requests_do_not_meet_on_a_target) {
+  QuarantineTable table{QuarantineLimits{}};
+  Crash(table, kStart, 1, "t1");
+  Crash(table, kStart, 2, "t1");
+  table.Start(1, "t2");
+  cr_assert(table.MayStart(kStart, 2, "t2") == QuarantineDecision::kWait);
+  cr_assert(table.MayStart(kStart, 2, "t3") == QuarantineDecision::kRun);
+  cr_assert(table.MayStart(kStart, 3, "t2") == QuarantineDecision::kRun, "it has no strike");
+  cr_assert(table.MayStart(kStart, 1, "t3") == QuarantineDecision::kWait, "it runs already");
+  table.Finish(1, "t2", true);
+  table.Start(1, "t2");
+  cr_assert(table.MayStart(kStart, 1, "t3") == QuarantineDecision::kRun, "it was answered");
+}
+
+Test(quarantine_table, strikes_spread_a_bounded_number_of_times) {
+  QuarantineTable first{QuarantineLimits{}};
+  QuarantineTable second{QuarantineLimits{}};
+  Crash(first, kStart, 1, "t1");
+  const std::vector<QuarantineStrike> strikes = first.TakeStrikes(4);
+  cr_assert_eq(strikes.size(), 1);
+  cr_assert_eq(second.MergeStrikes(kStart, strikes), 0);
+  cr_assert_eq(second.MergeStrikes(kStart, strikes), 0, "a repeated strike counts once");
+  cr_assert_eq(second.GetOutstandingCount(), 1);
+  for (std::uint32_t i = 1; i < QuarantineLimits().spread_count; ++i) {
+    cr_assert_eq(first.TakeStrikes(4).size(), 1);
+  }
+  cr_assert(first.TakeStrikes(4).empty());
+  Crash(second, kStart, 1, "t2");
+  cr_assert_eq(first.MergeStrikes(kStart, second.TakeStrikes(4)), 1);
+}
+
+Test(quarantine_table, a_crashing_request_takes_down_two_targets_and_no_innocent_suffers) {
+  bool innocent_quarantined = false;
+  cr_assert_eq(FindMostCrashes(QuarantineLimits{}, innocent_quarantined), 2);
+  cr_assert_not(innocent_quarantined);
+}
+
+Test(quarantine_table, the_check_finds_limits_that_let_a_third_target_crash) {
+  bool ignored = false;
+  QuarantineLimits third_strike;
+  third_strike.strike_limit = 3;
+  cr_assert_gt(FindMostCrashes(third_strike, ignored), 2);
+  QuarantineLimits no_proof;
+  no_proof.proof_window = Duration::zero();
+  cr_assert_gt(FindMostCrashes(no_proof, ignored), 2);
+}
+
+Test(quarantine_table, memory_is_bounded_and_the_least_recently_struck_goes_first) {
+  QuarantineLimits limits;
+  QuarantineTable table{limits};
+  for (std::uint64_t i = 1; i <= 3 * limits.entry_capacity; ++i) {
+    const QuarantineStrike strike{i, "t1", 1};
+    table.MergeStrikes(kStart, {&strike, 1});
+    table.NoteLost(kStart, i, "t2", 1);
+  }
+  cr_assert_eq(table.GetEntryCount(), limits.entry_capacity);
+  cr_assert_eq(table.GetSuspicionCount(), limits.suspicion_capacity);
+  cr_assert_eq(table.GetOutstandingCount(), limits.entry_capacity);
+  const QuarantineStrike oldest{1, "t3", 1};
+  const QuarantineStrike newest{3 * limits.entry_capacity, "t3", 1};
+  cr_assert_eq(table.MergeStrikes(kStart, {&oldest, 1}), 0);
+  cr_assert_eq(table.MergeStrikes(kStart, {&newest, 1}), 1);
+}
