claims: Accept the last part of a hand-over again when its answer was lost

Cause: a receiver forgot a completed hand-over at once. A host that had been removed from the map and lost the answer to its last part was refused from then on as an unknown host, and its drain never ended.

Change: ClaimWaitList remembers completed hand-overs for one claim memory.

--- a/Source/Claims/claim_table.cc
+++ b/Source/Claims/claim_table.cc
@@ -201,7 +201,7 @@
   }
   reply.next_part = *expected;
   reply.accepted = request.part < *expected;
-  if (request.part != *expected) {
+  if (request.part != *expected || this->waits.IsComplete(wait)) {
     return reply;
   }
   for (const ClaimRecord& record : request.claims) {
@@ -209,7 +209,7 @@
       return reply;
     }
   }
-  this->waits.NotePart(wait, request.complete);
+  this->waits.NotePart(now, wait, request.complete);
   reply.accepted = true;
   ++reply.next_part;
   return reply;
--- a/Source/Claims/claim_wait_list.cc
+++ b/Source/Claims/claim_wait_list.cc
@@ -66,41 +66,63 @@
   });
 }
 
-bool ClaimWaitList::IsBlocked(std::string_view key) const {
-  return std::any_of(this->changes.begin(), this->changes.end(), [key](const auto& item) {
-    const Change& change = item.second;
-    return change.all_until.has_value() ||
-           (!change.hosts.empty() && change.hosts.contains(change.before.FindOwner(key)));
-  });
+bool ClaimWaitList::Change::IsOpen() const {
+  return this->all_until.has_value() ||
+         std::any_of(this->hosts.begin(), this->hosts.end(),
+                     [](const auto& item) { return !item.second.complete; });
 }
 
-bool ClaimWaitList::IsBlockingAll() const {
+bool ClaimWaitList::Change::IsBlocked(std::string_view key) const {
+  if (this->all_until.has_value()) {
+    return true;
+  }
+  if (this->hosts.empty()) {
+    return false;
+  }
+  const auto found = this->hosts.find(this->before.FindOwner(key));
+  return found != this->hosts.end() && !found->second.complete;
+}
+
+bool ClaimWaitList::IsBlocked(std::string_view key) const {
   return std::any_of(this->changes.begin(), this->changes.end(),
-                     [](const auto& item) { return item.second.all_until.has_value(); });
+                     [key](const auto& item) { return item.second.IsBlocked(key); });
 }
 
 bool ClaimWaitList::HasWaitBefore(std::uint64_t epoch) const {
-  return !this->changes.empty() && this->changes.begin()->first < epoch;
+  return std::any_of(this->changes.begin(), this->changes.end(), [epoch](const auto& item) {
+    return item.first < epoch && item.second.IsOpen();
+  });
 }
 
 std::vector<ClaimWait> ClaimWaitList::ListWaits() const {
   std::vector<ClaimWait> waits;
   for (const auto& [epoch, change] : this->changes) {
     for (const auto& [name, wait] : change.hosts) {
-      waits.push_back(ClaimWait{name, epoch});
+      if (!wait.complete) {
+        waits.push_back(ClaimWait{name, epoch});
+      }
     }
   }
   return waits;
 }
 
-std::optional<std::uint32_t> ClaimWaitList::GetNextPart(const ClaimWait& wait) const {
+const ClaimWaitList::HostWait* ClaimWaitList::FindWait(const ClaimWait& wait) const {
   const auto change = this->changes.find(wait.change_epoch);
   if (change == this->changes.end()) {
-    return std::nullopt;
+    return nullptr;
   }
   const auto found = change->second.hosts.find(wait.host);
-  return found == change->second.hosts.end() ? std::nullopt
-                                             : std::optional(found->second.next_part);
+  return found == change->second.hosts.end() ? nullptr : &found->second;
+}
+
+std::optional<std::uint32_t> ClaimWaitList::GetNextPart(const ClaimWait& wait) const {
+  const HostWait* found = this->FindWait(wait);
+  return found == nullptr ? std::nullopt : std::optional(found->next_part);
+}
+
+bool ClaimWaitList::IsComplete(const ClaimWait& wait) const {
+  const HostWait* found = this->FindWait(wait);
+  return found != nullptr && found->complete;
 }
 
 bool ClaimWaitList::IsFromOwner(const ClaimWait& wait, std::string_view key) const {
@@ -108,15 +130,12 @@
   return change != this->changes.end() && change->second.before.FindOwner(key) == wait.host;
 }
 
-void ClaimWaitList::NotePart(const ClaimWait& wait, bool complete) {
-  Change& change = this->changes.at(wait.change_epoch);
-  if (!complete) {
-    ++change.hosts.find(wait.host)->second.next_part;
-    return;
-  }
-  change.hosts.erase(wait.host);
-  if (change.hosts.empty() && !change.all_until.has_value()) {
-    this->changes.erase(wait.change_epoch);
+void ClaimWaitList::NotePart(TimePoint now, const ClaimWait& wait, bool complete) {
+  HostWait& found = this->changes.at(wait.change_epoch).hosts.find(wait.host)->second;
+  ++found.next_part;
+  if (complete) {
+    found.complete = true;
+    found.release_at = now + this->claim_memory;
   }
 }
 
--- a/Source/Claims/claim_wait_list.h
+++ b/Source/Claims/claim_wait_list.h
@@ -51,30 +51,38 @@
   void Expire(TimePoint now);
 
   bool IsBlocked(std::string_view key) const;
-  bool IsBlockingAll() const;
   // Whether a wait older than the epoch is open; a hand-over of that epoch then is not
   // complete yet, as it has to pass on what is still to come.
   bool HasWaitBefore(std::uint64_t epoch) const;
   std::vector<ClaimWait> ListWaits() const;
 
-  // Part expected next from the host, or nothing when none is awaited.
+  // Part expected next from the host, or nothing when none is known. A complete hand-over
+  // is remembered for one claim memory, so that its parts are accepted again when the
+  // answer to them was lost.
   std::optional<std::uint32_t> GetNextPart(const ClaimWait& wait) const;
   // Whether the key belonged to the host before the change.
   bool IsFromOwner(const ClaimWait& wait, std::string_view key) const;
+  bool IsComplete(const ClaimWait& wait) const;
   // The expected part was stored; complete ends the wait.
-  void NotePart(const ClaimWait& wait, bool complete);
+  void NotePart(TimePoint now, const ClaimWait& wait, bool complete);
 
  private:
   struct HostWait {
     std::uint32_t next_part = 0;
     std::optional<TimePoint> release_at;
+    bool complete = false;
   };
   struct Change {
     ClaimOwnerView before;
     std::map<std::string, HostWait, std::less<>> hosts;
     std::optional<TimePoint> all_until;
+
+    bool IsOpen() const;
+    bool IsBlocked(std::string_view key) const;
   };
 
+  const HostWait* FindWait(const ClaimWait& wait) const;
+
   std::string host;
   Duration claim_memory;
   std::map<std::uint64_t, Change> changes;
--- a/Tests/Fakes/claims_cluster.h
+++ b/Tests/Fakes/claims_cluster.h
@@ -4,8 +4,8 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
-#include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -119,13 +119,13 @@
   bool HasWrongAnswer() const { return this->wrong_answer; }
 
   std::size_t CountKeysRun() const {
-    std::map<std::size_t, bool> run;
+    std::set<std::size_t> keys;
     for (const Attempt& attempt : this->attempts) {
       if (attempt.HasRun()) {
-        run[attempt.key] = true;
+        keys.insert(attempt.key);
       }
     }
-    return run.size();
+    return keys.size();
   }
   std::size_t CountStoredAnswers() const { return this->stored_answers; }
   std::size_t CountRuns() const { return this->runs; }
@@ -246,9 +246,12 @@
 
   void Follow(std::uint64_t id, const ClaimGateStep& step) {
     Attempt& attempt = this->attempts[id - 1];
+    Message message;
+    message.attempt = id;
     switch (step.action) {
       case ClaimGateAction::kAskOwner:
-        this->SendClaim(id, *step.ask);
+        message.claim = *step.ask;
+        this->Route(message);
         break;
       case ClaimGateAction::kRefreshMap:
         this->AdoptUpTo(attempt.host, this->maps.size());
@@ -272,9 +275,7 @@
         break;
     }
     if (step.report.has_value()) {
-      Message message;
       message.kind = Kind::kDone;
-      message.attempt = id;
       message.done = *step.report;
       this->Route(message);
     }
@@ -287,14 +288,6 @@
     this->wrong_answer |= origin.key != attempt.key || !origin.HasRun();
   }
 
-  void SendClaim(std::uint64_t id, const ClaimRequest& request) {
-    Message message;
-    message.kind = Kind::kClaim;
-    message.attempt = id;
-    message.claim = request;
-    this->Route(message);
-  }
-
   // Sends a message of an attempt to the owner in the view of its daemon.
   void Route(Message message) {
     const Host& host = this->hosts[this->attempts[message.attempt - 1].host];
