--- /dev/null
+++ b/Source/Claims/claim_shards.h
@@ -0,0 +1,60 @@
+#ifndef LACEWINGBRIDGE_SOURCE_CLAIMS_CLAIM_SHARDS_H_
+#define LACEWINGBRIDGE_SOURCE_CLAIMS_CLAIM_SHARDS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "Claims/claim_limits.h"
+#include "Claims/claim_owner_view.h"
+#include "Claims/claim_table.h"
+#include "Core/result.h"
+#include "Core/sharded.h"
+#include "Core/time_point.h"
+#include "peer.h"
+
+namespace lacewingbridge {
+
+// The claims of one host, divided by key into tables under their own locks. Safe to call
+// from several threads; AdoptMap must not run at the same time as itself.
+class ClaimShards {
+ public:
+  // The capacities of the limits are divided among the shards, so that a shard may refuse
+  // new keys before the whole is full.
+  static Result<ClaimShards> Create(std::string_view host, std::uint64_t incarnation,
+                                    const ClaimLimits& limits, std::size_t shard_count);
+
+  // On return every shard holds the map; then ClaimTransfer::AdoptMap may follow.
+  void AdoptMap(TimePoint now, const ClaimOwnerView& next);
+  ClaimReply Claim(TimePoint now, const ClaimRequest& request);
+  ClaimDoneReply Finish(TimePoint now, const ClaimDoneRequest& request);
+  std::size_t MarkCallerGone(TimePoint now, std::string_view caller_host,
+                             std::uint64_t incarnation);
+  void SetIsolated(bool isolated);
+
+  // A part is accepted when every shard accepts it; the reply carries the lowest epoch
+  // and part of all shards.
+  ClaimTransferReply AcceptTransfer(TimePoint now, const ClaimTransferRequest& request);
+  void ConfirmEpoch(TimePoint now, std::string_view from_host, std::uint64_t epoch);
+  // Hand-overs that at least one shard waits for.
+  std::vector<ClaimWait> ListWaits(TimePoint now);
+
+  std::vector<ClaimRecord> CollectClaims(TimePoint now, const ClaimOwnerView& view,
+                                         std::string_view to_host);
+  bool IsReadyToHandOver(TimePoint now, std::uint64_t change_epoch);
+  void ForgetClaims(const ClaimOwnerView& view, std::string_view to_host);
+
+  std::size_t GetKeyCount();
+  std::size_t GetByteCount();
+
+ private:
+  explicit ClaimShards(Sharded<ClaimTable> tables) : shards(std::move(tables)) {}
+
+  Sharded<ClaimTable> shards;
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_SOURCE_CLAIMS_CLAIM_SHARDS_H_
