daemon: Serve the whole path as separate processes

Cause: the demonstration showed five faults. JSON-RPC answers were empty, since the stub registered itself with a connector that was not constructed yet. A daemon alone in its data centre waited up to 7 s for the store before it served. status said "in force everywhere" when only its own data centre had reported. The claims module brought its own shards, which ClaimService had built again.

A target whose connection was lost is probed once, which gives the quarantine its proof.

--- a/Source/Admin/admin_rpc_server.cc
+++ b/Source/Admin/admin_rpc_server.cc
@@ -19,6 +19,11 @@
   }
 };
 
+// A base class, so that the connector exists before the stub registers itself with it.
+struct ConnectorHolder {
+  MemoryConnector connector;
+};
+
 Json::Value ParseObject(const std::string& text) {
   Json::Value value;
   Json::Reader reader;
@@ -30,14 +35,14 @@
 
 }  // namespace
 
-class AdminRpcServer::Implementation : public AdminServerStub {
+class AdminRpcServer::Implementation : private ConnectorHolder, public AdminServerStub {
  public:
   explicit Implementation(AdminHandlers given)
-      : AdminServerStub(this->connector), handlers(std::move(given)) {}
+      : AdminServerStub(this->ConnectorHolder::connector), handlers(std::move(given)) {}
 
   std::string HandleRequest(const std::string& body) {
     std::string answer;
-    this->connector.OnRequest(body, &answer);
+    this->ConnectorHolder::connector.OnRequest(body, &answer);
     return answer;
   }
 
@@ -59,7 +64,6 @@
   Json::Value drain() override { return ParseObject(this->handlers.drain()); }
 
  private:
-  MemoryConnector connector;
   AdminHandlers handlers;
 };
 
--- a/Source/Daemon/admin_service.cc
+++ b/Source/Daemon/admin_service.cc
@@ -8,6 +8,8 @@
 #include <mutex>
 #include <optional>
 #include <random>
+#include <set>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -204,6 +206,28 @@
   return reply;
 }
 
+// A data centre that was not heard of for longer may hold anything.
+constexpr std::uint64_t kMaxProgressAgeMs = 15000;
+
+bool HasVersion(const DataCentreProgress& entry, const VersionStamp& stamp) {
+  return entry.lagging_count == 0 && entry.member_count > 0 && entry.age_ms <= kMaxProgressAgeMs &&
+         !IsNewer(stamp, entry.lowest);
+}
+
+// Whether every data centre with members has reported that all of them hold the version.
+bool IsInForceEverywhere(std::span<const DataCentreProgress> progress,
+                         std::span<const MemberRecord> members, const VersionStamp& stamp) {
+  std::set<std::string_view> complete;
+  for (const DataCentreProgress& entry : progress) {
+    if (HasVersion(entry, stamp)) {
+      complete.insert(entry.data_centre);
+    }
+  }
+  return std::all_of(members.begin(), members.end(), [&complete](const MemberRecord& member) {
+    return complete.contains(member.data_centre);
+  });
+}
+
 StatusReply GetStatus(Daemon& daemon) {
   StatusReply reply;
   const std::shared_ptr<const RulesVersion> held = daemon.GetRules().GetHeld();
@@ -216,13 +240,9 @@
   reply.store_reachable = daemon.GetWatcher().IsStoreReachable();
   reply.displaced = daemon.GetWatcher().ListDisplaced();
   reply.progress = daemon.GetCluster().ListProgress(GetNow());
-  reply.in_force_everywhere = held != nullptr && !reply.progress.empty() &&
-                              std::all_of(reply.progress.begin(), reply.progress.end(),
-                                          [&held](const DataCentreProgress& entry) {
-                                            return entry.lagging_count == 0 &&
-                                                   entry.member_count > 0 &&
-                                                   !IsNewer(held->stamp, entry.lowest);
-                                          });
+  reply.in_force_everywhere =
+      held != nullptr &&
+      IsInForceEverywhere(reply.progress, daemon.GetCluster().ListMembers(), held->stamp);
   return reply;
 }
 
--- a/Source/Daemon/claim_service.cc
+++ b/Source/Daemon/claim_service.cc
@@ -13,43 +13,12 @@
 
 namespace lacewingbridge {
 
-class ClaimService::ShardedSource {
- public:
-  explicit ShardedSource(Sharded<ClaimTable>& tables) : shards(tables) {}
-
-  std::vector<ClaimRecord> CollectClaims(TimePoint now, const ClaimOwnerView& view,
-                                         std::string_view to_host) {
-    std::vector<ClaimRecord> all;
-    this->shards.ForEachShard([&](ClaimTable& table) {
-      for (ClaimRecord& record : table.CollectClaims(now, view, to_host)) {
-        all.push_back(std::move(record));
-      }
-    });
-    return all;
-  }
-
-  bool IsReadyToHandOver(TimePoint now, std::uint64_t epoch) {
-    bool ready = true;
-    this->shards.ForEachShard(
-        [&](ClaimTable& table) { ready = table.IsReadyToHandOver(now, epoch) && ready; });
-    return ready;
-  }
-
-  void ForgetClaims(const ClaimOwnerView& view, std::string_view to_host) {
-    this->shards.ForEachShard([&](ClaimTable& table) { table.ForgetClaims(view, to_host); });
-  }
-
- private:
-  Sharded<ClaimTable>& shards;
-};
-
 namespace {
 
 ClaimLimits MakeLimits(const Settings& settings) {
   ClaimLimits limits;
   limits.retention = std::chrono::milliseconds(settings.claim_retention_ms);
-  limits.key_capacity = std::max<std::size_t>(1, settings.claim_capacity / settings.state_shards);
-  limits.byte_capacity /= settings.state_shards;
+  limits.key_capacity = settings.claim_capacity;
   return limits;
 }
 
@@ -65,21 +34,19 @@
                                                            std::uint64_t incarnation, TimePoint now,
                                                            PeerClient& peers, WorkQueue& work,
                                                            AddressFinder find_address) {
-  const ClaimLimits limits = MakeLimits(settings);
-  Result<ClaimTable> checked = ClaimTable::Create(settings.host, incarnation, limits);
-  if (!IsOk(checked)) {
-    return GetError(checked);
+  Result<ClaimShards> shards =
+      ClaimShards::Create(settings.host, incarnation, MakeLimits(settings), settings.state_shards);
+  if (!IsOk(shards)) {
+    return GetError(shards);
   }
-  Sharded<ClaimTable> tables(settings.state_shards, [&] {
-    return GetValue(ClaimTable::Create(settings.host, incarnation, limits));
-  });
-  return std::unique_ptr<ClaimService>(new ClaimService(
-      settings, incarnation, now, peers, work, std::move(find_address), std::move(tables)));
+  return std::unique_ptr<ClaimService>(new ClaimService(settings, incarnation, now, peers, work,
+                                                        std::move(find_address),
+                                                        std::move(GetValue(shards))));
 }
 
 ClaimService::ClaimService(const Settings& settings, std::uint64_t own_incarnation, TimePoint now,
                            PeerClient& peer_client, WorkQueue& work_queue, AddressFinder finder,
-                           Sharded<ClaimTable> tables)
+                           ClaimShards tables)
     : host(settings.host),
       incarnation(own_incarnation),
       peers(peer_client),
@@ -91,38 +58,16 @@
       isolation(now, settings.host, MakeLimits(settings).GetMemory()) {}
 
 ClaimReply ClaimService::AnswerClaim(const ClaimRequest& request, TimePoint now) {
-  return this->shards.WithShard(HashBytes(request.key),
-                                [&](ClaimTable& table) { return table.Claim(now, request); });
+  return this->shards.Claim(now, request);
 }
 
 ClaimDoneReply ClaimService::AnswerDone(const ClaimDoneRequest& request, TimePoint now) {
-  return this->shards.WithShard(HashBytes(request.key),
-                                [&](ClaimTable& table) { return table.Finish(now, request); });
+  return this->shards.Finish(now, request);
 }
 
 ClaimTransferReply ClaimService::AnswerTransfer(const ClaimTransferRequest& request,
                                                 TimePoint now) {
-  // Every shard gets every part, with only its own records in it.
-  const std::size_t count = this->shards.GetShardCount();
-  std::vector<ClaimTransferRequest> parts(count, request);
-  for (ClaimTransferRequest& part : parts) {
-    part.claims.clear();
-  }
-  for (const ClaimRecord& record : request.claims) {
-    parts[HashBytes(record.key) % count].claims.push_back(record);
-  }
-  ClaimTransferReply combined;
-  combined.accepted = true;
-  for (std::size_t i = 0; i < count; ++i) {
-    const ClaimTransferReply reply = this->shards.WithShard(
-        i, [&](ClaimTable& table) { return table.AcceptTransfer(now, parts[i]); });
-    const bool is_first = i == 0;
-    combined.accepted = combined.accepted && reply.accepted;
-    combined.owner_map_epoch = reply.owner_map_epoch;
-    // Shards that are ahead accept the repeated part without effect.
-    combined.next_part = is_first ? reply.next_part : std::min(combined.next_part, reply.next_part);
-  }
-  return combined;
+  return this->shards.AcceptTransfer(now, request);
 }
 
 ClaimOwnerMap ClaimService::AnswerOwnerMap(const ClaimOwnerMapRequest& request) {
@@ -224,7 +169,7 @@
   if (!this->view.Adopt(map)) {
     return false;
   }
-  this->shards.ForEachShard([&](ClaimTable& table) { table.AdoptMap(now, this->view); });
+  this->shards.AdoptMap(now, this->view);
   this->transfer.AdoptMap(this->view);
   EventLog::Write(Event::kClaimOwnersChanged, "epoch={} hosts={}", map.epoch, map.hosts.size());
   return true;
@@ -245,8 +190,7 @@
   const bool gone = status == ClaimHostStatus::kGone;
   if (gone || noted_incarnation > 0) {
     const std::uint64_t last_gone = gone ? noted_incarnation : noted_incarnation - 1;
-    this->shards.ForEachShard(
-        [&](ClaimTable& table) { table.MarkCallerGone(now, noted_host, last_gone); });
+    this->shards.MarkCallerGone(now, noted_host, last_gone);
   }
 }
 
@@ -268,7 +212,7 @@
     isolated = this->isolation.IsIsolated(now, this->view);
     destinations = this->transfer.ListDestinations();
   }
-  this->shards.ForEachShard([isolated](ClaimTable& table) { table.SetIsolated(isolated); });
+  this->shards.SetIsolated(isolated);
   for (const std::string& destination : destinations) {
     this->SendTransferPart(destination, now);
   }
@@ -277,11 +221,10 @@
 }
 
 void ClaimService::SendTransferPart(const std::string& to_host, TimePoint now) {
-  ShardedSource source(this->shards);
   std::optional<ClaimTransferRequest> part;
   {
     const std::lock_guard guard(this->map_mutex);
-    part = this->transfer.MakePart(now, source, to_host);
+    part = this->transfer.MakePart(now, this->shards, to_host);
   }
   const std::string address = this->find_address(to_host);
   if (!part.has_value() || address.empty()) {
@@ -290,7 +233,7 @@
   const auto answer = this->peers.Call<ClaimTransferReply>(address, kClaimTransferPath, *part);
   if (const auto* reply = std::get_if<ClaimTransferReply>(&answer)) {
     const std::lock_guard guard(this->map_mutex);
-    this->transfer.HandleReply(source, to_host, *part, *reply);
+    this->transfer.HandleReply(this->shards, to_host, *part, *reply);
     if (part->complete && reply->accepted) {
       EventLog::Write(Event::kClaimsHandedOver, "to={} epoch={}", to_host, part->change_epoch);
     }
@@ -299,13 +242,11 @@
 
 void ClaimService::SendQueries(TimePoint now) {
   std::set<std::string> awaited;
-  this->shards.ForEachShard([&](ClaimTable& table) {
-    for (const ClaimWait& wait : table.ListWaits(now)) {
-      if (!wait.host.empty() && wait.host != this->host) {
-        awaited.insert(wait.host);
-      }
+  for (const ClaimWait& wait : this->shards.ListWaits(now)) {
+    if (!wait.host.empty() && wait.host != this->host) {
+      awaited.insert(wait.host);
     }
-  });
+  }
   for (const std::string& from : awaited) {
     const std::string address = this->find_address(from);
     if (address.empty()) {
@@ -318,8 +259,7 @@
     }
     const auto answer = this->peers.Call<ClaimTransferReply>(address, kClaimTransferPath, query);
     if (const auto* reply = std::get_if<ClaimTransferReply>(&answer)) {
-      this->shards.ForEachShard(
-          [&](ClaimTable& table) { table.ConfirmEpoch(now, from, reply->owner_map_epoch); });
+      this->shards.ConfirmEpoch(now, from, reply->owner_map_epoch);
     }
   }
 }
@@ -329,10 +269,6 @@
   return this->transfer.IsDone();
 }
 
-std::size_t ClaimService::CountKeys() {
-  std::size_t count = 0;
-  this->shards.ForEachShard([&count](ClaimTable& table) { count += table.GetKeyCount(); });
-  return count;
-}
+std::size_t ClaimService::CountKeys() { return this->shards.GetKeyCount(); }
 
 }  // namespace lacewingbridge
--- a/Source/Daemon/claim_service.h
+++ b/Source/Daemon/claim_service.h
@@ -15,10 +15,9 @@
 #include "Claims/claim_isolation.h"
 #include "Claims/claim_owner_planner.h"
 #include "Claims/claim_owner_view.h"
-#include "Claims/claim_table.h"
+#include "Claims/claim_shards.h"
 #include "Claims/claim_transfer.h"
 #include "Core/result.h"
-#include "Core/sharded.h"
 #include "Core/time_point.h"
 #include "peer.h"
 #include "settings.h"
@@ -83,12 +82,9 @@
     TimePoint due;
   };
 
-  // All shards together, as the source of a hand-over.
-  class ShardedSource;
-
   ClaimService(const Settings& settings, std::uint64_t incarnation, TimePoint now,
                PeerClient& peer_client, WorkQueue& work_queue, AddressFinder finder,
-               Sharded<ClaimTable> tables);
+               ClaimShards tables);
 
   bool SendReport(const ClaimDoneRequest& request);
   void RepeatReports(TimePoint now);
@@ -101,7 +97,7 @@
   PeerClient& peers;
   WorkQueue& work;
   AddressFinder find_address;
-  Sharded<ClaimTable> shards;
+  ClaimShards shards;
 
   // The map and what is decided once for all shards.
   std::mutex map_mutex;
--- a/Source/Daemon/proxy_request.cc
+++ b/Source/Daemon/proxy_request.cc
@@ -10,6 +10,7 @@
 
 #include "Core/hash.h"
 #include "Daemon/claim_service.h"
+#include "Daemon/connection_probe.h"
 #include "Daemon/daemon_clock.h"
 #include "Daemon/event_log.h"
 #include "Daemon/request_waiter.h"
@@ -19,6 +20,8 @@
 
 namespace lacewingbridge {
 
+using std::chrono::milliseconds;
+
 namespace {
 
 std::uint64_t DrawRequestId() {
@@ -273,19 +276,22 @@
   TargetAttempt attempt = SendToTarget(this->environment.connections, choice.address, this->request,
                                        this->GetTimeLeft(), this->depth);
   this->tried.push_back(choice.address);
+  const bool lost = attempt.outcome == TargetOutcome::kLostMidRequest && !attempt.timed_out;
+  const bool answered =
+      attempt.outcome == TargetOutcome::kOk || attempt.outcome == TargetOutcome::kFailed;
+  const milliseconds probe_limit(this->environment.settings.connect_timeout_ms);
+  const bool refused = attempt.outcome == TargetOutcome::kConnectionRefused ||
+                       (lost && IsConnectionRefused(choice.address, probe_limit));
   const TimePoint now = GetNow();
   bool ejected = false;
   std::size_t quarantined = 0;
   this->environment.services.WithService(this->route.service, now, [&](ServiceRuntime& runtime) {
     ejected = runtime.selector.ReportFinish(now, choice.address, attempt.outcome, attempt.latency);
-    const bool lost = attempt.outcome == TargetOutcome::kLostMidRequest && !attempt.timed_out;
     if (lost) {
       runtime.quarantine.NoteLost(now, this->fingerprint, choice.address, choice.incarnation);
     }
-    if (attempt.outcome == TargetOutcome::kConnectionRefused) {
-      quarantined = runtime.quarantine.NoteRefused(now, choice.address);
-    }
-    runtime.quarantine.Finish(this->fingerprint, choice.address);
+    quarantined = refused ? runtime.quarantine.NoteRefused(now, choice.address) : 0;
+    runtime.quarantine.Finish(this->fingerprint, choice.address, answered);
     ServiceTable::Deliver(runtime,
                           runtime.queue.SetSlots(now, runtime.selector.CountUsableSlots(now)));
   });
--- a/Source/Membership/join_process.cc
+++ b/Source/Membership/join_process.cc
@@ -42,6 +42,7 @@
       actions.push_back(JoinProbeMembers{std::move(silent)});
     }
   }
+  this->CheckAlone(peers, now);
   if (now >= this->next_store && !this->store_answered) {
     this->next_store = now + this->store_retry / 2 + DrawDuration(this->store_retry / 2, random);
     this->store_retry = std::min(this->store_retry * 2, kLongestStoreRetry);
@@ -66,6 +67,17 @@
   }
 }
 
+void JoinProcess::CheckAlone(const std::vector<std::string>& peers, TimePoint now) {
+  if (!this->peer_answered || !peers.empty()) {
+    this->alone_since.reset();
+    return;
+  }
+  if (!this->alone_since.has_value()) {
+    this->alone_since = now;
+    this->next_store = std::min(this->next_store, now + kStoreAfterAlone);
+  }
+}
+
 bool JoinProcess::HasMajority(const std::vector<std::string>& peers) const {
   if (!this->peer_answered || peers.empty()) {
     return false;
--- a/Source/Membership/join_process.h
+++ b/Source/Membership/join_process.h
@@ -1,6 +1,7 @@
 #ifndef LACEWINGBRIDGE_SOURCE_MEMBERSHIP_JOIN_PROCESS_H_
 #define LACEWINGBRIDGE_SOURCE_MEMBERSHIP_JOIN_PROCESS_H_
 
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -36,6 +37,9 @@
   // so that 225 daemons of a data centre that restart together do not call at once.
   static constexpr Duration kStoreAfter = std::chrono::seconds(2);
   static constexpr Duration kStoreJitter = std::chrono::seconds(5);
+  // A daemon that finds no other one in its data centre has nobody else to ask; one of
+  // each data centre is no herd.
+  static constexpr Duration kStoreAfterAlone = std::chrono::milliseconds(500);
   static constexpr Duration kRetryInterval = std::chrono::seconds(1);
   static constexpr Duration kLongestStoreRetry = std::chrono::seconds(30);
   static constexpr std::size_t kPeersPerAttempt = 2;
@@ -58,6 +62,8 @@
   bool IsReady() const { return this->ready; }
 
  private:
+  // Whether the wait for peers can end early.
+  void CheckAlone(const std::vector<std::string>& peers, TimePoint now);
   bool HasMajority(const std::vector<std::string>& peers) const;
   void AskSeeds(std::vector<JoinAction>& actions);
 
@@ -70,6 +76,7 @@
   bool ready = false;
   TimePoint next_ask;
   TimePoint next_store;
+  std::optional<TimePoint> alone_since;
   Duration store_retry = kRetryInterval;
 };
 
--- a/Utilities/LoadClient/http_client.cc
+++ b/Utilities/LoadClient/http_client.cc
@@ -1,9 +1,9 @@
 // One HTTP request from a script: prints the body, exits 0 for a status below 400.
-#include <string>
-
 #include <fmt/core.h>
 #include <httplib.h>
 
+#include <string>
+
 int main(int argc, char** argv) {
   if (argc < 4) {
     fmt::print(stderr, "usage: {} METHOD IP:PORT PATH [BODY [HEADER=VALUE...]]\n", argv[0]);
--- a/Utilities/LoadClient/load_client.cc
+++ b/Utilities/LoadClient/load_client.cc
@@ -1,6 +1,8 @@
 // Sends requests at a fixed rate to one or more daemons, as callers would: a request
 // whose connection is lost is sent again, with the same key, to the next daemon.
+#include <fmt/core.h>
 #include <getopt.h>
+#include <httplib.h>
 
 #include <algorithm>
 #include <atomic>
@@ -13,9 +15,6 @@
 #include <thread>
 #include <vector>
 
-#include <fmt/core.h>
-#include <httplib.h>
-
 namespace lacewingbridge {
 namespace {
 
@@ -61,8 +60,8 @@
     if (this->latencies.empty()) {
       return 0;
     }
-    const auto index = static_cast<std::size_t>(share * static_cast<double>(
-                                                            this->latencies.size() - 1));
+    const auto index =
+        static_cast<std::size_t>(share * static_cast<double>(this->latencies.size() - 1));
     return this->latencies[index];
   }
 
@@ -80,13 +79,12 @@
   // Sends requests number first, first + threads, ... at their planned times.
   void Run(unsigned first) {
     const auto started = Clock::now();
-    const auto total = static_cast<std::uint64_t>(this->options.rate_per_second *
-                                                  this->options.seconds);
+    const auto total =
+        static_cast<std::uint64_t>(this->options.rate_per_second * this->options.seconds);
     for (std::uint64_t i = first; i < total; i += this->options.threads) {
       const std::chrono::duration<double> due(static_cast<double>(i) /
                                               this->options.rate_per_second);
-      std::this_thread::sleep_until(started +
-                                    std::chrono::duration_cast<Clock::duration>(due));
+      std::this_thread::sleep_until(started + std::chrono::duration_cast<Clock::duration>(due));
       this->SendOne(i);
     }
   }
@@ -124,8 +122,8 @@
   httplib::Client& GetClient() {
     if (this->client == nullptr) {
       const auto& addresses = this->options.addresses;
-      this->client =
-          std::make_unique<httplib::Client>("http://" + addresses[this->current % addresses.size()]);
+      this->client = std::make_unique<httplib::Client>("http://" +
+                                                       addresses[this->current % addresses.size()]);
       this->client->set_keep_alive(true);
       this->client->set_tcp_nodelay(true);
       this->client->set_connection_timeout(1);
@@ -209,8 +207,7 @@
   lacewingbridge::LoadReport report;
   std::vector<std::thread> threads;
   for (unsigned i = 0; i < options.threads; ++i) {
-    threads.emplace_back(
-        [&, i] { lacewingbridge::LoadThread(options, report, i).Run(i); });
+    threads.emplace_back([&, i] { lacewingbridge::LoadThread(options, report, i).Run(i); });
   }
   for (std::thread& thread : threads) {
     thread.join();
--- a/Utilities/run_demo.sh
+++ b/Utilities/run_demo.sh
@@ -22,6 +22,10 @@
 ctl 1 submit Samples/pruitt.rules --operator demo --base 0 --wait
 ctl 6 explain GET /designs/42
 
+# Keyed requests run once the owners of keys are agreed.
+has_owners() { ctl "$1" dump | grep -q '"claim_epoch":"[1-9]'; }
+for number in 4 5 6; do wait_for 30 has_owners "$number"; done
+
 echo "== lookups and keyed orders while daemon 4 is killed and the store is cut"
 callers="$(caller_address 4),$(caller_address 5),$(caller_address 6)"
 load_client --addresses "$callers" --path /designs/42 --rate 100 --seconds 8 --threads 6 \
