tests: Check that a route lookup allocates nothing

Cause: an allocation for each request would go unnoticed in the other tests.

Change: the matcher's test counts allocations through a replaced operator new and looks up a path of 9 KB.

Conclusion: the promise in rules_matcher.h is checked.

--- a/Source/Version/snapshot_builder.h
+++ b/Source/Version/snapshot_builder.h
@@ -15,8 +15,8 @@
 // Builds snapshots from a rules version and the known members.
 class SnapshotBuilder {
  public:
-  // Services that no route names are absent; dead members are left out. The result does
-  // not depend on the order of the members.
+  // The document must not be null. Services that no route names are absent; dead members
+  // are left out. The result does not depend on the order of the members.
   static std::shared_ptr<const RouteSnapshot> Build(VersionStamp version,
                                                     std::shared_ptr<const RulesDocument> document,
                                                     std::span<const MemberRecord> members);
--- a/Tests/test_rules_matcher.cc
+++ b/Tests/test_rules_matcher.cc
@@ -1,8 +1,10 @@
 // Guards against requests that reach a route of another path, of a part of a segment or
-// of another method.
+// of another method, and against lookups that allocate.
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
 
+#include <cstdlib>
+#include <new>
 #include <string>
 #include <utility>
 #include <vector>
@@ -14,6 +16,33 @@
 
 namespace {
 
+std::size_t allocation_count = 0;
+
+}  // namespace
+
+// Not inlined: GCC 12 takes an inlined replacement for a mismatch of new and free.
+[[gnu::noinline]] void* operator new(std::size_t size) {
+  ++allocation_count;
+  if (void* const memory = std::malloc(size)) {
+    return memory;
+  }
+  throw std::bad_alloc();
+}
+
+// std::stable_sort allocates with this form; AddressSanitizer reports a replaced delete
+// for memory of a form that is not replaced.
+[[gnu::noinline]] void* operator new(std::size_t size, const std::nothrow_t& /*tag*/) noexcept {
+  ++allocation_count;
+  return std::malloc(size);
+}
+
+[[gnu::noinline]] void operator delete(void* memory) noexcept { std::free(memory); }
+[[gnu::noinline]] void operator delete(void* memory, std::size_t /*size*/) noexcept {
+  std::free(memory);
+}
+
+namespace {
+
 const std::vector<std::string> kMethods = {"GET",    "HEAD",    "POST", "PUT", "PATCH",
                                            "DELETE", "OPTIONS", "BREW", "get", ""};
 
@@ -118,3 +147,16 @@
   });
   cr_assert(pass);
 }
+
+Test(rules_matcher, allocates_nothing_per_lookup) {
+  RulesDocument document;
+  AddRoute(document, "/a-rather-long-first-segment/and-a-second", kAllHttpMethods);
+  const RulesMatcher matcher = RulesMatcher::Create(document);
+  const std::string long_path =
+      "/a-rather-long-first-segment/and-a-second" + std::string(9000, '/');
+  const std::size_t before = allocation_count;
+  const bool found = matcher.FindRoute("GET", long_path) != nullptr;
+  const std::size_t after = allocation_count;
+  cr_assert(found && before > 0);
+  cr_assert_eq(before, after);
+}
