tests: Read no counter that is missing in the selector's oracle

Cause: RC_ASSERT overloads ||, so both sides were evaluated and the oracle read past the end of its map; AddressSanitizer reported a stack-buffer-overflow in test_routing_selector.

Change: the count is looked up first; other assertions with || are in parentheses.

Conclusion: with rapidcheck, expressions with || go into parentheses.

--- a/Tests/test_admission_queue.cc
+++ b/Tests/test_admission_queue.cc
@@ -185,7 +185,7 @@
     for (const auto& [other, waiting] : left) {
       const std::size_t rank = Policy::GetRank(waiting.priority);
       RC_ASSERT(rank >= Policy::GetRank(taken.priority));
-      RC_ASSERT(rank > Policy::GetRank(taken.priority) || waiting.deadline >= taken.deadline);
+      RC_ASSERT((rank > Policy::GetRank(taken.priority) || waiting.deadline >= taken.deadline));
     }
   }
 }
@@ -225,7 +225,7 @@
       CheckOrder<Policy>(this->oracle, release);
     }
     this->oracle.Apply(release);
-    RC_ASSERT(release.admitted.empty() || this->oracle.running.size() <= this->slots);
+    RC_ASSERT((release.admitted.empty() || this->oracle.running.size() <= this->slots));
     RC_ASSERT(this->oracle.waiting.size() <= this->limit);
     RC_ASSERT(this->queue.GetLoad().CountQueued() == this->oracle.waiting.size());
     RC_ASSERT(this->queue.GetLoad().CountRunning() == this->oracle.running.size());
--- a/Tests/test_retry_policy.cc
+++ b/Tests/test_retry_policy.cc
@@ -86,7 +86,7 @@
       runs += RetryPolicy::MayHaveRun(attempt.outcome) ? 1 : 0;
       const RetryDecision decision = RetryPolicy::Decide(now, kOnce, attempt, budget);
       if (decision.action != RetryAction::kRetryElsewhere) {
-        RC_ASSERT(decision.action != RetryAction::kGiveUpNotRun || runs == 0);
+        RC_ASSERT((decision.action != RetryAction::kGiveUpNotRun || runs == 0));
         break;
       }
       attempt.earlier_may_have_run |= RetryPolicy::MayHaveRun(attempt.outcome);
--- a/Tests/test_routing_selector.cc
+++ b/Tests/test_routing_selector.cc
@@ -241,7 +241,8 @@
   RC_ASSERT(!found->second.draining);
   RC_ASSERT(std::find(excluded.begin(), excluded.end(), choice.address) == excluded.end());
   const auto count = oracle.in_flight.find(choice.address);
-  RC_ASSERT(count == oracle.in_flight.end() || count->second < found->second.slots);
+  const std::uint32_t in_flight = count == oracle.in_flight.end() ? 0 : count->second;
+  RC_ASSERT(in_flight < found->second.slots);
 }
 
 void CheckState(const TargetSelector& selector, TimePoint now, const SelectorOracle& oracle) {
