--- a/Source/Generated/membership.h
+++ b/Source/Generated/membership.h
@@ -105,6 +105,14 @@
   bool operator==(const DataCentreProgress&) const = default;
 };
 
+struct MemberSuspicion {
+  std::string host;
+  std::uint64_t incarnation = 0;
+  std::uint64_t sequence = 0;
+
+  bool operator==(const MemberSuspicion&) const = default;
+};
+
 struct GossipDatagram {
   GossipKind kind = GossipKind::kUnknown;
   std::string sender_host;
@@ -117,6 +125,7 @@
   std::vector<MemberRecord> members;
   std::vector<QuarantineStrike> strikes;
   std::optional<RulesDeltaScript> delta;
+  std::vector<MemberSuspicion> suspicions;
 
   bool operator==(const GossipDatagram&) const = default;
 };
--- a/Source/Generated/membership_codec.cc
+++ b/Source/Generated/membership_codec.cc
@@ -249,6 +249,59 @@
   return true;
 }
 
+void ToWire(const MemberSuspicion& plain, wire::MemberSuspicion& wire) {
+  wire.set_host(plain.host);
+  wire.set_incarnation(plain.incarnation);
+  wire.set_sequence(plain.sequence);
+}
+
+void FromWire(const wire::MemberSuspicion& wire, MemberSuspicion& plain) {
+  plain.host = wire.host();
+  plain.incarnation = wire.incarnation();
+  plain.sequence = wire.sequence();
+}
+
+std::string Encode(const MemberSuspicion& plain) {
+  wire::MemberSuspicion wire;
+  ToWire(plain, wire);
+  return wire.SerializeAsString();
+}
+
+bool Decode(std::string_view bytes, MemberSuspicion& plain) {
+  wire::MemberSuspicion wire;
+  if (!wire.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
+std::string EncodeJson(const MemberSuspicion& plain) {
+  wire::MemberSuspicion wire;
+  ToWire(plain, wire);
+  std::string text;
+  google::protobuf::util::JsonPrintOptions options;
+  options.preserve_proto_field_names = true;
+  options.always_print_primitive_fields = true;
+  if (!google::protobuf::util::MessageToJsonString(wire, &text, options).ok()) {
+    return {};
+  }
+  return text;
+}
+
+bool DecodeJson(std::string_view text, MemberSuspicion& plain) {
+  wire::MemberSuspicion wire;
+  if (!google::protobuf::util::JsonStringToMessage(
+           google::protobuf::StringPiece(text.data(), text.size()), &wire)
+           .ok()) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
 void ToWire(const GossipDatagram& plain, wire::GossipDatagram& wire) {
   wire.set_kind(static_cast<wire::GossipKind>(plain.kind));
   wire.set_sender_host(plain.sender_host);
@@ -271,6 +324,9 @@
   if (plain.delta.has_value()) {
     ToWire(*plain.delta, *wire.mutable_delta());
   }
+  for (const auto& element : plain.suspicions) {
+    ToWire(element, *wire.add_suspicions());
+  }
 }
 
 void FromWire(const wire::GossipDatagram& wire, GossipDatagram& plain) {
@@ -296,6 +352,10 @@
   if (wire.has_delta()) {
     FromWire(wire.delta(), plain.delta.emplace());
   }
+  plain.suspicions.reserve(static_cast<std::size_t>(wire.suspicions_size()));
+  for (const auto& element : wire.suspicions()) {
+    FromWire(element, plain.suspicions.emplace_back());
+  }
 }
 
 std::string Encode(const GossipDatagram& plain) {
--- a/Source/Generated/membership_codec.h
+++ b/Source/Generated/membership_codec.h
@@ -26,6 +26,10 @@
 bool Decode(std::string_view bytes, DataCentreProgress& plain);
 std::string EncodeJson(const DataCentreProgress& plain);
 bool DecodeJson(std::string_view text, DataCentreProgress& plain);
+std::string Encode(const MemberSuspicion& plain);
+bool Decode(std::string_view bytes, MemberSuspicion& plain);
+std::string EncodeJson(const MemberSuspicion& plain);
+bool DecodeJson(std::string_view text, MemberSuspicion& plain);
 std::string Encode(const GossipDatagram& plain);
 bool Decode(std::string_view bytes, GossipDatagram& plain);
 std::string EncodeJson(const GossipDatagram& plain);
@@ -36,6 +40,7 @@
 class MemberRecord;
 class QuarantineStrike;
 class DataCentreProgress;
+class MemberSuspicion;
 class GossipDatagram;
 }  // namespace wire
 
@@ -47,6 +52,8 @@
 void FromWire(const wire::QuarantineStrike& wire, QuarantineStrike& plain);
 void ToWire(const DataCentreProgress& plain, wire::DataCentreProgress& wire);
 void FromWire(const wire::DataCentreProgress& wire, DataCentreProgress& plain);
+void ToWire(const MemberSuspicion& plain, wire::MemberSuspicion& wire);
+void FromWire(const wire::MemberSuspicion& wire, MemberSuspicion& plain);
 void ToWire(const GossipDatagram& plain, wire::GossipDatagram& wire);
 void FromWire(const wire::GossipDatagram& wire, GossipDatagram& plain);
 
--- a/Source/Membership/gossip_packer.h
+++ b/Source/Membership/gossip_packer.h
@@ -3,6 +3,7 @@
 
 #include <concepts>
 #include <cstddef>
+#include <string>
 #include <utility>
 
 #include "Membership/member_table.h"
@@ -13,6 +14,7 @@
 // Fits an unfragmented UDP packet on links with a 1,280-byte minimum MTU.
 inline constexpr std::size_t kMaxDatagramBytes = 1200;
 inline constexpr std::size_t kMaxMembersPerDatagram = 8;
+inline constexpr std::size_t kMaxSuspicionsPerDatagram = 24;
 
 // Size in bytes of a datagram in the encoding that the front end uses.
 template <typename Sizer>
@@ -21,20 +23,29 @@
 };
 
 // Adds queued member updates while the datagram keeps its size limit, and counts
-// their transmission.
+// their transmission. Suspicions go without the rest of the record.
 template <DatagramSizer Sizer>
 void PackMemberUpdates(MemberTable& table, GossipDatagram& datagram, const Sizer& sizer) {
-  if (datagram.members.size() >= kMaxMembersPerDatagram) {
-    return;
-  }
-  const std::size_t room = kMaxMembersPerDatagram - datagram.members.size();
-  for (MemberRecord& record : table.ListUpdates(room)) {
-    datagram.members.push_back(std::move(record));
-    if (sizer(datagram) > kMaxDatagramBytes) {
-      datagram.members.pop_back();
+  for (MemberRecord& record :
+       table.ListUpdates(kMaxMembersPerDatagram + kMaxSuspicionsPerDatagram)) {
+    const bool suspect = record.state == MemberState::kSuspect;
+    if (suspect ? datagram.suspicions.size() >= kMaxSuspicionsPerDatagram
+                : datagram.members.size() >= kMaxMembersPerDatagram) {
       continue;
     }
-    table.CountTransmission(datagram.members.back().host);
+    const std::string host = record.host;
+    if (suspect) {
+      datagram.suspicions.push_back({host, record.incarnation, record.sequence});
+    } else {
+      datagram.members.push_back(std::move(record));
+    }
+    if (sizer(datagram) <= kMaxDatagramBytes) {
+      table.CountTransmission(host);
+    } else if (suspect) {
+      datagram.suspicions.pop_back();
+    } else {
+      datagram.members.pop_back();
+    }
   }
 }
 
--- /dev/null
+++ b/Source/Membership/member_digest.h
@@ -0,0 +1,32 @@
+#ifndef LACEWINGBRIDGE_SOURCE_MEMBERSHIP_MEMBER_DIGEST_H_
+#define LACEWINGBRIDGE_SOURCE_MEMBERSHIP_MEMBER_DIGEST_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+#include "membership.h"
+#include "peer.h"
+
+namespace lacewingbridge {
+
+// Hash of the records of one data centre in buckets by host. The sum of the records'
+// hashes does not depend on the order in which they are added.
+class MemberDigest {
+ public:
+  // At 225 members a difference of one record costs about 14 records.
+  static constexpr std::size_t kBuckets = 16;
+
+  static std::size_t GetBucket(std::string_view host);
+
+  void Add(const MemberRecord& record);
+  DataCentreDigest Get(std::string_view data_centre, bool with_buckets) const;
+
+ private:
+  std::array<std::uint64_t, kBuckets> buckets{};
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_SOURCE_MEMBERSHIP_MEMBER_DIGEST_H_
--- a/Source/Membership/member_prober.h
+++ b/Source/Membership/member_prober.h
@@ -3,16 +3,17 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <random>
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
 #include <vector>
 
 #include "Core/time_point.h"
+#include "Membership/member_suspicions.h"
 #include "Membership/member_table.h"
 #include "events.h"
 #include "membership.h"
@@ -22,13 +23,11 @@
 struct MemberProberOptions {
   Duration probe_interval = std::chrono::seconds(1);
   Duration indirect_after = std::chrono::milliseconds(300);
-  Duration suspicion = std::chrono::seconds(5);
-  // Suspicion time after a refused connection. Leaves a restarted process time to
-  // announce its new incarnation.
-  Duration refused_suspicion = std::chrono::milliseconds(500);
-  Duration distrust_window = std::chrono::seconds(10);
+  MemberSuspicionsOptions suspicions;
   // Ticks further apart than this mean that this daemon itself was paused.
   Duration pause_threshold = std::chrono::seconds(1);
+  // Shortest time between two direct questions to suspects.
+  Duration check_interval = std::chrono::milliseconds(250);
   // Shortest time between two pushes of urgent updates.
   Duration push_interval = std::chrono::milliseconds(250);
   std::size_t indirect_peers = 3;
@@ -41,12 +40,6 @@
   GossipDatagram datagram;
 };
 
-struct MemberEvent {
-  Event event = Event::kNone;
-  // Empty for events of the whole view.
-  std::string host;
-};
-
 using MemberAction = std::variant<SendDatagram, MemberEvent>;
 
 // Failure detector for the own data centre: probes one peer per interval, asks others
@@ -56,7 +49,8 @@
   // The front end calls Tick about this often.
   static constexpr Duration kTickInterval = std::chrono::milliseconds(100);
 
-  explicit MemberProber(MemberProberOptions prober_options) : options(prober_options) {}
+  explicit MemberProber(MemberProberOptions prober_options)
+      : options(prober_options), suspicions(prober_options.suspicions) {}
 
   std::vector<MemberAction> Tick(MemberTable& table, TimePoint now, std::mt19937_64& random);
 
@@ -70,7 +64,7 @@
   std::vector<MemberAction> MergeRecords(MemberTable& table, std::span<const MemberRecord> records,
                                          TimePoint now);
 
-  bool IsDistrusted() const { return this->distrusted; }
+  bool IsDistrusted() const { return this->suspicions.IsDistrusted(); }
 
  private:
   struct Probe {
@@ -79,12 +73,6 @@
     TimePoint sent;
     bool indirect_sent = false;
   };
-  struct Suspicion {
-    std::uint64_t incarnation = 0;
-    std::uint64_t sequence = 0;
-    TimePoint since;
-    bool refused = false;
-  };
   // A probe on behalf of another daemon.
   struct RelayedProbe {
     std::string requester_address;
@@ -98,17 +86,16 @@
   void SendIndirect(const MemberTable& table, std::mt19937_64& random, Actions& actions);
   void StartProbe(const MemberTable& table, TimePoint now, std::mt19937_64& random,
                   Actions& actions);
+  void CheckSuspect(const MemberTable& table, TimePoint now, Actions& actions);
   void PushUrgent(MemberTable& table, TimePoint now, std::mt19937_64& random, Actions& actions);
   void Suspect(MemberTable& table, std::string_view host, TimePoint now, bool refused,
                Actions& actions);
-  void TrackSuspicion(const MemberRecord& record, TimePoint now);
-  void DropRefuted(const MemberTable& table);
-  void CheckSuspicions(MemberTable& table, TimePoint now, Actions& actions);
-  void CheckTrust(MemberTable& table, TimePoint now, Actions& actions);
-  std::size_t CountRecentSuspicions(TimePoint now) const;
   void HandleProbeRequest(const MemberTable& table, const GossipDatagram& datagram,
                           std::string_view from_address, TimePoint now, Actions& actions);
   void HandleAck(const MemberTable& table, const GossipDatagram& datagram, Actions& actions);
+  // The records of the suspected members as this daemon knows them, marked suspect.
+  static std::vector<MemberRecord> ExpandSuspicions(const MemberTable& table,
+                                                    const GossipDatagram& datagram);
   GossipDatagram MakeDatagram(const MemberTable& table, GossipKind kind) const;
   std::vector<std::string> PickPeers(const MemberTable& table, std::string_view except,
                                      std::size_t count, std::mt19937_64& random) const;
@@ -117,13 +104,13 @@
   std::optional<TimePoint> last_tick;
   std::optional<TimePoint> last_probe;
   std::optional<TimePoint> last_push;
+  std::optional<TimePoint> last_check;
   bool push_pending = false;
   std::optional<Probe> probe;
   std::uint64_t next_probe_id = 1;
   std::vector<std::string> round;
-  std::map<std::string, Suspicion, std::less<>> suspicions;
+  MemberSuspicions suspicions;
   std::map<std::uint64_t, RelayedProbe> relayed_probes;
-  bool distrusted = false;
 };
 
 }  // namespace lacewingbridge
--- /dev/null
+++ b/Source/Membership/member_suspicions.cc
@@ -0,0 +1,129 @@
+#include "Membership/member_suspicions.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lacewingbridge {
+
+namespace {
+
+// More than a third of the members suspect: rather this daemon's network than they.
+constexpr std::size_t kDistrustDivisor = 3;
+
+// One suspicion in twenty members at once is more than single crashes explain.
+constexpr std::size_t kManyDivisor = 20;
+constexpr std::size_t kFewSuspicions = 2;
+
+}  // namespace
+
+void MemberSuspicions::Track(const MemberRecord& record, TimePoint now, bool refused) {
+  const auto [entry, inserted] =
+      this->suspicions.try_emplace(record.host, Suspicion{0, 0, now, refused, TimePoint::min()});
+  Suspicion& suspicion = entry->second;
+  const auto known = std::pair(suspicion.incarnation, suspicion.sequence);
+  if (inserted || known < std::pair(record.incarnation, record.sequence)) {
+    suspicion = Suspicion{record.incarnation, record.sequence, now, refused, TimePoint::min()};
+  } else if (refused && !suspicion.refused) {
+    suspicion.refused = true;
+    suspicion.since = now;
+  }
+}
+
+void MemberSuspicions::Postpone(Duration pause) {
+  for (auto& [host, suspicion] : this->suspicions) {
+    suspicion.since += pause;
+  }
+}
+
+void MemberSuspicions::DropRefuted(const MemberTable& table) {
+  std::erase_if(this->suspicions, [&](const auto& entry) {
+    const MemberRecord* record = table.Find(entry.first);
+    return record == nullptr || record->state == MemberState::kDead ||
+           std::pair(record->incarnation, record->sequence) !=
+               std::pair(entry.second.incarnation, entry.second.sequence);
+  });
+}
+
+std::size_t MemberSuspicions::CountSince(TimePoint oldest) const {
+  return static_cast<std::size_t>(std::count_if(
+      this->suspicions.begin(), this->suspicions.end(),
+      [&](const auto& entry) { return !entry.second.refused && entry.second.since >= oldest; }));
+}
+
+void MemberSuspicions::CheckTrust(MemberTable& table, TimePoint now,
+                                  std::vector<MemberEvent>& events) {
+  const std::size_t members = table.ListHosts(table.GetSelf().data_centre).size();
+  // Members that stay silent longer than the window must not end the distrust.
+  const TimePoint oldest =
+      this->distrusted ? TimePoint::min() : now - this->options.distrust_window;
+  const bool too_many = this->CountSince(oldest) * kDistrustDivisor > members;
+  if (too_many == this->distrusted) {
+    return;
+  }
+  this->distrusted = too_many;
+  table.SetKeepMembers(too_many);
+  events.push_back({too_many ? Event::kViewDistrusted : Event::kViewTrusted, ""});
+  if (!too_many) {
+    // The members still suspect have to hear of it and their refutations have to arrive
+    // together with those of half the data centre.
+    for (auto& [host, suspicion] : this->suspicions) {
+      suspicion.since = now + this->options.distrust_window;
+    }
+  }
+}
+
+// When several members are suspect at once, each has the whole distrust window:
+// at one probe a second, a partition takes longer than the normal suspicion time to
+// show in the count of suspicions.
+Duration MemberSuspicions::GetTimeLimit(const Suspicion& suspicion,
+                                        std::size_t member_count) const {
+  if (suspicion.refused) {
+    return this->options.refused_suspicion;
+  }
+  const std::size_t few = std::max(kFewSuspicions, member_count / kManyDivisor);
+  return this->CountSince(TimePoint::min()) > few
+             ? std::max(this->options.suspicion, this->options.distrust_window)
+             : this->options.suspicion;
+}
+
+std::optional<std::string> MemberSuspicions::TakeCheck(const MemberTable& table, TimePoint now) {
+  if (this->suspicions.empty() || this->distrusted) {
+    return std::nullopt;
+  }
+  const std::size_t members = table.ListHosts(table.GetSelf().data_centre).size();
+  auto next = this->suspicions.end();
+  for (auto it = this->suspicions.begin(); it != this->suspicions.end(); ++it) {
+    const Suspicion& suspicion = it->second;
+    // After distrust, suspicions begin in the future; these may be asked at once.
+    const bool due = (suspicion.since > now ||
+                      (now - suspicion.since) * 2 >= this->GetTimeLimit(suspicion, members)) &&
+                     suspicion.checked <= now - this->options.check_interval;
+    if (due && (next == this->suspicions.end() || suspicion.checked < next->second.checked)) {
+      next = it;
+    }
+  }
+  if (next == this->suspicions.end()) {
+    return std::nullopt;
+  }
+  next->second.checked = now;
+  return next->first;
+}
+
+std::vector<MemberEvent> MemberSuspicions::Tick(MemberTable& table, TimePoint now) {
+  std::vector<MemberEvent> events;
+  this->DropRefuted(table);
+  if (this->suspicions.empty() && !this->distrusted) {
+    return events;
+  }
+  this->CheckTrust(table, now, events);
+  const std::size_t members = table.ListHosts(table.GetSelf().data_centre).size();
+  for (const auto& [host, suspicion] : this->suspicions) {
+    const bool over = now - suspicion.since >= this->GetTimeLimit(suspicion, members);
+    if (over && (suspicion.refused || !this->distrusted) && table.MarkDead(host, now)) {
+      events.push_back({Event::kMemberDead, host});
+    }
+  }
+  return events;
+}
+
+}  // namespace lacewingbridge
--- a/Source/Membership/member_table.h
+++ b/Source/Membership/member_table.h
@@ -50,7 +50,13 @@
 
   MemberMerge Merge(const MemberRecord& record, TimePoint now);
 
+  // Merges a record of a complete list, as a joining daemon gets it. It is not gossiped
+  // on: after a restart, 225 records would fill all datagrams for minutes.
+  MemberMerge MergeListed(const MemberRecord& record, TimePoint now);
+
   // Changes of the own record; each raises its sequence and is queued for gossip.
+  // A change of nothing but reported loads is not announced: 225 daemons that gossip
+  // their load every second need far more than 4 KB/s.
   void SetOwnTargets(std::span<const TargetRecord> targets);
   void SetOwnDraining();
   // Continues under an incarnation above the given one, after kSelfSuperseded or when
@@ -86,8 +92,8 @@
   void CountTransmission(std::string_view host);
   std::size_t GetQueuedCount() const { return this->queue.GetSize(); }
 
-  // True once after draining or death of a member was learned; the caller then pushes
-  // updates at once instead of waiting for the next probe.
+  // True once after news other than suspicion; the caller then pushes updates at once
+  // instead of waiting for the next probe.
   bool TakeUrgent();
 
  private:
