--- a/Source/Spread/spread_node.h
+++ b/Source/Spread/spread_node.h
@@ -29,7 +29,8 @@
   std::size_t max_recent_pushes = 256;
 };
 
-// A daemon that was heard to hold a version.
+// A daemon that was heard to hold a version. Where only its address is known, that
+// stands for the host.
 struct SpreadSource {
   std::string host;
   std::string address;
--- a/Source/Spread/spread_progress.h
+++ b/Source/Spread/spread_progress.h
@@ -2,6 +2,7 @@
 #define LACEWINGBRIDGE_SOURCE_SPREAD_SPREAD_PROGRESS_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <random>
@@ -23,6 +24,8 @@
   // The collector asks a member again that is behind for this long.
   Duration poll_interval = std::chrono::seconds(2);
   std::size_t polls_per_tick = 8;
+  // Ranking all members is too costly for every tick.
+  Duration collector_interval = std::chrono::seconds(1);
   std::size_t max_data_centres = 64;
 };
 
@@ -35,8 +38,8 @@
   // Host that collects the stamps of its data centre.
   static std::string GetCollector(const MemberTable& table);
 
-  // A member of the own data centre was heard to hold this version.
-  void RecordStamp(const MemberTable& table, std::string_view host, const VersionStamp& stamp);
+  // Records the held stamp of a datagram from the own data centre.
+  void RecordStamp(const MemberTable& table, const GossipDatagram& datagram);
   // This daemon holds a new version.
   void HandleHeld(const VersionStamp& stamp, TimePoint now, std::mt19937_64& random);
 
@@ -56,17 +59,24 @@
     DataCentreProgress progress;
     TimePoint measured;
   };
+  struct HeardStamp {
+    std::uint64_t incarnation = 0;
+    VersionStamp stamp;
+  };
 
   void Measure(const MemberTable& table, TimePoint now);
   std::vector<SendDatagram> PollLagging(const MemberTable& table, TimePoint now);
-  VersionStamp GetStamp(std::string_view host) const;
+  void UpdateCollector(const MemberTable& table, TimePoint now);
+  VersionStamp GetStamp(const MemberRecord& member) const;
   DataCentreProgress Age(const Entry& entry, TimePoint now) const;
 
   SpreadProgressOptions options;
   VersionStamp held;
+  std::string collector;
+  std::optional<TimePoint> collector_checked;
   std::optional<TimePoint> report_at;
   std::optional<TimePoint> complete_at;
-  std::map<std::string, VersionStamp, std::less<>> stamps;
+  std::map<std::string, HeardStamp, std::less<>> stamps;
   std::map<std::string, TimePoint, std::less<>> polled_at;
   std::map<std::string, Entry, std::less<>> entries;
   std::string last_taken;
--- a/Source/Spread/spread_relay.h
+++ b/Source/Spread/spread_relay.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "Core/time_point.h"
+#include "Membership/member_digest.h"
 #include "Membership/member_prober.h"
 #include "Membership/member_table.h"
 #include "Spread/spread_node.h"
@@ -24,8 +25,15 @@
 class SpreadProgress;
 
 struct SpreadRelayOptions {
-  // 1 s in the convergence profile, 5 s in the bytes profile.
+  // Time between two exchanges with the same data centre: 1 s in the convergence
+  // profile, 5 s in the bytes profile.
   Duration interval = std::chrono::seconds(1);
+  // Exchanges with any data centres are this far apart, even if the interval is then
+  // exceeded: one exchange is about 2 KB, and a daemon has 4 KB/s.
+  Duration min_gap = std::chrono::seconds(1);
+  // Time for the version to arrive from the region's own watcher before it is fetched
+  // over a region link.
+  Duration link_wait = std::chrono::milliseconds(500);
   // Time that a region's first data centre has before its siblings use the region link.
   Duration sibling_wait = std::chrono::seconds(1);
   Duration call_timeout = std::chrono::seconds(2);
@@ -77,8 +85,11 @@
                                 TimePoint now, std::mt19937_64& random);
 
   // Announces a newly held version to the other data centres that this relay serves.
+  // Other regions get the delta only while the store is away, because otherwise their
+  // own watchers bring the version.
   std::vector<RelayAction> HandleHeld(const MemberTable& table, const SpreadNode& node,
-                                      const SpreadRelayRole& role, std::mt19937_64& random);
+                                      const SpreadRelayRole& role, TimePoint now,
+                                      std::mt19937_64& random);
 
   // Reacts to the stamp and the delta of a datagram from another data centre.
   std::vector<RelayAction> HandleDatagram(const MemberTable& table, const SpreadNode& node,
@@ -117,8 +128,14 @@
   };
   using Actions = std::vector<RelayAction>;
 
+  // Digests of the reply that differ from the own ones, empty ones included.
+  static std::vector<DataCentreDigest> ListDifferences(const MemberTable& table,
+                                                       const RelayExchangeReply& reply);
   std::map<std::string, std::string> ListDataCentres(const MemberTable& table) const;
   std::vector<std::string> ListPartners(const MemberTable& table, TimePoint now) const;
+  Actions PushHeld(const MemberTable& table, const SpreadNode& node, const std::string& data_centre,
+                   bool sibling, bool with_delta, std::mt19937_64& random) const;
+  std::vector<DataCentreDigest> MakeDifferingDigests(const MemberTable& table) const;
   std::string PickAddress(const MemberTable& table, std::string_view data_centre,
                           std::string_view except, std::mt19937_64& random) const;
   bool IsUnreachable(std::string_view data_centre, TimePoint now) const;
