tests: Add a fake network and fleet tests of membership and spread

Change: FakeNetwork delays, drops, duplicates, reorders and cuts; FakeDaemon drives the modules as a front end does, with the real encoding; FakeFleet steps them. Tests cover crash, pause, partition, drain, loss, convergence, region links, progress and control bytes.

--- /dev/null
+++ b/Tests/Fakes/fake_network.h
@@ -0,0 +1,96 @@
+#ifndef LACEWINGBRIDGE_TESTS_FAKES_FAKE_NETWORK_H_
+#define LACEWINGBRIDGE_TESTS_FAKES_FAKE_NETWORK_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <vector>
+
+#include "Core/time_point.h"
+
+namespace lacewingbridge {
+
+enum class FakePacketKind {
+  kDatagram,
+  kFetch,
+  kFetchReply,
+  kExchange,
+  kExchangeReply,
+  // The answer to a call when no process listens at the address.
+  kRefused,
+};
+
+struct FakePacket {
+  FakePacketKind kind = FakePacketKind::kDatagram;
+  std::string from;
+  std::string to;
+  std::string bytes;
+};
+
+// Carries packets between addresses in simulated time. Datagrams are dropped,
+// duplicated and reordered; calls are only delayed, refused or cut.
+class FakeNetwork {
+ public:
+  using Cut = std::function<bool(std::string_view from, std::string_view to)>;
+
+  explicit FakeNetwork(std::uint64_t seed) : random(seed) {}
+
+  void SetFaults(double loss_probability, double duplicate_probability) {
+    this->loss = loss_probability;
+    this->duplicate = duplicate_probability;
+  }
+  void SetDelay(Duration min, Duration max) {
+    this->min_delay = min;
+    this->max_delay = max;
+  }
+  // Nothing passes between two addresses for which the function is true.
+  void SetCut(Cut new_cut) { this->cut = std::move(new_cut); }
+  // A paused process gets its packets when it resumes.
+  void SetPaused(std::string_view address, bool paused, TimePoint now);
+  bool IsPaused(std::string_view address) const { return this->held_back.contains(address); }
+  void SetDown(std::string_view address, bool down);
+  bool IsDown(std::string_view address) const { return this->down_addresses.contains(address); }
+
+  void Send(FakePacket packet, TimePoint now);
+
+  // The next packet due by then.
+  std::optional<FakePacket> Take(TimePoint now);
+
+  std::uint64_t GetSentBytes(std::string_view address) const;
+
+ private:
+  struct Queued {
+    TimePoint due;
+    std::uint64_t order = 0;
+    FakePacket packet;
+    bool operator<(const Queued& other) const {
+      return std::tie(other.due, other.order) < std::tie(this->due, this->order);
+    }
+  };
+
+  void Enqueue(FakePacket packet, TimePoint now);
+  bool Draw(double probability);
+
+  std::mt19937_64 random;
+  double loss = 0;
+  double duplicate = 0;
+  Duration min_delay = std::chrono::milliseconds(1);
+  Duration max_delay = std::chrono::milliseconds(10);
+  Cut cut;
+  std::uint64_t next_order = 0;
+  std::priority_queue<Queued> queue;
+  std::map<std::string, std::vector<FakePacket>, std::less<>> held_back;
+  std::set<std::string, std::less<>> down_addresses;
+  std::map<std::string, std::uint64_t, std::less<>> sent_bytes;
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_TESTS_FAKES_FAKE_NETWORK_H_
