--- a/Source/Membership/member_prober.cc
+++ b/Source/Membership/member_prober.cc
@@ -11,6 +11,15 @@
 // More probes on behalf of others than this are not expected to be under way.
 constexpr std::size_t kMaxRelayedProbes = 256;
 
+// A peer that suspects this daemon after an earlier refutation is told directly: after a
+// partition, no queue holds the refutations that were made meanwhile any more.
+bool IsOutdatedAbout(const MemberRecord& self, std::span<const MemberRecord> records) {
+  return std::ranges::any_of(records, [&](const MemberRecord& record) {
+    return record.host == self.host && std::pair(record.incarnation, record.sequence) <
+                                           std::pair(self.incarnation, self.sequence);
+  });
+}
+
 }  // namespace
 
 GossipDatagram MemberProber::MakeDatagram(const MemberTable& table, GossipKind kind) const {
@@ -36,6 +45,7 @@
   for (MemberEvent& event : this->suspicions.Tick(table, now)) {
     actions.emplace_back(std::move(event));
   }
+  this->CheckSuspect(table, now, actions);
   this->PushUrgent(table, now, random, actions);
   table.Expire(now);
   return actions;
@@ -127,6 +137,22 @@
   actions.emplace_back(SendDatagram{peer->control_address, std::move(datagram)});
 }
 
+void MemberProber::CheckSuspect(const MemberTable& table, TimePoint now, Actions& actions) {
+  if (this->last_check.has_value() && now - *this->last_check < this->options.check_interval) {
+    return;
+  }
+  const std::optional<std::string> host = this->suspicions.TakeCheck(table, now);
+  const MemberRecord* suspect = host.has_value() ? table.Find(*host) : nullptr;
+  if (suspect == nullptr) {
+    return;
+  }
+  this->last_check = now;
+  // Probe id 0 matches no probe: what counts is the own record in the answer.
+  GossipDatagram datagram = this->MakeDatagram(table, GossipKind::kProbe);
+  datagram.members.push_back(*suspect);
+  actions.emplace_back(SendDatagram{suspect->control_address, std::move(datagram)});
+}
+
 void MemberProber::PushUrgent(MemberTable& table, TimePoint now, std::mt19937_64& random,
                               Actions& actions) {
   this->push_pending = table.TakeUrgent() || this->push_pending;
@@ -182,6 +208,9 @@
           (sender->state == MemberState::kSuspect || sender->state == MemberState::kDead)) {
         ack.members.push_back(*sender);
       }
+      if (IsOutdatedAbout(table.GetSelf(), datagram.members)) {
+        ack.members.push_back(table.GetSelf());
+      }
       actions.emplace_back(SendDatagram{std::string(from_address), std::move(ack)});
       break;
     }
@@ -190,6 +219,11 @@
       break;
     case GossipKind::kAck:
       this->HandleAck(table, datagram, actions);
+      if (IsOutdatedAbout(table.GetSelf(), datagram.members)) {
+        GossipDatagram push = this->MakeDatagram(table, GossipKind::kPush);
+        push.members.push_back(table.GetSelf());
+        actions.emplace_back(SendDatagram{std::string(from_address), std::move(push)});
+      }
       break;
     case GossipKind::kPush:
     case GossipKind::kUnknown:
--- a/Source/Membership/member_prober.h
+++ b/Source/Membership/member_prober.h
@@ -26,6 +26,8 @@
   MemberSuspicionsOptions suspicions;
   // Ticks further apart than this mean that this daemon itself was paused.
   Duration pause_threshold = std::chrono::seconds(1);
+  // Shortest time between two direct questions to suspects.
+  Duration check_interval = std::chrono::milliseconds(250);
   // Shortest time between two pushes of urgent updates.
   Duration push_interval = std::chrono::milliseconds(250);
   std::size_t indirect_peers = 3;
@@ -84,6 +86,7 @@
   void SendIndirect(const MemberTable& table, std::mt19937_64& random, Actions& actions);
   void StartProbe(const MemberTable& table, TimePoint now, std::mt19937_64& random,
                   Actions& actions);
+  void CheckSuspect(const MemberTable& table, TimePoint now, Actions& actions);
   void PushUrgent(MemberTable& table, TimePoint now, std::mt19937_64& random, Actions& actions);
   void Suspect(MemberTable& table, std::string_view host, TimePoint now, bool refused,
                Actions& actions);
@@ -101,6 +104,7 @@
   std::optional<TimePoint> last_tick;
   std::optional<TimePoint> last_probe;
   std::optional<TimePoint> last_push;
+  std::optional<TimePoint> last_check;
   bool push_pending = false;
   std::optional<Probe> probe;
   std::uint64_t next_probe_id = 1;
--- a/Source/Membership/member_suspicions.cc
+++ b/Source/Membership/member_suspicions.cc
@@ -18,11 +18,11 @@
 
 void MemberSuspicions::Track(const MemberRecord& record, TimePoint now, bool refused) {
   const auto [entry, inserted] =
-      this->suspicions.try_emplace(record.host, Suspicion{0, 0, now, refused});
+      this->suspicions.try_emplace(record.host, Suspicion{0, 0, now, refused, TimePoint::min()});
   Suspicion& suspicion = entry->second;
   const auto known = std::pair(suspicion.incarnation, suspicion.sequence);
   if (inserted || known < std::pair(record.incarnation, record.sequence)) {
-    suspicion = Suspicion{record.incarnation, record.sequence, now, refused};
+    suspicion = Suspicion{record.incarnation, record.sequence, now, refused, TimePoint::min()};
   } else if (refused && !suspicion.refused) {
     suspicion.refused = true;
     suspicion.since = now;
@@ -86,6 +86,29 @@
              : this->options.suspicion;
 }
 
+std::optional<std::string> MemberSuspicions::TakeCheck(const MemberTable& table, TimePoint now) {
+  if (this->suspicions.empty() || this->distrusted) {
+    return std::nullopt;
+  }
+  const std::size_t members = table.ListHosts(table.GetSelf().data_centre).size();
+  auto next = this->suspicions.end();
+  for (auto it = this->suspicions.begin(); it != this->suspicions.end(); ++it) {
+    const Suspicion& suspicion = it->second;
+    // After distrust, suspicions begin in the future; these may be asked at once.
+    const bool due = (suspicion.since > now ||
+                      (now - suspicion.since) * 2 >= this->GetTimeLimit(suspicion, members)) &&
+                     suspicion.checked <= now - this->options.check_interval;
+    if (due && (next == this->suspicions.end() || suspicion.checked < next->second.checked)) {
+      next = it;
+    }
+  }
+  if (next == this->suspicions.end()) {
+    return std::nullopt;
+  }
+  next->second.checked = now;
+  return next->first;
+}
+
 std::vector<MemberEvent> MemberSuspicions::Tick(MemberTable& table, TimePoint now) {
   std::vector<MemberEvent> events;
   this->DropRefuted(table);
--- a/Source/Membership/member_suspicions.h
+++ b/Source/Membership/member_suspicions.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,8 @@
   // announce its new incarnation.
   Duration refused_suspicion = std::chrono::milliseconds(500);
   Duration distrust_window = std::chrono::seconds(10);
+  // Time between two direct questions to the same suspect.
+  Duration check_interval = std::chrono::seconds(1);
 };
 
 struct MemberEvent {
@@ -45,6 +48,10 @@
   // Drops refuted suspicions, decides on trust and marks members dead.
   std::vector<MemberEvent> Tick(MemberTable& table, TimePoint now);
 
+  // The suspect that should be asked directly next, if any: one in the second half of
+  // its suspicion time. Its refutation may be stuck behind other news.
+  std::optional<std::string> TakeCheck(const MemberTable& table, TimePoint now);
+
   bool IsDistrusted() const { return this->distrusted; }
 
  private:
@@ -53,6 +60,7 @@
     std::uint64_t sequence = 0;
     TimePoint since;
     bool refused = false;
+    TimePoint checked = TimePoint::min();
   };
 
   void DropRefuted(const MemberTable& table);
