tests: Print integers by their type

Cause: CountMilliseconds returns std::int64_t, and the format string said long long. Change: the format string.

--- a/Tests/test_spread_fleet.cc
+++ b/Tests/test_spread_fleet.cc
@@ -45,7 +45,7 @@
               fleet.GetNow());
     const TimePoint accepted = fleet.GetNow();
     cr_assert(fleet.RunUntil(seconds(6), [&] { return fleet.CountHolding(number) == 225; }));
-    std::fprintf(stderr, "version %d with %zu bytes of delta on 225 daemons after %lld ms\n",
+    std::fprintf(stderr, "version %d with %zu bytes of delta on 225 daemons after %ld ms\n",
                  static_cast<int>(number), delta_bytes,
                  CountMilliseconds(fleet.GetNow() - accepted));
   }
