claims: Do not trust a repeated hand-over after a restart

Cause: a new owner can take a hand-over, grant keys, lose its answer to the sender and be restarted. Its next process may hear of the older map first; it then looked like a host that joins, took the repeated hand-over as complete and granted the same keys again. Found by review; the random test had not met it.

Change: the owner map keeps, for each host, the incarnation under which it was added (ClaimOwnerMap.incarnations replaces founding_incarnations). A process that joins under another incarnation answers "outcome unknown" for one claim memory. ClaimOwnerView::IsAddedWith replaces IsFoundedWith.

Conclusion: hand-overs count only for the process that the map names.

--- a/Source/Claims/claim_owner_planner.cc
+++ b/Source/Claims/claim_owner_planner.cc
@@ -37,9 +37,10 @@
   const bool few_gone = gone_count * kIsolationDivisor < current.size();
   ClaimOwnerMap next;
   next.epoch = view.GetEpoch() + 1;
-  for (const std::string& host : current) {
-    if (!this->IsRemovable(now, host, few_gone)) {
-      next.hosts.push_back(host);
+  for (std::size_t i = 0; i < current.size(); ++i) {
+    if (!this->IsRemovable(now, current[i], few_gone)) {
+      next.hosts.push_back(current[i]);
+      next.incarnations.push_back(view.GetIncarnation(i));
     }
   }
   const bool removed_any = next.hosts.size() != current.size();
@@ -64,7 +65,7 @@
       return std::nullopt;
     }
     first.hosts.push_back(host);
-    first.founding_incarnations.push_back(state.incarnation);
+    first.incarnations.push_back(state.incarnation);
   }
   return first.hosts.empty() ? std::nullopt : std::optional(std::move(first));
 }
@@ -96,6 +97,7 @@
     if (state.status == ClaimHostStatus::kAlive &&
         now - state.since >= this->limits.addition_settle && !view.HasHost(host)) {
       next.hosts.push_back(host);
+      next.incarnations.push_back(state.incarnation);
     }
   }
 }
--- a/Source/Claims/claim_owner_view.cc
+++ b/Source/Claims/claim_owner_view.cc
@@ -64,18 +64,16 @@
   return hosts[best];
 }
 
-bool ClaimOwnerView::IsFoundedWith(std::string_view host, std::uint64_t incarnation) const {
-  if (this->GetEpoch() != 1) {
-    return false;
-  }
-  const ClaimOwnerMap& map = this->content->map;
-  const std::size_t count = std::min(map.hosts.size(), map.founding_incarnations.size());
-  for (std::size_t i = 0; i < count; ++i) {
-    if (map.hosts[i] == host) {
-      return map.founding_incarnations[i] == incarnation;
-    }
-  }
-  return false;
+bool ClaimOwnerView::IsAddedWith(std::string_view host, std::uint64_t incarnation) const {
+  const std::span<const std::string> hosts = this->GetHosts();
+  const auto found = std::find(hosts.begin(), hosts.end(), host);
+  return found != hosts.end() &&
+         this->GetIncarnation(static_cast<std::size_t>(found - hosts.begin())) == incarnation;
+}
+
+std::uint64_t ClaimOwnerView::GetIncarnation(std::size_t index) const {
+  const std::vector<std::uint64_t>& incarnations = this->content->map.incarnations;
+  return index < incarnations.size() ? incarnations[index] : 0;
 }
 
 }  // namespace lacewingbridge
--- a/Source/Claims/claim_owner_view.h
+++ b/Source/Claims/claim_owner_view.h
@@ -1,6 +1,7 @@
 #ifndef LACEWINGBRIDGE_SOURCE_CLAIMS_CLAIM_OWNER_VIEW_H_
 #define LACEWINGBRIDGE_SOURCE_CLAIMS_CLAIM_OWNER_VIEW_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <span>
@@ -28,10 +29,12 @@
   // SelectByHash over the hosts.
   std::string_view FindOwner(std::string_view key) const;
 
-  // Whether the map is the first one ever and was created while this process, named by
-  // its incarnation, was already running. Then no host has owned a key before, and this
-  // process has not been restarted since the first key was claimed.
-  bool IsFoundedWith(std::string_view host, std::uint64_t incarnation) const;
+  // Whether the host was added to the map while this process, named by its incarnation,
+  // was already running. Then no earlier process of the host has owned a key since it
+  // was added; in the map of epoch 1, no host has owned a key before.
+  bool IsAddedWith(std::string_view host, std::uint64_t incarnation) const;
+  // By position in GetHosts; 0 where unknown.
+  std::uint64_t GetIncarnation(std::size_t index) const;
 
  private:
   struct Content;
--- a/Source/Claims/claim_table.cc
+++ b/Source/Claims/claim_table.cc
@@ -57,11 +57,13 @@
   }
   const ClaimOwnerView before = this->view;
   this->view = next;
-  const bool is_first = before.GetEpoch() == 0;
-  if (!is_first && next.GetEpoch() == before.GetEpoch() + 1) {
+  // An earlier process of this host may have owned keys after it was added to the map.
+  const bool is_added_now = next.IsAddedWith(this->host, this->incarnation);
+  const bool is_next = next.GetEpoch() == before.GetEpoch() + 1;
+  if (is_next) {
     this->waits.AddChange(now, before, next);
-  } else if (next.HasHost(this->host) &&
-             !(is_first && next.IsFoundedWith(this->host, this->incarnation))) {
+  }
+  if (next.HasHost(this->host) && (!is_next || (!before.HasHost(this->host) && !is_added_now))) {
     this->waits.BlockAll(now, next.GetEpoch());
   }
   this->waits.NoteMap(now, next);
--- a/Source/Claims/claim_table.h
+++ b/Source/Claims/claim_table.h
@@ -26,8 +26,8 @@
 // one. A table without a map, of another epoch than the caller's, or of a host that does
 // not own the key refuses as not run. A process that starts with a map that names it may
 // have lost claims, so it answers "outcome unknown" for every key for one claim memory;
-// the exception is the first map created while this very process ran (see
-// ClaimOwnerView::IsFoundedWith). The same holds after it missed an epoch, since another
+// the exception is the first map ever, if it was created while this very process ran (see
+// ClaimOwnerView::IsAddedWith). The same holds after it missed an epoch, since another
 // host may have owned a key in between.
 //
 // A draining daemon that was removed from the map has to end within the retention, as the
--- a/Source/Generated/peer.h
+++ b/Source/Generated/peer.h
@@ -141,7 +141,7 @@
 struct ClaimOwnerMap {
   std::uint64_t epoch = 0;
   std::vector<std::string> hosts;
-  std::vector<std::uint64_t> founding_incarnations;
+  std::vector<std::uint64_t> incarnations;
 
   bool operator==(const ClaimOwnerMap&) const = default;
 };
--- a/Source/Generated/peer_codec.cc
+++ b/Source/Generated/peer_codec.cc
@@ -434,8 +434,8 @@
   for (const auto& element : plain.hosts) {
     wire.add_hosts(element);
   }
-  for (const auto& element : plain.founding_incarnations) {
-    wire.add_founding_incarnations(element);
+  for (const auto& element : plain.incarnations) {
+    wire.add_incarnations(element);
   }
 }
 
@@ -445,9 +445,9 @@
   for (const auto& element : wire.hosts()) {
     plain.hosts.push_back(element);
   }
-  plain.founding_incarnations.reserve(static_cast<std::size_t>(wire.founding_incarnations_size()));
-  for (const auto& element : wire.founding_incarnations()) {
-    plain.founding_incarnations.push_back(element);
+  plain.incarnations.reserve(static_cast<std::size_t>(wire.incarnations_size()));
+  for (const auto& element : wire.incarnations()) {
+    plain.incarnations.push_back(element);
   }
 }
 
--- a/Tests/Fakes/claims_cluster.h
+++ b/Tests/Fakes/claims_cluster.h
@@ -1,6 +1,7 @@
 #ifndef LACEWINGBRIDGE_TESTS_FAKES_CLAIMS_CLUSTER_H_
 #define LACEWINGBRIDGE_TESTS_FAKES_CLAIMS_CLUSTER_H_
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -40,7 +41,7 @@
       this->hosts.push_back(this->MakeHost(i));
       if (i < founding_count) {
         map.hosts.push_back(this->hosts[i].name);
-        map.founding_incarnations.push_back(this->hosts[i].incarnation);
+        map.incarnations.push_back(this->hosts[i].incarnation);
       }
     }
     this->maps.push_back(map);
@@ -118,25 +119,21 @@
   // An attempt that was refused as not run had run, ran twice, or got another key's answer.
   bool HasWrongAnswer() const { return this->wrong_answer; }
 
-  std::size_t CountKeysRun() const {
-    std::set<std::size_t> keys;
-    for (const Attempt& attempt : this->attempts) {
-      if (attempt.HasRun()) {
-        keys.insert(attempt.key);
-      }
-    }
-    return keys.size();
-  }
+  std::size_t CountKeysRun() const { return this->keys_run.size(); }
   std::size_t CountStoredAnswers() const { return this->stored_answers; }
   std::size_t CountRuns() const { return this->runs; }
 
   void ChangeMap(std::size_t index) {
     ClaimOwnerMap next = this->maps.back();
     next.epoch += 1;
-    next.founding_incarnations.clear();
     const std::string& name = this->hosts[index].name;
-    if (std::erase(next.hosts, name) == 0) {
+    const auto found = std::find(next.hosts.begin(), next.hosts.end(), name);
+    if (found == next.hosts.end()) {
       next.hosts.push_back(name);
+      next.incarnations.push_back(this->hosts[index].incarnation);
+    } else {
+      next.incarnations.erase(next.incarnations.begin() + (found - next.hosts.begin()));
+      next.hosts.erase(found);
     }
     if (!next.hosts.empty()) {
       this->maps.push_back(next);
@@ -263,6 +260,7 @@
         attempt.started = this->now;
         attempt.running = true;
         ++this->runs;
+        this->keys_run.insert(attempt.key);
         break;
       case ClaimGateAction::kAnswerStored:
         this->CheckStored(attempt, *step.stored);
@@ -390,6 +388,7 @@
   std::vector<Attempt> attempts;
   ClaimsNetwork network;
   std::size_t runs = 0;
+  std::set<std::size_t> keys_run;
   std::size_t stored_answers = 0;
   bool wrong_answer = false;
 };
--- a/Tests/test_claims_cluster.cc
+++ b/Tests/test_claims_cluster.cc
@@ -32,18 +32,26 @@
  public:
   static Result<ForgetfulTable> Create(std::string_view host, std::uint64_t incarnation,
                                        const ClaimLimits& limits) {
-    return ForgetfulTable(GetValue(ClaimTable::Create(host, incarnation, limits)));
+    return ForgetfulTable(GetValue(ClaimTable::Create(host, incarnation, limits)), incarnation);
   }
   bool AdoptMap(TimePoint now, const ClaimOwnerView& next) {
-    ClaimOwnerView empty;
-    if (this->GetEpoch() == 0 && empty.Adopt({next.GetEpoch() - 1, {}, {}})) {
-      ClaimTable::AdoptMap(now, empty);
+    if (this->GetEpoch() != 0) {
+      return ClaimTable::AdoptMap(now, next);
     }
-    return ClaimTable::AdoptMap(now, next);
+    // Pretends that it has held the previous map and was only now added.
+    ClaimOwnerView empty;
+    empty.Adopt({next.GetEpoch() - 1, {}, {}});
+    ClaimTable::AdoptMap(now, empty);
+    const std::vector<std::string> hosts(next.GetHosts().begin(), next.GetHosts().end());
+    ClaimOwnerView added;
+    added.Adopt({next.GetEpoch(), hosts, std::vector<std::uint64_t>(hosts.size(), this->own)});
+    return ClaimTable::AdoptMap(now, added);
   }
 
  private:
-  explicit ForgetfulTable(ClaimTable table) : ClaimTable(std::move(table)) {}
+  ForgetfulTable(ClaimTable table, std::uint64_t own_incarnation)
+      : ClaimTable(std::move(table)), own(own_incarnation) {}
+  std::uint64_t own;
 };
 
 // Broken on purpose: a cancellation frees the key whichever attempt holds it.
--- a/Tests/test_claims_owner.cc
+++ b/Tests/test_claims_owner.cc
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -51,9 +52,9 @@
   cr_assert(view.Adopt(ClaimOwnerMap{3, {"x"}, {}}));
   cr_assert(view.FindOwner("k") == "x");
   cr_assert(ClaimOwnerView().FindOwner("k").empty());
-  cr_assert(MakeView(1, {"a", "b"}, {4, 5}).IsFoundedWith("b", 5));
-  cr_assert_not(MakeView(1, {"a", "b"}, {4, 5}).IsFoundedWith("b", 6));
-  cr_assert_not(MakeView(2, {"a", "b"}, {4, 5}).IsFoundedWith("b", 5));
+  cr_assert(MakeView(1, {"a", "b"}, {4, 5}).IsAddedWith("b", 5));
+  cr_assert_not(MakeView(1, {"a", "b"}, {4, 5}).IsAddedWith("b", 6));
+  cr_assert_not(MakeView(1, {"a", "b"}, {4}).IsAddedWith("b", 5));
 }
 
 Test(claims_owner, the_first_map_names_the_processes_that_run) {
@@ -75,6 +76,7 @@
   cr_assert_not(planner.Propose(kStart + seconds(59), view, false).has_value());
   const auto next = planner.Propose(kStart + seconds(60), view, false);
   cr_assert(next.has_value() && next->epoch == 2 && next->hosts.back() == "new");
+  cr_assert(next->incarnations == std::vector<std::uint64_t>({0, 0, 0, 0, 0, 1}));
   planner.NoteHost(kStart + seconds(60), "a", 1, HostStatus::kDraining);
   const ClaimOwnerView second = MakeView(2, next->hosts);
   cr_assert_not(planner.Propose(kStart + seconds(61), second, false).has_value());
@@ -126,7 +128,7 @@
     cr_assert(from.Finish(kStart, {key, i, ClaimOutcome::kDone, 200, std::string(2000, 'x'), ""})
                   .recorded);
   }
-  const ClaimOwnerView second = MakeView(2, {"b"});
+  const ClaimOwnerView second = MakeView(2, {"b"}, {2});
   from.AdoptMap(kStart, second);
   to.AdoptMap(kStart, second);
   transfer.AdoptMap(second);
--- a/Tests/test_claims_table.cc
+++ b/Tests/test_claims_table.cc
@@ -118,6 +118,16 @@
   cr_assert(Ask(skipped, kStart, "k", 1, 3) == ClaimDecision::kOutcomeUnknown);
 }
 
+Test(claims_table, a_restarted_new_owner_does_not_trust_a_hand_over_sent_again) {
+  // The previous process took the hand-over and granted keys, then its answer was lost.
+  ClaimTable restarted = GetValue(ClaimTable::Create("b", kIncarnation + 1, {}));
+  restarted.AdoptMap(kStart, MakeView(1, {"a"}));
+  restarted.AdoptMap(kStart, MakeView(2, {"b"}, {kIncarnation}));
+  cr_assert(restarted.AcceptTransfer(kStart, {2, "a", {}, true, 2, 0}).accepted);
+  cr_assert(Ask(restarted, kStart + minutes(9), "k", 1, 2) == ClaimDecision::kOutcomeUnknown);
+  cr_assert(Ask(restarted, kStart + minutes(11), "k", 1, 2) == ClaimDecision::kGranted);
+}
+
 Test(claims_table, a_full_table_refuses_new_keys_and_keeps_the_others) {
   cr_assert(rc::check("bounds", [] {
     ClaimLimits limits;
@@ -160,7 +170,7 @@
 Test(claims_table, an_owner_that_is_cut_off_blocks_its_moved_keys_until_it_is_heard) {
   ClaimTable joined = GetValue(ClaimTable::Create("b", kIncarnation, {}));
   joined.AdoptMap(kStart, MakeView(1, {"a"}));
-  joined.AdoptMap(kStart, MakeView(2, {"b", "a"}));
+  joined.AdoptMap(kStart, MakeView(2, {"b", "a"}, {kIncarnation, 1}));
   std::string key = "k";
   while (MakeView(2, {"b", "a"}).FindOwner(key) != "b") {
     key += "k";
@@ -182,7 +192,7 @@
     Ask(from, kStart, key, i);
     Report(from, kStart, key, i, ClaimOutcome::kDone, std::string(kMaxKeptAnswerBytes, '\xff'));
   }
-  const ClaimOwnerView next = MakeView(2, {"b"});
+  const ClaimOwnerView next = MakeView(2, {"b"}, {kIncarnation});
   from.AdoptMap(kStart, next);
   transfer.AdoptMap(next);
   ClaimTable to = GetValue(ClaimTable::Create("b", kIncarnation, {}));
@@ -220,7 +230,8 @@
   // "a" hands over to "b", which is removed before the hand-over has arrived.
   ClaimTable middle = GetValue(ClaimTable::Create("b", kIncarnation, {}));
   ClaimTransfer transfer("b");
-  for (const ClaimOwnerView& view : {MakeView(1, {"a"}), MakeView(2, {"b"}), MakeView(3, {"c"})}) {
+  for (const ClaimOwnerView& view :
+       {MakeView(1, {"a"}), MakeView(2, {"b"}, {kIncarnation}), MakeView(3, {"c"})}) {
     middle.AdoptMap(kStart, view);
     transfer.AdoptMap(view);
   }
