membership: Count suspicions once per tick

Cause: the time limit of each suspicion counted all suspicions, which is quadratic in a partition.

Change: MemberSuspicions decides once per tick whether many are suspect.

--- a/Source/Membership/member_suspicions.cc
+++ b/Source/Membership/member_suspicions.cc
@@ -72,31 +72,33 @@
   }
 }
 
+bool MemberSuspicions::IsManySuspect(const MemberTable& table) const {
+  const std::size_t members = table.ListHosts(table.GetSelf().data_centre).size();
+  return this->CountSince(TimePoint::min()) > std::max(kFewSuspicions, members / kManyDivisor);
+}
+
 // When several members are suspect at once, each has the whole distrust window:
 // at one probe a second, a partition takes longer than the normal suspicion time to
 // show in the count of suspicions.
-Duration MemberSuspicions::GetTimeLimit(const Suspicion& suspicion,
-                                        std::size_t member_count) const {
+Duration MemberSuspicions::GetTimeLimit(const Suspicion& suspicion, bool many_suspect) const {
   if (suspicion.refused) {
     return this->options.refused_suspicion;
   }
-  const std::size_t few = std::max(kFewSuspicions, member_count / kManyDivisor);
-  return this->CountSince(TimePoint::min()) > few
-             ? std::max(this->options.suspicion, this->options.distrust_window)
-             : this->options.suspicion;
+  return many_suspect ? std::max(this->options.suspicion, this->options.distrust_window)
+                      : this->options.suspicion;
 }
 
 std::optional<std::string> MemberSuspicions::TakeCheck(const MemberTable& table, TimePoint now) {
   if (this->suspicions.empty() || this->distrusted) {
     return std::nullopt;
   }
-  const std::size_t members = table.ListHosts(table.GetSelf().data_centre).size();
+  const bool many = this->IsManySuspect(table);
   auto next = this->suspicions.end();
   for (auto it = this->suspicions.begin(); it != this->suspicions.end(); ++it) {
     const Suspicion& suspicion = it->second;
     // After distrust, suspicions begin in the future; these may be asked at once.
     const bool due = (suspicion.since > now ||
-                      (now - suspicion.since) * 2 >= this->GetTimeLimit(suspicion, members)) &&
+                      (now - suspicion.since) * 2 >= this->GetTimeLimit(suspicion, many)) &&
                      suspicion.checked <= now - this->options.check_interval;
     if (due && (next == this->suspicions.end() || suspicion.checked < next->second.checked)) {
       next = it;
@@ -116,9 +118,9 @@
     return events;
   }
   this->CheckTrust(table, now, events);
-  const std::size_t members = table.ListHosts(table.GetSelf().data_centre).size();
+  const bool many = this->IsManySuspect(table);
   for (const auto& [host, suspicion] : this->suspicions) {
-    const bool over = now - suspicion.since >= this->GetTimeLimit(suspicion, members);
+    const bool over = now - suspicion.since >= this->GetTimeLimit(suspicion, many);
     if (over && (suspicion.refused || !this->distrusted) && table.MarkDead(host, now)) {
       events.push_back({Event::kMemberDead, host});
     }
--- a/Source/Membership/member_suspicions.h
+++ b/Source/Membership/member_suspicions.h
@@ -66,7 +66,8 @@
   void DropRefuted(const MemberTable& table);
   void CheckTrust(MemberTable& table, TimePoint now, std::vector<MemberEvent>& events);
   std::size_t CountSince(TimePoint oldest) const;
-  Duration GetTimeLimit(const Suspicion& suspicion, std::size_t member_count) const;
+  bool IsManySuspect(const MemberTable& table) const;
+  Duration GetTimeLimit(const Suspicion& suspicion, bool many_suspect) const;
 
   MemberSuspicionsOptions options;
   std::map<std::string, Suspicion, std::less<>> suspicions;
