membership: Stop packing updates into a nearly full datagram

Cause: each further try costs an encoding of the whole datagram.

Change: PackMemberUpdates stops after two records that do not fit.

Conclusion: kept, since it bounds the work per datagram.

--- a/Source/Membership/gossip_packer.h
+++ b/Source/Membership/gossip_packer.h
@@ -15,6 +15,7 @@
 inline constexpr std::size_t kMaxDatagramBytes = 1200;
 inline constexpr std::size_t kMaxMembersPerDatagram = 8;
 inline constexpr std::size_t kMaxSuspicionsPerDatagram = 24;
+inline constexpr int kMaxMisfitsPerDatagram = 2;
 
 // Size in bytes of a datagram in the encoding that the front end uses.
 template <typename Sizer>
@@ -26,6 +27,8 @@
 // their transmission. Suspicions go without the rest of the record.
 template <DatagramSizer Sizer>
 void PackMemberUpdates(MemberTable& table, GossipDatagram& datagram, const Sizer& sizer) {
+  // Each try costs an encoding of the datagram, so a nearly full one is left at that.
+  int misfits = 0;
   for (MemberRecord& record :
        table.ListUpdates(kMaxMembersPerDatagram + kMaxSuspicionsPerDatagram)) {
     const bool suspect = record.state == MemberState::kSuspect;
@@ -41,11 +44,16 @@
     }
     if (sizer(datagram) <= kMaxDatagramBytes) {
       table.CountTransmission(host);
-    } else if (suspect) {
+      continue;
+    }
+    if (suspect) {
       datagram.suspicions.pop_back();
     } else {
       datagram.members.pop_back();
     }
+    if (++misfits >= kMaxMisfitsPerDatagram) {
+      break;
+    }
   }
 }
 
