membership: Count members without listing them

Cause: each tick listed and sorted the names of all members only to count them.

Change: MemberTable::CountMembers.

--- a/Source/Membership/member_suspicions.cc
+++ b/Source/Membership/member_suspicions.cc
@@ -52,7 +52,7 @@
 
 void MemberSuspicions::CheckTrust(MemberTable& table, TimePoint now,
                                   std::vector<MemberEvent>& events) {
-  const std::size_t members = table.ListHosts(table.GetSelf().data_centre).size();
+  const std::size_t members = table.CountMembers(table.GetSelf().data_centre);
   // Members that stay silent longer than the window must not end the distrust.
   const TimePoint oldest =
       this->distrusted ? TimePoint::min() : now - this->options.distrust_window;
@@ -73,7 +73,7 @@
 }
 
 bool MemberSuspicions::IsManySuspect(const MemberTable& table) const {
-  const std::size_t members = table.ListHosts(table.GetSelf().data_centre).size();
+  const std::size_t members = table.CountMembers(table.GetSelf().data_centre);
   return this->CountSince(TimePoint::min()) > std::max(kFewSuspicions, members / kManyDivisor);
 }
 
--- a/Source/Membership/member_table.cc
+++ b/Source/Membership/member_table.cc
@@ -236,6 +236,14 @@
   return hosts;
 }
 
+std::size_t MemberTable::CountMembers(std::string_view data_centre) const {
+  std::size_t count = data_centre == this->self.data_centre ? 1 : 0;
+  for (const auto& [host, entry] : this->entries) {
+    count += entry.record.state != MemberState::kDead && entry.record.data_centre == data_centre;
+  }
+  return count;
+}
+
 std::map<std::string, std::string> MemberTable::ListDataCentres() const {
   std::map<std::string, std::string> regions;
   for (const MemberRecord* member : this->ListMembers("")) {
--- a/Source/Membership/member_table.h
+++ b/Source/Membership/member_table.h
@@ -75,6 +75,7 @@
 
   // Members that are not dead, this host included, ordered by name.
   std::vector<std::string> ListHosts(std::string_view data_centre) const;
+  std::size_t CountMembers(std::string_view data_centre) const;
   // The same as records; all data centres when the name is empty.
   std::vector<const MemberRecord*> ListMembers(std::string_view data_centre) const;
   // Data centres with members, ordered by name, with their region.
