daemon: Hand claims over on shutdown and repair the owner map

Cause: the claims module expects four things of its front end that were missing: a draining host waits until its claims are handed over, a newer owner map is written back to a store that lost it, versions from another data centre cast doubt on a watcher that cannot reach the store, and a host whose clock went back continues under a larger incarnation. Records of a complete member list are no longer gossiped on.

Change: as said; event LW0406 tells that a host's name was used with a larger incarnation.

--- a/Source/Daemon/claim_service.cc
+++ b/Source/Daemon/claim_service.cc
@@ -264,9 +264,9 @@
   }
 }
 
-bool ClaimService::IsHandedOver() {
+bool ClaimService::IsReleased() {
   const std::lock_guard guard(this->map_mutex);
-  return this->transfer.IsDone();
+  return !this->view.HasHost(this->host) && this->transfer.IsDone();
 }
 
 std::size_t ClaimService::CountKeys() { return this->shards.GetKeyCount(); }
--- a/Source/Daemon/claim_service.h
+++ b/Source/Daemon/claim_service.h
@@ -66,8 +66,8 @@
 
   // Sends outstanding parts of hand-overs and queries; called periodically.
   void Tick(TimePoint now);
-  // Whether everything was handed over, so that a draining daemon may exit.
-  bool IsHandedOver();
+  // Whether this host owns no keys and has handed over all claims.
+  bool IsReleased();
 
   std::size_t CountKeys();
 
--- a/Source/Daemon/cluster_node.cc
+++ b/Source/Daemon/cluster_node.cc
@@ -115,6 +115,7 @@
   const std::lock_guard guard(this->mutex);
   ClusterActions result;
   this->members_touched = this->members_touched || !datagram.members.empty();
+  this->CheckOwnName(datagram.members, result);
   this->Append(this->prober.HandleDatagram(this->table, datagram, from, now), now, result);
   this->MergeProgress(datagram.progress, now);
   if (!datagram.strikes.empty()) {
@@ -193,7 +194,11 @@
   const std::lock_guard guard(this->mutex);
   ClusterActions result;
   this->join.HandleMembers();
-  this->MergeMembers(reply.members, now, result);
+  this->members_touched = true;
+  this->CheckOwnName(reply.members, result);
+  for (const MemberRecord& record : reply.members) {
+    this->table.MergeListed(record, now);
+  }
   return result;
 }
 
@@ -263,9 +268,20 @@
 void ClusterNode::MergeMembers(std::span<const MemberRecord> records, TimePoint now,
                                ClusterActions& result) {
   this->members_touched = true;
+  this->CheckOwnName(records, result);
   this->Append(this->prober.MergeRecords(this->table, records, now), now, result);
 }
 
+void ClusterNode::CheckOwnName(std::span<const MemberRecord> records, ClusterActions& result) {
+  for (const MemberRecord& record : records) {
+    const MemberRecord& self = this->table.GetSelf();
+    if (record.host == self.host && record.incarnation > self.incarnation) {
+      this->table.RestartAbove(record.incarnation);
+      result.emplace_back(MemberEvent{Event::kHostNameTaken, record.host});
+    }
+  }
+}
+
 void ClusterNode::MergeProgress(std::span<const DataCentreProgress> entries, TimePoint now) {
   for (const DataCentreProgress& entry : entries) {
     this->progress.Merge(entry, now);
@@ -362,6 +378,20 @@
   return this->progress.List(now);
 }
 
+bool ClusterNode::HasOtherActiveMember() {
+  const std::lock_guard guard(this->mutex);
+  const std::vector<const MemberRecord*> members = this->table.ListMembers("");
+  return std::any_of(members.begin(), members.end(), [this](const MemberRecord* record) {
+    return record->host != this->settings.host && record->state == MemberState::kAlive;
+  });
+}
+
+bool ClusterNode::IsOwnDataCentre(std::string_view host) {
+  const std::lock_guard guard(this->mutex);
+  const MemberRecord* record = this->table.Find(host);
+  return record != nullptr && record->data_centre == this->settings.data_centre;
+}
+
 std::string ClusterNode::FindControlAddress(std::string_view host) {
   const std::lock_guard guard(this->mutex);
   const MemberRecord* record = this->table.Find(host);
--- a/Source/Daemon/cluster_node.h
+++ b/Source/Daemon/cluster_node.h
@@ -75,6 +75,9 @@
   // Live members of the scope of the watch: the own data centre or the own region.
   std::vector<WatchMember> ListScopeMembers(bool region_scope);
   std::vector<DataCentreProgress> ListProgress(TimePoint now);
+  // Whether a member other than this host is neither draining nor suspect.
+  bool HasOtherActiveMember();
+  bool IsOwnDataCentre(std::string_view host);
   std::string FindControlAddress(std::string_view host);
   // Control addresses of up to count live members of the own data centre.
   std::vector<std::string> ListSeedAddresses(std::size_t count);
@@ -93,6 +96,8 @@
   void AppendAction(Action action, TimePoint now, ClusterActions& result);
 
   void MergeMembers(std::span<const MemberRecord> records, TimePoint now, ClusterActions& result);
+  // Continues under a larger incarnation when an earlier process of this host had one.
+  void CheckOwnName(std::span<const MemberRecord> records, ClusterActions& result);
   void MergeProgress(std::span<const DataCentreProgress> entries, TimePoint now);
   void CheckOwnerMap(std::uint64_t epoch, std::string_view address, ClusterActions& result);
   void UpdateTargets(const std::vector<TargetRegistry::Change>& changes, ClusterActions& result);
--- a/Source/Daemon/daemon.cc
+++ b/Source/Daemon/daemon.cc
@@ -28,6 +28,7 @@
 constexpr std::size_t kWorkCapacity = 256;
 constexpr Duration kClaimTickInterval = std::chrono::milliseconds(500);
 constexpr std::size_t kSeedAddresses = 8;
+constexpr milliseconds kHandOverPoll{100};
 // After the announcement, peers need this long to send no new work; see the invariant
 // that a leaving host receives no new work after a few seconds.
 constexpr milliseconds kDrainNotice{1000};
@@ -199,6 +200,17 @@
   if (this->proxy->CountInFlight() > 0) {
     EventLog::Write(Event::kDrainLimit, "in_flight={}", this->proxy->CountInFlight());
   }
+  this->WaitForHandOver(limit);
+}
+
+void Daemon::WaitForHandOver(TimePoint limit) {
+  // The watcher takes a draining host out of the owner map; its claims then go to the new
+  // owners. Without claims, the store or a daemon that stays there is nothing to wait for.
+  std::unique_lock lock(this->shutdown_mutex);
+  while (GetNow() < limit && this->claims->CountKeys() > 0 && !this->claims->IsReleased() &&
+         this->watcher->IsStoreReachable() && this->cluster->HasOtherActiveMember()) {
+    this->shutdown_changed.wait_for(lock, kHandOverPoll);
+  }
 }
 
 bool Daemon::IsReady() {
@@ -299,9 +311,17 @@
 void Daemon::PerformOne(const SpreadApply& action) {
   // When the parent is not held, the next stamp of that peer leads to a fetch.
   this->OfferDelta(action.delta);
+  this->CheckSource(action.source);
+}
+
+void Daemon::CheckSource(const SpreadSource& source) {
+  if (!IsRegionScope(this->settings) && !this->cluster->IsOwnDataCentre(source.host)) {
+    this->watcher->NoteDoubt();
+  }
 }
 
 void Daemon::PerformOne(const SpreadFetch& action) {
+  this->CheckSource(action.source);
   const bool added = this->work->Add([this, action] { this->FetchRules(action); });
   if (!added) {
     this->Perform(this->cluster->HandleFetchEnd(action.source.host, false, GetNow()));
--- a/Source/Daemon/daemon.h
+++ b/Source/Daemon/daemon.h
@@ -94,6 +94,9 @@
   void FetchRules(const SpreadFetch& action);
   void CallRelay(const RelayCall& action);
   void WaitForRequests();
+  void WaitForHandOver(TimePoint limit);
+  // A version from another data centre casts doubt on the watcher of the own one.
+  void CheckSource(const SpreadSource& source);
 
   Settings settings;
   std::uint64_t incarnation;
@@ -117,6 +120,8 @@
   TimePoint next_claim_tick;
   bool stopped = false;
   std::mutex snapshot_order;
+  std::mutex shutdown_mutex;
+  std::condition_variable shutdown_changed;
 };
 
 }  // namespace lacewingbridge
--- a/Source/Daemon/store_watcher.cc
+++ b/Source/Daemon/store_watcher.cc
@@ -143,13 +143,8 @@
   std::vector<WatchMember> members;
   std::optional<WatchEvent> answer;
   while (!this->IsStopped()) {
-    WatchEvent event = WatchTimePassed{};
-    if (answer.has_value()) {
-      event = *answer;
-    } else if (!members_reported) {
-      members = this->hooks.list_members();
-      event = WatchMembersChanged{members};
-    }
+    const WatchEvent event =
+        answer.has_value() ? *answer : this->NextEvent(members_reported, members);
     const WatchDecision decision = election.Handle(event, GetNow(), this->election_random);
     this->SetActing(decision);
     answer.reset();
@@ -167,6 +162,24 @@
   }
 }
 
+WatchEvent StoreWatcher::NextEvent(bool members_reported, std::vector<WatchMember>& members) {
+  if (!members_reported) {
+    members = this->hooks.list_members();
+    return WatchMembersChanged{members};
+  }
+  return this->TakeDoubt() ? WatchEvent(WatchHolderDoubted{}) : WatchEvent(WatchTimePassed{});
+}
+
+void StoreWatcher::NoteDoubt() {
+  const std::lock_guard guard(this->mutex);
+  this->doubted = true;
+}
+
+bool StoreWatcher::TakeDoubt() {
+  const std::lock_guard guard(this->mutex);
+  return std::exchange(this->doubted, false);
+}
+
 void StoreWatcher::PerformDuties(bool acting) {
   if (!acting) {
     this->owners_revision.reset();
@@ -337,27 +350,34 @@
       return;
     }
     const StoreEntry& entry = GetValue(reply).entry;
+    this->owners_revision = entry.revision;
     ClaimOwnerMap stored;
     if (entry.revision != 0 && Decode(entry.value, stored)) {
       this->claims.AdoptMap(stored, GetNow());
     }
-    this->owners_revision = entry.revision;
+    if (stored.epoch < this->claims.GetEpoch()) {
+      // The store lost state; owners must not see two maps of the same epoch.
+      this->WriteOwnerMap(this->claims.AnswerOwnerMap({stored.epoch}));
+      return;
+    }
   }
   const std::optional<ClaimOwnerMap> next =
       this->claims.Propose(*this->owners_revision == 0, GetNow());
-  if (!next.has_value()) {
-    return;
+  if (next.has_value()) {
+    this->WriteOwnerMap(*next);
   }
+}
+
+void StoreWatcher::WriteOwnerMap(const ClaimOwnerMap& map) {
   StoreSwapRequest request;
   request.key = kOwnersKey;
-  request.value = Encode(*next);
+  request.value = Encode(map);
   request.expected_revision = *this->owners_revision;
   const auto reply = this->store.Swap(request);
-  // Read again after a lost answer or a lost race, before any further proposal.
   this->owners_revision.reset();
   if (IsOk(reply) && GetValue(reply).succeeded) {
     this->owners_revision = GetValue(reply).entry.revision;
-    this->claims.AdoptMap(*next, GetNow());
+    this->claims.AdoptMap(map, GetNow());
   }
 }
 
--- a/Source/Daemon/store_watcher.h
+++ b/Source/Daemon/store_watcher.h
@@ -19,6 +19,7 @@
 #include "Watch/store_repair.h"
 #include "Watch/watch_election.h"
 #include "dump.h"
+#include "peer.h"
 #include "settings.h"
 
 namespace lacewingbridge {
@@ -54,6 +55,9 @@
   // The held version changed; a thread that waits for a sibling's copy looks again.
   void NotifyHeld();
 
+  // A version came from another data centre before the scope's own watcher brought it.
+  void NoteDoubt();
+
   bool IsWatching();
   bool IsStoreReachable() const { return this->store_reachable.load(); }
   const std::string& GetScope() const { return this->scope; }
@@ -81,7 +85,12 @@
 
   // Duties of the watcher besides the head: owner map and seeds.
   void PerformDuties(bool acting);
+  // Event to hand to the election when no answer is outstanding.
+  WatchEvent NextEvent(bool members_reported, std::vector<WatchMember>& members);
+  bool TakeDoubt();
   void KeepOwnerMap();
+  // Writes the map to the store; it is read again first after a lost answer or race.
+  void WriteOwnerMap(const ClaimOwnerMap& map);
   void KeepSeeds();
 
   bool IsStopped();
@@ -101,6 +110,7 @@
   std::mutex mutex;
   std::condition_variable changed;
   bool stopped = false;
+  bool doubted = false;
   TimePoint acting_until;
   std::vector<DisplacedVersion> displaced;
 
--- a/Source/Generated/events.h
+++ b/Source/Generated/events.h
@@ -33,6 +33,7 @@
   kMemberDraining = 403,
   kViewDistrusted = 404,
   kViewTrusted = 405,
+  kHostNameTaken = 406,
   kTargetAnnounced = 500,
   kTargetGone = 501,
   kTargetDraining = 502,
@@ -88,6 +89,8 @@
       return "view_distrusted";
     case Event::kViewTrusted:
       return "view_trusted";
+    case Event::kHostNameTaken:
+      return "host_name_taken";
     case Event::kTargetAnnounced:
       return "target_announced";
     case Event::kTargetGone:
@@ -115,7 +118,7 @@
   std::string_view action;
 };
 
-inline constexpr std::array<EventDescription, 29> kEventCatalogue = {{
+inline constexpr std::array<EventDescription, 30> kEventCatalogue = {{
     {Event::kNone, "info",
      "no event",
      ""},
@@ -179,6 +182,9 @@
     {Event::kViewTrusted, "info",
      "members answer again",
      ""},
+    {Event::kHostNameTaken, "warning",
+     "another process used this host's name with a larger incarnation",
+     "Once after a restart: none, its clock was behind. Repeated: give each host its own name."},
     {Event::kTargetAnnounced, "info",
      "target announced",
      ""},
