--- a/Source/Daemon/daemon.cc
+++ b/Source/Daemon/daemon.cc
@@ -12,6 +12,7 @@
 #include "Daemon/daemon_clock.h"
 #include "Daemon/event_log.h"
 #include "Daemon/store_records.h"
+#include "Rules/rules_document.h"
 #include "Version/route_snapshot.h"
 #include "membership_codec.h"
 #include "peer_codec.h"
@@ -444,6 +445,7 @@
   dump.requests_in_flight = this->proxy->CountInFlight();
   dump.members = this->cluster->ListMembers();
   dump.services = this->services.DumpServices(GetNow());
+  this->AddRoutes(dump.services);
   dump.progress = this->cluster->ListProgress(GetNow());
   dump.claim_epoch = this->claims->GetEpoch();
   dump.claims_held = this->claims->CountKeys();
@@ -452,6 +454,20 @@
   return dump;
 }
 
+void Daemon::AddRoutes(std::span<ServiceDump> dumps) const {
+  const std::shared_ptr<const RouteSnapshot> snapshot = this->rules.GetSnapshot();
+  if (snapshot == nullptr) {
+    return;
+  }
+  for (ServiceDump& dump : dumps) {
+    for (const RouteRule& route : snapshot->GetDocument().routes) {
+      if (route.service == dump.name) {
+        dump.routes.push_back(route.name);
+      }
+    }
+  }
+}
+
 std::string Daemon::FormatGauges() {
   const std::vector<MemberRecord> members = this->cluster->ListMembers();
   return fmt::format(
--- a/Source/Daemon/daemon.h
+++ b/Source/Daemon/daemon.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <span>
 #include <string>
 
 #include "Core/result.h"
@@ -93,6 +94,7 @@
   void RebuildSnapshot();
   void FetchRules(const SpreadFetch& action);
   void CallRelay(const RelayCall& action);
+  void AddRoutes(std::span<ServiceDump> dumps) const;
   void WaitForRequests();
   void WaitForHandOver(TimePoint limit);
   // A version from another data centre casts doubt on the watcher of the own one.
--- a/Source/Daemon/store_watcher.cc
+++ b/Source/Daemon/store_watcher.cc
@@ -114,7 +114,8 @@
 }
 
 void StoreWatcher::NoteStoreAnswer(bool answered) {
-  if (this->store_reachable.exchange(answered) != answered) {
+  // Calls that a shutdown ended say nothing about the store.
+  if (!this->IsStopped() && this->store_reachable.exchange(answered) != answered) {
     EventLog::Write(answered ? Event::kStoreReached : Event::kStoreUnreachable, "store={}",
                     this->settings.store_address);
   }
