tests: Run real processes through crashes, pauses, outages and drains

Cause: nothing ran the daemons as processes except the demonstration, which asserts nothing.

Time limits bound a hang only. The target stand-in can log each run before it starts, so that the record outlives a kill, and can stay up longer while it drains; the HTTP client shows status and outcome; a daemon can be started without seeds, so that it reaches the others through the store alone.

--- /dev/null
+++ b/Tests/fleet_checks.sh
@@ -0,0 +1,98 @@
+# Functions shared by the process tests. A test sources this file; it then has an empty
+# fleet, whose processes end with the test. Time limits are generous: they bound a hang,
+# they are not targets.
+set -euo pipefail
+cd "$(dirname "${BASH_SOURCE[0]}")/.."
+source Utilities/fleet.sh
+
+WAIT_LIMIT=60
+RULES="$FLEET_DIR/base.rules"
+
+show_logs_and_end() {
+  local code=$?
+  end_fleet
+  if ((code != 0)); then tail -n 30 "$FLEET_DIR"/*.log || true; fi
+  rm -rf "$FLEET_DIR"
+}
+trap show_logs_and_end EXIT
+
+fail() {
+  echo "FAILED: $*" >&2
+  exit 1
+}
+
+send() { "$FLEET_BIN/Utilities/lacewing_http" "$@"; }
+
+# make_rules NUMBER: a valid rules file whose text differs with the number
+make_rules() {
+  cat <<RULES_END
+# edition $1
+service orders slots=9 queue=64   # Maria: looms
+service designs slots=9 queue=64  # Ana: designs
+route place-order path=/orders methods=POST service=orders key=required deadline=5s  # Maria: one run for each order
+route lookup path=/designs methods=GET,HEAD service=designs idempotent=yes deadline=5s retries=2  # Ana: lookups
+route render path=/renders methods=POST service=designs idempotent=yes deadline=5s retries=2  # Ana: previews
+RULES_END
+}
+
+get_version() { send GET "$(control_address "$1")" /metrics 2>/dev/null | awk '$1 == "lacewingbridge_rules_version" { print $2 }'; }
+is_watching() { send GET "$(control_address "$1")" /metrics 2>/dev/null | grep -qx 'lacewingbridge_watching 1'; }
+has_owners() { ctl "$1" dump | grep -q '"claim_epoch":"[1-9]'; }
+holds_version() { [[ "$(get_version "$1")" == "$2" ]]; }
+is_serving() { send GET "$(caller_address "$1")" "$2"; }
+
+# find_watcher NUMBER...: the first of these daemons that watches the store
+find_watcher() {
+  local number
+  for number in "$@"; do
+    if is_watching "$number"; then
+      echo "$number"
+      return 0
+    fi
+  done
+  return 1
+}
+
+# wait_for_version VERSION NUMBER...
+wait_for_version() {
+  local version=$1 number
+  shift
+  for number in "$@"; do wait_for "$WAIT_LIMIT" holds_version "$number" "$version"; done
+}
+
+# submit_edition NUMBER EDITION [OPTION...]: submits through that daemon once it runs; the
+# base is the edition before
+submit_edition() {
+  wait_for "$WAIT_LIMIT" ctl "$1" dump
+  make_rules "$2" >"$FLEET_DIR/edition-$2.rules"
+  ctl "$1" submit "$FLEET_DIR/edition-$2.rules" --operator tester --base $(($2 - 1)) "${@:3}"
+}
+
+# start_outsider NUMBER: a daemon that knows no other daemon, only the store. What it
+# submits reaches the others through the store alone.
+start_outsider() { FLEET_SEEDS="" start_daemon "$1" outside "dc-outside-$1"; }
+
+# record_versions FILE NUMBER...: appends each daemon's version again and again
+record_versions() {
+  local file=$1 number version
+  shift
+  while true; do
+    for number in "$@"; do
+      version=$(timeout 1 "$FLEET_BIN/Utilities/lacewing_http" GET "$(control_address "$number")" \
+        /metrics 2>/dev/null | awk '$1 == "lacewingbridge_rules_version" { print $2 }') || true
+      if [[ -n "$version" ]]; then echo "$number $version" >>"$file"; fi
+    done
+    sleep 0.05
+  done
+}
+
+# check_never_older FILE: no daemon went back to an older version
+check_never_older() {
+  awk '$2 < last[$1] { print "daemon " $1 " went from " last[$1] " to " $2; bad = 1 }
+       { last[$1] = $2 } END { exit bad }' "$1" || fail "a daemon went back to an older version"
+}
+
+end_helper() {
+  kill "$1" 2>/dev/null || true
+  wait "$1" 2>/dev/null || true
+}
--- a/Utilities/LoadClient/http_client.cc
+++ b/Utilities/LoadClient/http_client.cc
@@ -1,4 +1,5 @@
-// One HTTP request from a script: prints the body, exits 0 for a status below 400.
+// One HTTP request from a script: prints the body, and status and
+// outcome to standard error; exits 0 for a status below 400.
 #include <fmt/core.h>
 #include <httplib.h>
 
@@ -28,5 +29,7 @@
     return 1;
   }
   fmt::print("{}\n", answer->body);
+  const std::string outcome = answer->get_header_value("Lacewing-Outcome");
+  fmt::print(stderr, "{} {}\n", answer->status, outcome.empty() ? "-" : outcome);
   return answer->status < kFirstErrorStatus ? 0 : 1;
 }
--- a/Utilities/TargetStandIn/target_stand_in.cc
+++ b/Utilities/TargetStandIn/target_stand_in.cc
@@ -25,7 +25,7 @@
 
 constexpr milliseconds kAnnounceInterval{1000};
 // After the last announcement the daemons need this long to send no new work.
-constexpr milliseconds kDrainTime{2000};
+constexpr unsigned kDrainMs = 2000;
 constexpr std::size_t kServerThreads = 160;
 
 struct TargetOptions {
@@ -34,6 +34,11 @@
   std::string daemon = "127.0.0.1:7500";
   unsigned slots = 9;
   unsigned delay_ms = 0;
+  // Time from the last announcement to the end of the process.
+  unsigned drain_ms = kDrainMs;
+  // Writes the key of each request to standard error before it runs, so that the record
+  // outlives a kill of the process.
+  bool log_runs = false;
   // A request whose body holds this text ends the process, as a crash would.
   std::string crash_text;
 };
@@ -47,12 +52,15 @@
         request.body.find(this->options.crash_text) != std::string::npos) {
       std::_Exit(EXIT_FAILURE);
     }
-    std::this_thread::sleep_for(milliseconds(this->options.delay_ms));
     const std::string key = request.get_header_value("Idempotency-Key");
     {
       const std::lock_guard guard(this->mutex);
       ++this->runs[key];
+      if (this->options.log_runs) {
+        fmt::print(stderr, "run {}\n", key);
+      }
     }
+    std::this_thread::sleep_for(milliseconds(this->options.delay_ms));
     response.set_content(fmt::format("{} {} {} key={} bytes={}\n", this->options.listen,
                                      request.method, request.path, key, request.body.size()),
                          "text/plain");
@@ -119,7 +127,7 @@
   signals.WaitForTermination();
   state.Stop();
   announcer.join();
-  std::this_thread::sleep_for(kDrainTime);
+  std::this_thread::sleep_for(milliseconds(options.drain_ms));
   listener.Stop();
   return 0;
 }
@@ -131,6 +139,8 @@
                             {"slots", required_argument, nullptr, 'n'},
                             {"delay-ms", required_argument, nullptr, 'm'},
                             {"crash-text", required_argument, nullptr, 'c'},
+                            {"drain-ms", required_argument, nullptr, 'e'},
+                            {"log-runs", no_argument, nullptr, 'r'},
                             {nullptr, 0, nullptr, 0}};
   int choice = 0;
   while ((choice = getopt_long(argc, argv, "", options, nullptr)) != -1) {
@@ -153,6 +163,12 @@
       case 'c':
         parsed.crash_text = optarg;
         break;
+      case 'e':
+        parsed.drain_ms = static_cast<unsigned>(std::strtoul(optarg, nullptr, 10));
+        break;
+      case 'r':
+        parsed.log_runs = true;
+        break;
       default:
         return false;
     }
@@ -168,7 +184,7 @@
   if (!lacewingbridge::ParseOptions(argc, argv, options)) {
     fmt::print(stderr,
                "usage: {} [--service NAME] [--listen IP:PORT] [--daemon IP:PORT] [--slots N]"
-               " [--delay-ms N] [--crash-text TEXT]\n",
+               " [--delay-ms N] [--crash-text TEXT] [--drain-ms N] [--log-runs]\n",
                argv[0]);
     return 2;
   }
--- a/Utilities/fleet.sh
+++ b/Utilities/fleet.sh
@@ -8,6 +8,8 @@
 FLEET_DIR="$(mktemp -d)"
 FLEET_PROFILE="${FLEET_PROFILE:-convergence}"
 FLEET_STORE="127.0.0.1:$((FLEET_PORT + 5))"
+# Numbers of the daemons that a starting daemon asks first; empty leaves it to the store.
+FLEET_SEEDS="${FLEET_SEEDS-1 2 3}"
 declare -A FLEET_PIDS=()
 
 end_fleet() {
@@ -33,17 +35,18 @@
 
 # set_store_faults JSON, for example '{"down": true}'
 set_store_faults() {
-  "$FLEET_BIN/Utilities/lacewing_http" POST "$FLEET_STORE" /faults "$1" >/dev/null
+  "$FLEET_BIN/Utilities/lacewing_http" POST "$FLEET_STORE" /faults "$1" >/dev/null 2>&1
 }
 
-get_store_counts() { "$FLEET_BIN/Utilities/lacewing_http" GET "$FLEET_STORE" /counts; }
+get_store_counts() { "$FLEET_BIN/Utilities/lacewing_http" GET "$FLEET_STORE" /counts 2>/dev/null; }
 
 # start_daemon NUMBER REGION DATA_CENTRE [EXTRA_SETTING...]
 start_daemon() {
   local number=$1 region=$2 data_centre=$3
   shift 3
   local file="$FLEET_DIR/daemon-$number.toml"
-  local seeds="\"$(control_address 1)\", \"$(control_address 2)\", \"$(control_address 3)\""
+  local seeds="" seed
+  for seed in $FLEET_SEEDS; do seeds+="${seeds:+, }\"$(control_address "$seed")\""; done
   {
     echo "host = \"host-$number\""
     echo "region = \"$region\""
@@ -80,11 +83,13 @@
   unset "FLEET_PIDS[$1]"
 }
 
-# stop_process NAME: SIGTERM and wait for its end
+# stop_process NAME: SIGTERM and wait for its end; returns its exit code
 stop_process() {
+  local code=0
   kill -TERM "${FLEET_PIDS[$1]}"
-  wait "${FLEET_PIDS[$1]}" 2>/dev/null || true
+  wait "${FLEET_PIDS[$1]}" 2>/dev/null || code=$?
   unset "FLEET_PIDS[$1]"
+  return "$code"
 }
 
 # ctl NUMBER ARGUMENTS...: lacewingctl against the daemon with that number
