daemon: Keep strikes until a datagram has carried them

Cause: the tick took strikes out of the quarantine tables every 100 ms and replaced those of the tick before, while a daemon sends a datagram about once a second. The six ticks that each strike is given were over after 0.6 s, mostly without a datagram, so other daemons learnt nothing and let the request crash two more targets each.

Ruled out: the quarantine itself (the daemon that saw the crashes refused all resends) and the merge (a strike that arrives is kept, as the target belongs to the service).

Change: strikes stay with the cluster state until a datagram has carried them.

Conclusion: at most two targets die, as docs/design.md 4.8 says.

--- a/Source/Daemon/cluster_node.cc
+++ b/Source/Daemon/cluster_node.cc
@@ -255,9 +255,15 @@
   this->claim_epoch = std::max(this->claim_epoch, epoch);
 }
 
+bool ClusterNode::NeedsStrikes() {
+  const std::lock_guard guard(this->mutex);
+  return this->strikes.empty() || this->strikes_sent;
+}
+
 void ClusterNode::SetStrikes(std::vector<QuarantineStrike> outgoing) {
   const std::lock_guard guard(this->mutex);
   this->strikes = std::move(outgoing);
+  this->strikes_sent = false;
 }
 
 void ClusterNode::MergeMembers(std::span<const MemberRecord> records, TimePoint now,
@@ -393,6 +399,7 @@
       datagram.strikes.push_back(strike);
     }
   }
+  this->strikes_sent = true;
   PackMemberUpdates(this->table, datagram, GetEncodedSize);
   result.emplace_back(std::move(action));
 }
--- a/Source/Daemon/cluster_node.h
+++ b/Source/Daemon/cluster_node.h
@@ -64,6 +64,9 @@
 
   void SetRole(const SpreadRelayRole& new_role);
   void SetClaimEpoch(std::uint64_t epoch);
+  // Strikes for the next datagram. They stay until one has carried them; NeedsStrikes
+  // tells when the next ones are due.
+  bool NeedsStrikes();
   void SetStrikes(std::vector<QuarantineStrike> outgoing);
 
   bool IsReady();
@@ -112,6 +115,8 @@
   SpreadRelayRole role;
   std::uint64_t claim_epoch = 0;
   std::vector<QuarantineStrike> strikes;
+  // Whether a datagram has carried them.
+  bool strikes_sent = false;
   bool members_touched = true;
   std::uint64_t members_hash = 0;
 };
--- a/Source/Daemon/daemon.cc
+++ b/Source/Daemon/daemon.cc
@@ -28,6 +28,7 @@
 constexpr std::size_t kWorkCapacity = 256;
 constexpr Duration kClaimTickInterval = std::chrono::milliseconds(500);
 constexpr std::size_t kSeedAddresses = 8;
+constexpr std::size_t kStrikesPerDatagram = 4;
 // After the announcement, peers need this long to send no new work; see the invariant
 // that a leaving host receives no new work after a few seconds.
 constexpr milliseconds kDrainNotice{1000};
@@ -227,7 +228,9 @@
   role.region_scope = IsRegionScope(this->settings);
   this->cluster->SetRole(role);
   this->cluster->SetClaimEpoch(this->claims->GetEpoch());
-  this->cluster->SetStrikes(this->services.TakeStrikes(4));
+  if (this->cluster->NeedsStrikes()) {
+    this->cluster->SetStrikes(this->services.TakeStrikes(kStrikesPerDatagram));
+  }
   this->Perform(this->cluster->Tick(now));
   this->services.ExpireQueues(now);
   if (now < this->next_claim_tick || this->claim_tick_running.exchange(true)) {
--- /dev/null
+++ b/Tests/process_crashing_request.sh
@@ -0,0 +1,41 @@
+#!/usr/bin/env bash
+# Guards against a request that takes down one target after the other while its caller
+# sends it again, and against innocent requests that suffer from it.
+source "$(dirname "$0")/fleet_checks.sh"
+
+count_alive() {
+  local count=0 number
+  for number in 1 2 3 4 5; do
+    if kill -0 "${FLEET_PIDS[target-$number]}" 2>/dev/null; then count=$((count + 1)); fi
+  done
+  echo "$count"
+}
+
+start_store
+for number in 1 2 3 4 5; do
+  start_daemon "$number" carolinas dc-1
+  start_target "$number" designs --crash-text boom
+done
+submit_edition 1 1
+wait_for_version 1 1 2 3 4 5
+knows_all() { (($(ctl "$1" dump | grep -o "\"address\":\"$(target_address 1 | cut -d: -f1):[0-9]*2\"" | sort -u | wc -l) >= 5)); }
+for number in 1 2; do
+  wait_for "$WAIT_LIMIT" is_serving "$number" /designs/1
+  wait_for "$WAIT_LIMIT" knows_all "$number"
+done
+
+# The caller sends it through one daemon, then, after a gossip round, through another.
+for number in 1 2; do
+  for ((i = 0; i < 5; i++)); do
+    send POST "$(caller_address "$number")" /renders "boom" >/dev/null 2>>"$FLEET_DIR/boom.txt" || true
+  done
+  sleep 4
+done
+alive=$(count_alive)
+echo "$alive of 5 targets left; outcomes: $(tr '\n' ' ' <"$FLEET_DIR/boom.txt")"
+((alive >= 3)) || fail "$((5 - alive)) targets died"
+
+load_client --addresses "$(caller_address 1),$(caller_address 2)" --path /designs/2 \
+  --rate 30 --seconds 2 --threads 4 >"$FLEET_DIR/load.txt"
+grep -q ' 200=60 ' "$FLEET_DIR/load.txt" || fail "innocent requests: $(cat "$FLEET_DIR/load.txt")"
+send POST "$(caller_address 3)" /renders "quiet" || fail "an innocent request was refused"
