--- a/Source/Admin/admin_rpc_client.cc
+++ b/Source/Admin/admin_rpc_client.cc
@@ -37,7 +37,10 @@
   std::string Run(Call call) {
     this->failure.clear();
     try {
-      return Json::FastWriter().write(call(this->stub));
+      Json::FastWriter writer;
+      // The text is printed as one line of its own.
+      writer.omitEndingLineFeed();
+      return writer.write(call(this->stub));
     } catch (const jsonrpc::JsonRpcException& error) {
       this->failure = error.GetMessage();
       return {};
