daemon: Refuse paths that a target could read in another way

Cause: the matcher takes the path with percent-encoding resolved but does not resolve dot segments, and the request goes on as it came. GET /designs/../orders matches the rule of /designs, and a target that resolves the path serves /orders without that route's key.

Ruled out: resolving the path before matching, because the target may resolve it in yet another way (encoded separators, repeated decoding, ";" parameters).

--- a/Source/Daemon/admin_service.cc
+++ b/Source/Daemon/admin_service.cc
@@ -18,6 +18,7 @@
 #include "Daemon/daemon.h"
 #include "Daemon/daemon_clock.h"
 #include "Daemon/event_log.h"
+#include "Daemon/request_path.h"
 #include "Daemon/submit_runner.h"
 #include "Rules/rules_delta.h"
 #include "Rules/rules_difference.h"
@@ -264,7 +265,15 @@
     return reply;
   }
   reply.version = MakeSummary(*held);
-  const auto match = snapshot->FindRoute(method, path);
+  const std::optional<std::string> decoded = DecodeRequestPath(path);
+  if (!decoded.has_value()) {
+    reply.error = MakeOperatorError(
+        {ErrorKind::kInvalidArgument,
+         "the proxies refuse the path " + path +
+             " (dot segments, empty segments, a backslash or encoded separators)"});
+    return reply;
+  }
+  const auto match = snapshot->FindRoute(method, *decoded);
   if (!match.has_value()) {
     reply.error = MakeOperatorError({ErrorKind::kNotFound, "no route for " + method + " " + path});
     return reply;
--- a/Source/Daemon/proxy_handler.cc
+++ b/Source/Daemon/proxy_handler.cc
@@ -7,6 +7,7 @@
 #include <charconv>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 
 #include "Daemon/daemon_clock.h"
@@ -14,6 +15,7 @@
 #include "Daemon/proxy_exchange.h"
 #include "Daemon/proxy_refusal.h"
 #include "Daemon/proxy_request.h"
+#include "Daemon/request_path.h"
 #include "Daemon/rules_state.h"
 #include "Daemon/service_table.h"
 #include "Rules/limit_rule.h"
@@ -101,9 +103,15 @@
     WriteRefusal(RefusalKind::kNotReady, "", response);
     return;
   }
-  const auto match = snapshot->FindRoute(request.method, request.path);
+  const std::optional<std::string> path = DecodeRequestPath(request.target);
+  if (!path.has_value()) {
+    WriteRefusal(RefusalKind::kAmbiguousPath, "", response);
+    this->RecordMetrics("", response.status, GetNow() - now);
+    return;
+  }
+  const auto match = snapshot->FindRoute(request.method, *path);
   if (!match.has_value()) {
-    WriteRefusal(RefusalKind::kNoRoute, request.path, response);
+    WriteRefusal(RefusalKind::kNoRoute, *path, response);
     this->RecordMetrics("", response.status, GetNow() - now);
     return;
   }
--- a/Source/Daemon/proxy_refusal.cc
+++ b/Source/Daemon/proxy_refusal.cc
@@ -21,9 +21,12 @@
   std::string_view text;
 };
 
-constexpr std::array<RefusalDescription, 14> kRefusals = {{
+constexpr std::array<RefusalDescription, 15> kRefusals = {{
     {RefusalKind::kNotReady, "not_ready", 503, true,
      "this daemon holds no rules yet; send the request again shortly"},
+    {RefusalKind::kAmbiguousPath, "ambiguous_path", 400, true,
+     "the path holds dot segments, empty segments, a backslash, an encoded separator or an "
+     "encoding that is not valid; send it in its plain form"},
     {RefusalKind::kNoRoute, "no_route", 404, true,
      "no route matches; check method and path, or add a route to the rules file"},
     {RefusalKind::kTooDeep, "too_deep", 508, true,
--- a/Source/Daemon/proxy_refusal.h
+++ b/Source/Daemon/proxy_refusal.h
@@ -12,6 +12,7 @@
 // Why a daemon refuses a request itself.
 enum class RefusalKind {
   kNotReady,
+  kAmbiguousPath,
   kNoRoute,
   kTooDeep,
   kRateLimited,
