daemon: Forward bodies unchanged and deliver no answer of unknown length

Cause: the HTTP library decodes bodies of callers' requests (multipart, long forms, Content-Encoding) before the proxy sees them, and takes the end of the connection as the end of an answer without a length, also after a crash of the target. Headers named by Connection were forwarded, as was Expect.

Change: ProtectBody hides the body's headers from the library until the request is forwarded; an answer without Content-Length or chunks counts as lost (retried when idempotent, otherwise unknown); headers of the connection are left out both ways. The target stand-in reads bodies as they come, too.

Conclusion: no partial answer reaches a caller as a whole one. Targets that end their answers by closing the connection have to send a length.

--- a/Source/Daemon/daemon.cc
+++ b/Source/Daemon/daemon.cc
@@ -11,6 +11,7 @@
 #include "Daemon/control_handlers.h"
 #include "Daemon/daemon_clock.h"
 #include "Daemon/event_log.h"
+#include "Daemon/proxy_exchange.h"
 #include "Daemon/store_records.h"
 #include "Version/route_snapshot.h"
 #include "membership_codec.h"
@@ -145,6 +146,7 @@
   const auto serve = [this](const httplib::Request& request, httplib::Response& response) {
     this->proxy->Handle(request, response);
   };
+  this->caller_listener->SetRequestHook(ProtectBody);
   httplib::Server& server = this->caller_listener->GetServer();
   server.Get(".*", serve).Post(".*", serve).Put(".*", serve);
   server.Patch(".*", serve).Delete(".*", serve).Options(".*", serve);
--- a/Source/Daemon/proxy_exchange.cc
+++ b/Source/Daemon/proxy_exchange.cc
@@ -31,35 +31,65 @@
 // Headers that belong to one connection, that the HTTP library adds itself, or that this
 // daemon sets. The library applies ranges and compression to the whole answer, so the
 // target is asked for the whole, plain one.
-constexpr std::array<std::string_view, 20> kRequestHeadersDropped = {"Connection",
-                                                                     "Keep-Alive",
-                                                                     "Proxy-Connection",
-                                                                     "TE",
-                                                                     "Trailer",
-                                                                     "Transfer-Encoding",
-                                                                     "Upgrade",
-                                                                     "Content-Length",
-                                                                     "Host",
-                                                                     "REMOTE_ADDR",
-                                                                     "REMOTE_PORT",
-                                                                     "LOCAL_ADDR",
-                                                                     "LOCAL_PORT",
-                                                                     "Accept-Encoding",
-                                                                     "Range",
-                                                                     "If-Range",
-                                                                     kDeadlineHeader,
-                                                                     kDepthHeader,
-                                                                     kDoNotRetryHeader,
-                                                                     kOutcomeHeader};
+constexpr std::array<std::string_view, 21> kRequestHeadersDropped = {
+    "Connection",  "Keep-Alive",      "Proxy-Connection",
+    "TE",          "Trailer",         "Transfer-Encoding",
+    "Upgrade",     "Content-Length",  "Host",
+    "REMOTE_ADDR", "REMOTE_PORT",     "LOCAL_ADDR",
+    "LOCAL_PORT",  "Accept-Encoding", "Range",
+    "If-Range",    "Expect",          kDeadlineHeader,
+    kDepthHeader,  kDoNotRetryHeader, kOutcomeHeader};
 
 constexpr std::array<std::string_view, 9> kAnswerHeadersDropped = {
     "Connection", "Keep-Alive",     "Proxy-Connection", "Trailer",        "Transfer-Encoding",
     "Upgrade",    "Content-Length", "Accept-Ranges",    kDoNotRetryHeader};
 
+// Names under which ProtectBody keeps headers of the body.
+constexpr std::array<std::pair<const char*, const char*>, 2> kProtectedHeaders = {
+    {{"Content-Type", "Lacewing-Held-Content-Type"},
+     {"Content-Encoding", "Lacewing-Held-Content-Encoding"}}};
+
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
 constexpr int kTooManyRequests = 429;
 constexpr int kServiceUnavailable = 503;
 constexpr int kFirstServerError = 500;
 
+std::string GetForwardedName(const std::string& name) {
+  for (const auto& [original, held] : kProtectedHeaders) {
+    if (EqualsIgnoringCase(name, held)) {
+      return original;
+    }
+  }
+  return name;
+}
+
+// Whether a Connection header among the headers names this one as its own.
+bool IsNamedByConnection(const httplib::Headers& headers, std::string_view name) {
+  const auto [first, last] = headers.equal_range("Connection");
+  return std::any_of(first, last, [name](const auto& header) {
+    std::string_view names = header.second;
+    while (!names.empty()) {
+      const std::size_t end = std::min(names.find(','), names.size());
+      std::string_view token = names.substr(0, end);
+      names.remove_prefix(std::min(end + 1, names.size()));
+      token.remove_prefix(std::min(token.find_first_not_of(" \t"), token.size()));
+      token = token.substr(0, token.find_last_not_of(" \t") + 1);
+      if (EqualsIgnoringCase(token, name)) {
+        return true;
+      }
+    }
+    return false;
+  });
+}
+
+// Whether the end of the answer is known from its head.
+bool HasKnownLength(const httplib::Request& request, const httplib::Response& answer) {
+  return request.method == "HEAD" || answer.status == kNoContent || answer.status == kNotModified ||
+         answer.has_header("Content-Length") ||
+         EqualsIgnoringCase(answer.get_header_value("Transfer-Encoding"), "chunked");
+}
+
 httplib::Request MakeTargetRequest(const httplib::Request& request, Duration time_limit,
                                    unsigned depth) {
   httplib::Request copy;
@@ -67,8 +97,8 @@
   copy.path = request.target;
   copy.body = request.body;
   for (const auto& [name, value] : request.headers) {
-    if (!IsOneOf(name, kRequestHeadersDropped)) {
-      copy.headers.emplace(name, value);
+    if (!IsOneOf(name, kRequestHeadersDropped) && !IsNamedByConnection(request.headers, name)) {
+      copy.headers.emplace(GetForwardedName(name), value);
     }
   }
   copy.headers.emplace("Accept-Encoding", "identity");
@@ -95,13 +125,29 @@
 TargetAnswer TakeAnswer(httplib::Response& response) {
   TargetAnswer answer;
   answer.status = response.status;
-  answer.headers.assign(response.headers.begin(), response.headers.end());
+  for (auto& [name, value] : response.headers) {
+    if (!IsNamedByConnection(response.headers, name)) {
+      answer.headers.emplace_back(name, value);
+    }
+  }
   answer.body = std::move(response.body);
   return answer;
 }
 
 }  // namespace
 
+void ProtectBody(httplib::Request& request) {
+  for (const auto& [original, held] : kProtectedHeaders) {
+    request.headers.erase(held);
+    const auto found = request.headers.find(original);
+    if (found != request.headers.end()) {
+      std::string value = std::move(found->second);
+      request.headers.erase(original);
+      request.headers.emplace(held, std::move(value));
+    }
+  }
+}
+
 TargetAttempt SendToTarget(HttpConnectionPool& pool, const std::string& address,
                            const httplib::Request& request, Duration time_limit, unsigned depth) {
   std::unique_ptr<httplib::Client> client = pool.Take(address);
@@ -113,6 +159,9 @@
   httplib::Result result = client->send(copy);
   TargetAttempt attempt;
   attempt.latency = GetNow() - started;
+  if (result && !HasKnownLength(copy, *result)) {
+    return attempt;
+  }
   if (!result) {
     attempt.outcome = ClassifyError(result.error());
     attempt.timed_out = attempt.latency >= time_limit;
--- a/Source/Daemon/proxy_exchange.h
+++ b/Source/Daemon/proxy_exchange.h
@@ -43,7 +43,13 @@
   Duration latency{0};
 };
 
-// Sends one request to one target and returns its whole answer.
+// Keeps the HTTP library from decoding the body of a caller's request: it would empty a
+// multipart body, refuse a long form and unpack a compressed one, although the target is
+// the one to read it. Called before the body is read; SendToTarget restores the headers.
+void ProtectBody(httplib::Request& request);
+
+// Sends one request to one target and returns its whole answer. An answer whose length is
+// not given counts as lost: its end cannot be told from a crash of the target.
 TargetAttempt SendToTarget(HttpConnectionPool& pool, const std::string& address,
                            const httplib::Request& request, Duration time_limit, unsigned depth);
 
--- /dev/null
+++ b/Tests/test_daemon_proxy_exchange.cc
@@ -0,0 +1,165 @@
+// Guards against partial answers, headers of one connection that reach another, and
+// requests that change on their way to the target.
+#include <criterion/criterion.h>
+#include <httplib.h>
+
+#include <chrono>
+#include <string>
+#include <string_view>
+
+#include "Daemon/http_connection_pool.h"
+#include "Daemon/proxy_exchange.h"
+#include "Fakes/raw_target.h"
+
+using namespace lacewingbridge;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+constexpr std::chrono::milliseconds kConnectLimit{1000};
+constexpr Duration kTimeLimit = std::chrono::seconds(10);
+
+struct Exchange {
+  TargetAttempt attempt;
+  std::string sent;
+};
+
+httplib::Request MakeRequest(const std::string& method, const std::string& target) {
+  httplib::Request request;
+  request.method = method;
+  request.target = target;
+  request.path = target;
+  return request;
+}
+
+Exchange Send(const httplib::Request& request, const std::string& answer) {
+  RawTarget target(answer);
+  HttpConnectionPool pool(1, kConnectLimit);
+  Exchange exchange;
+  exchange.attempt = SendToTarget(pool, target.GetAddress(), request, kTimeLimit, 3);
+  const auto requests = target.ListRequests();
+  exchange.sent = requests.empty() ? std::string() : requests.front();
+  return exchange;
+}
+
+bool Contains(std::string_view text, std::string_view part) {
+  return text.find(part) != std::string_view::npos;
+}
+
+}  // namespace
+
+Test(proxy_exchange, delivers_a_whole_answer) {
+  const Exchange exchange =
+      Send(MakeRequest("GET", "/designs/1"),
+           "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Maker: loom\r\n\r\nhello");
+  cr_assert_eq(exchange.attempt.outcome, TargetOutcome::kOk);
+  cr_assert_eq(exchange.attempt.answer.status, 200);
+  cr_assert_eq(exchange.attempt.answer.body, "hello");
+}
+
+Test(proxy_exchange, gives_no_partial_answer_when_the_target_closes_early) {
+  for (const std::string answer :
+       {"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n50\r\nhello",
+        "HTTP/1.1 200 OK\r\nContent-Le", "HTTP/1.1 200", ""}) {
+    const Exchange exchange = Send(MakeRequest("GET", "/designs/1"), answer);
+    cr_assert_eq(exchange.attempt.outcome, TargetOutcome::kLostMidRequest, "%s", answer.c_str());
+    cr_assert(exchange.attempt.answer.body.empty());
+  }
+}
+
+// The end of the connection is then the end of the answer, also after a crash.
+Test(proxy_exchange, does_not_trust_an_answer_whose_length_is_not_given) {
+  const Exchange exchange = Send(MakeRequest("GET", "/designs/1"), "HTTP/1.1 200 OK\r\n\r\nhello");
+  cr_assert_eq(exchange.attempt.outcome, TargetOutcome::kLostMidRequest);
+}
+
+Test(proxy_exchange, accepts_answers_that_have_no_body) {
+  const std::string with_length = "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n";
+  cr_assert_eq(Send(MakeRequest("HEAD", "/designs/1"), with_length).attempt.outcome,
+               TargetOutcome::kOk);
+  cr_assert_eq(Send(MakeRequest("HEAD", "/designs/1"), "HTTP/1.1 200 OK\r\n\r\n").attempt.outcome,
+               TargetOutcome::kOk);
+  for (const std::string status : {"204 No Content", "304 Not Modified"}) {
+    cr_assert_eq(
+        Send(MakeRequest("GET", "/designs/1"), "HTTP/1.1 " + status + "\r\n\r\n").attempt.outcome,
+        TargetOutcome::kOk, "%s", status.c_str());
+  }
+}
+
+Test(proxy_exchange, forwards_the_request_without_headers_of_the_connection) {
+  httplib::Request request = MakeRequest("POST", "/orders/a%20b?x=1&y=%2F");
+  request.body = "body";
+  for (const char* name : {"Connection", "Keep-Alive", "Proxy-Connection", "TE", "Trailer",
+                           "Upgrade", "Range", "REMOTE_ADDR", "Lacewing-Depth"}) {
+    request.headers.emplace(name, "from-caller");
+  }
+  request.headers.emplace("X-Order", "kept");
+  request.headers.emplace("Idempotency-Key", "key-1");
+  const Exchange exchange = Send(request, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  cr_assert(Contains(exchange.sent, "POST /orders/a%20b?x=1&y=%2F HTTP/1.1\r\n"));
+  cr_assert(Contains(exchange.sent, "X-Order: kept\r\n"));
+  cr_assert(Contains(exchange.sent, "Idempotency-Key: key-1\r\n"));
+  cr_assert(Contains(exchange.sent, "Lacewing-Depth: 3\r\n"));
+  cr_assert(exchange.sent.ends_with("\r\n\r\nbody"));
+  cr_assert_not(Contains(exchange.sent, "from-caller"), "%s", exchange.sent.c_str());
+}
+
+Test(proxy_exchange, leaves_out_headers_that_the_connection_header_names) {
+  httplib::Request request = MakeRequest("GET", "/designs/1");
+  request.headers.emplace("Connection", "close, X-Hop");
+  request.headers.emplace("X-Hop", "from-caller");
+  const std::string whole =
+      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: X-Step\r\nX-Step: from-target\r\n\r\n";
+  Exchange exchange = Send(request, whole);
+  cr_assert_not(Contains(exchange.sent, "X-Hop"), "%s", exchange.sent.c_str());
+  httplib::Response response;
+  CopyAnswer(request, std::move(exchange.attempt.answer), response);
+  cr_assert_not(response.has_header("X-Step"));
+}
+
+// The library would decode these bodies; the target has to get the caller's bytes.
+Test(proxy_exchange, restores_headers_of_a_protected_body) {
+  httplib::Request request = MakeRequest("POST", "/orders");
+  request.body = "--b\r\n\r\nx\r\n--b--";
+  request.headers = {{"Content-Type", "multipart/form-data; boundary=b"},
+                     {"Content-Encoding", "gzip"},
+                     {"Lacewing-Held-Content-Type", "forged"}};
+  ProtectBody(request);
+  cr_assert_not(request.has_header("Content-Type"));
+  cr_assert_not(request.is_multipart_form_data());
+  const Exchange exchange = Send(request, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  cr_assert(Contains(exchange.sent, "Content-Type: multipart/form-data; boundary=b\r\n"));
+  cr_assert(Contains(exchange.sent, "Content-Encoding: gzip\r\n"));
+  cr_assert_not(Contains(exchange.sent, "Held"));
+  cr_assert_not(Contains(exchange.sent, "forged"));
+}
+
+Test(proxy_exchange, delivers_large_bodies_both_ways) {
+  const std::string large(6 << 20, 'x');
+  httplib::Request request = MakeRequest("POST", "/orders");
+  request.body = large;
+  const Exchange exchange =
+      Send(request, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(large.size()) +
+                        "\r\n\r\n" + large);
+  cr_assert_eq(exchange.attempt.outcome, TargetOutcome::kOk);
+  cr_assert_eq(exchange.attempt.answer.body.size(), large.size());
+  cr_assert(exchange.sent.ends_with(large));
+}
+
+Test(proxy_exchange, copies_the_answer_without_headers_of_the_connection) {
+  TargetAnswer answer;
+  answer.status = 201;
+  answer.body = "hello";
+  answer.headers = {{"Connection", "close"},       {"Transfer-Encoding", "chunked"},
+                    {"Content-Length", "5"},       {"Content-Type", "text/x"},
+                    {"Set-Cookie", "a=1"},         {"Set-Cookie", "b=2"},
+                    {"Lacewing-Do-Not-Retry", "1"}};
+  httplib::Response response;
+  CopyAnswer(MakeRequest("GET", "/"), answer, response);
+  cr_assert_eq(response.status, 201);
+  cr_assert_eq(response.body, "hello");
+  cr_assert_eq(response.get_header_value("Content-Type"), "text/x");
+  cr_assert_eq(response.get_header_value_count("Set-Cookie"), 2U);
+  cr_assert_eq(response.headers.size(), 3U);
+}
--- a/Utilities/TargetStandIn/target_stand_in.cc
+++ b/Utilities/TargetStandIn/target_stand_in.cc
@@ -15,6 +15,7 @@
 #include <thread>
 
 #include "Daemon/http_listener.h"
+#include "Daemon/proxy_exchange.h"
 #include "Daemon/signal_waiter.h"
 #include "admin_codec.h"
 
@@ -113,6 +114,7 @@
   const auto serve = [&state](const httplib::Request& request, httplib::Response& response) {
     state.Serve(request, response);
   };
+  listener.SetRequestHook(ProtectBody);
   httplib::Server& server = listener.GetServer();
   server.Get("/counts", [&state](const httplib::Request&, httplib::Response& response) {
     state.ShowCounts(response);
