merge: Take the process tests and their fixes

Cause: tests of real processes found faults in strikes, idle connections, paths, bodies and the tool's JSON; each has its commit and test. Conclusion: no conflict in logic.

--- a/Source/Daemon/daemon.cc
+++ b/Source/Daemon/daemon.cc
@@ -11,6 +11,7 @@
 #include "Daemon/control_handlers.h"
 #include "Daemon/daemon_clock.h"
 #include "Daemon/event_log.h"
+#include "Daemon/proxy_exchange.h"
 #include "Daemon/store_records.h"
 #include "Rules/rules_document.h"
 #include "Version/route_snapshot.h"
@@ -30,6 +31,7 @@
 constexpr Duration kClaimTickInterval = std::chrono::milliseconds(500);
 constexpr std::size_t kSeedAddresses = 8;
 constexpr milliseconds kHandOverPoll{100};
+constexpr std::size_t kStrikesPerDatagram = 4;
 // After the announcement, peers need this long to send no new work; see the invariant
 // that a leaving host receives no new work after a few seconds.
 constexpr milliseconds kDrainNotice{1000};
@@ -146,6 +148,7 @@
   const auto serve = [this](const httplib::Request& request, httplib::Response& response) {
     this->proxy->Handle(request, response);
   };
+  this->caller_listener->SetRequestHook(ProtectBody);
   httplib::Server& server = this->caller_listener->GetServer();
   server.Get(".*", serve).Post(".*", serve).Put(".*", serve);
   server.Patch(".*", serve).Delete(".*", serve).Options(".*", serve);
@@ -240,7 +243,9 @@
   role.region_scope = IsRegionScope(this->settings);
   this->cluster->SetRole(role);
   this->cluster->SetClaimEpoch(this->claims->GetEpoch());
-  this->cluster->SetStrikes(this->services.TakeStrikes(4));
+  if (this->cluster->NeedsStrikes()) {
+    this->cluster->SetStrikes(this->services.TakeStrikes(kStrikesPerDatagram));
+  }
   this->Perform(this->cluster->Tick(now));
   this->services.ExpireQueues(now);
   if (now < this->next_claim_tick || this->claim_tick_running.exchange(true)) {
