tests: Follow the claim service's interface in the stress test

Cause: Ask takes the time left, and the map lists incarnations. Change: the test passes one second and its own incarnation.

--- a/Tests/stress_daemon_state.cc
+++ b/Tests/stress_daemon_state.cc
@@ -134,7 +134,7 @@
     request.attempt_id = caller * kKeys + static_cast<std::uint64_t>(i) + 1;
     request.caller_host = "host-1";
     request.caller_incarnation = 1;
-    const auto reply = state.claims->Ask(request);
+    const auto reply = state.claims->Ask(request, std::chrono::seconds(1));
     if (reply.has_value() && reply->decision == ClaimDecision::kGranted) {
       ++state.grants;
       state.claims->Report({request.key, request.attempt_id, ClaimOutcome::kDone, 200, "ok", ""});
@@ -176,7 +176,7 @@
   ClaimOwnerMap map;
   map.epoch = 1;
   map.hosts = {"host-1"};
-  map.founding_incarnations = {1};
+  map.incarnations = {1};
   state.claims->AdoptMap(map, GetNow());
   std::vector<std::thread> threads;
   threads.emplace_back([&] { OfferVersions(state); });
