--- a/Source/Daemon/daemon_clock.h
+++ b/Source/Daemon/daemon_clock.h
@@ -14,7 +14,8 @@
   return TimePoint(std::chrono::duration_cast<Duration>(since_boot));
 }
 
-// Milliseconds since the Unix epoch, for display and for incarnations only.
+// Milliseconds since the Unix epoch, for display, incarnations and the times of claim keys
+// and owner maps.
 inline std::uint64_t GetUnixMilliseconds() {
   const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
   return static_cast<std::uint64_t>(
--- a/Utilities/LoadClient/load_client.cc
+++ b/Utilities/LoadClient/load_client.cc
@@ -11,10 +11,13 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <random>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "Daemon/daemon_clock.h"
+
 namespace lacewingbridge {
 namespace {
 
@@ -29,6 +32,8 @@
   std::string path = "/";
   std::string method = "GET";
   std::string key_prefix;
+  // Sends version 7 UUIDs as keys; they carry their creation time.
+  bool timed_keys = false;
   double rate_per_second = 100;
   double seconds = 5;
   unsigned threads = 8;
@@ -95,7 +100,9 @@
     request.method = this->options.method;
     request.path = this->options.path;
     request.body = std::string(this->options.body_bytes, 'x');
-    if (!this->options.key_prefix.empty()) {
+    if (this->options.timed_keys) {
+      request.headers.emplace("Idempotency-Key", this->DrawTimedKey());
+    } else if (!this->options.key_prefix.empty()) {
       request.headers.emplace("Idempotency-Key", this->options.key_prefix + std::to_string(number));
     }
     const auto sent = Clock::now();
@@ -119,6 +126,15 @@
     this->report.AddAnswer(label, latency.count(), resends);
   }
 
+  // A version 7 UUID: 48 bits of Unix milliseconds, version, variant and 74 random bits.
+  std::string DrawTimedKey() {
+    const std::uint64_t unix_ms = GetUnixMilliseconds();
+    const std::uint64_t high = this->random();
+    const std::uint64_t low = this->random();
+    return fmt::format("{:08x}-{:04x}-7{:03x}-{:04x}-{:012x}", unix_ms >> 16U, unix_ms & 0xffffU,
+                       high & 0xfffU, 0x8000U | (low >> 48U & 0x3fffU), low & 0xffff'ffff'ffffU);
+  }
+
   httplib::Client& GetClient() {
     if (this->client == nullptr) {
       const auto& addresses = this->options.addresses;
@@ -136,6 +152,7 @@
   LoadReport& report;
   std::size_t current;
   std::unique_ptr<httplib::Client> client;
+  std::mt19937_64 random{std::random_device{}()};
 };
 
 void SplitAddresses(const std::string& text, std::vector<std::string>& addresses) {
@@ -152,6 +169,7 @@
                           {"path", required_argument, nullptr, 'p'},
                           {"method", required_argument, nullptr, 'm'},
                           {"key-prefix", required_argument, nullptr, 'k'},
+                          {"timed-keys", no_argument, nullptr, 'u'},
                           {"rate", required_argument, nullptr, 'r'},
                           {"seconds", required_argument, nullptr, 's'},
                           {"threads", required_argument, nullptr, 't'},
@@ -172,6 +190,9 @@
       case 'k':
         parsed.key_prefix = optarg;
         break;
+      case 'u':
+        parsed.timed_keys = true;
+        break;
       case 'r':
         parsed.rate_per_second = std::strtod(optarg, nullptr);
         break;
@@ -199,7 +220,7 @@
   if (!lacewingbridge::ParseOptions(argc, argv, options)) {
     fmt::print(stderr,
                "usage: {} --addresses IP:PORT[,IP:PORT...] [--path P] [--method M] "
-               "[--key-prefix K] [--rate PER_SECOND] [--seconds N] [--threads N] "
+               "[--key-prefix K | --timed-keys] [--rate PER_SECOND] [--seconds N] [--threads N] "
                "[--body-bytes N]\n",
                argv[0]);
     return 2;
