--- a/Source/Daemon/proxy_refusal.h
+++ b/Source/Daemon/proxy_refusal.h
@@ -22,6 +22,7 @@
   kQuarantined,
   kKeyMissing,
   kKeyReused,
+  kKeyAhead,
   kClaimNotRun,
   kNotRun,
   kUnknown,
