daemon: Count the bytes of peer calls

Control bytes of a daemon were visible for gossip only, so the 4 KB/s goal could not be checked on processes. Answers to own peer calls and calls of others are now counted by path, headers included, as lacewingbridge_peer_bytes_received and lacewingbridge_peer_messages_received. Sent bytes are not counted: over a fleet they are the same sum.

--- a/Source/Daemon/control_handlers.cc
+++ b/Source/Daemon/control_handlers.cc
@@ -10,6 +10,7 @@
 #include "Daemon/admin_service.h"
 #include "Daemon/daemon.h"
 #include "Daemon/daemon_clock.h"
+#include "Daemon/peer_traffic.h"
 #include "admin_codec.h"
 #include "dump_codec.h"
 #include "peer_codec.h"
@@ -22,8 +23,9 @@
 
 // Decodes a protobuf request, calls answer(request), and encodes the reply.
 template <typename Request, typename Answer>
-httplib::Server::Handler MakePeerHandler(Answer answer) {
-  return [answer](const httplib::Request& http, httplib::Response& response) {
+httplib::Server::Handler MakePeerHandler(Daemon& daemon, Answer answer) {
+  return [&daemon, answer](const httplib::Request& http, httplib::Response& response) {
+    CountPeerRequest(daemon.GetMetrics(), http);
     Request request;
     if (!Decode(http.body, request)) {
       response.status = kBadRequest;
@@ -36,16 +38,18 @@
 }
 
 void AddClusterHandlers(httplib::Server& server, Daemon& daemon) {
-  server.Post(kFetchRulesPath, MakePeerHandler<FetchRulesRequest>([&daemon](const auto& request) {
+  server.Post(kFetchRulesPath,
+              MakePeerHandler<FetchRulesRequest>(daemon, [&daemon](const auto& request) {
                 return daemon.GetRules().AnswerFetch(request);
               }));
-  server.Post(kListMembersPath, MakePeerHandler<ListMembersRequest>([&daemon](const auto& request) {
+  server.Post(kListMembersPath,
+              MakePeerHandler<ListMembersRequest>(daemon, [&daemon](const auto& request) {
                 ListMembersReply reply;
                 daemon.Perform(daemon.GetCluster().AnswerMembers(request, reply, GetNow()));
                 return reply;
               }));
   server.Post(kRelayExchangePath,
-              MakePeerHandler<RelayExchangeRequest>([&daemon](const auto& request) {
+              MakePeerHandler<RelayExchangeRequest>(daemon, [&daemon](const auto& request) {
                 RelayExchangeReply reply;
                 daemon.Perform(daemon.GetCluster().AnswerRelay(request, reply, GetNow()));
                 return reply;
@@ -53,18 +57,19 @@
 }
 
 void AddClaimHandlers(httplib::Server& server, Daemon& daemon) {
-  server.Post(kClaimPath, MakePeerHandler<ClaimRequest>([&daemon](const auto& request) {
+  server.Post(kClaimPath, MakePeerHandler<ClaimRequest>(daemon, [&daemon](const auto& request) {
                 return daemon.GetClaims().AnswerClaim(request, GetNow());
               }));
-  server.Post(kClaimDonePath, MakePeerHandler<ClaimDoneRequest>([&daemon](const auto& request) {
+  server.Post(kClaimDonePath,
+              MakePeerHandler<ClaimDoneRequest>(daemon, [&daemon](const auto& request) {
                 return daemon.GetClaims().AnswerDone(request, GetNow());
               }));
   server.Post(kClaimTransferPath,
-              MakePeerHandler<ClaimTransferRequest>([&daemon](const auto& request) {
+              MakePeerHandler<ClaimTransferRequest>(daemon, [&daemon](const auto& request) {
                 return daemon.GetClaims().AnswerTransfer(request, GetNow());
               }));
   server.Post(kClaimOwnerMapPath,
-              MakePeerHandler<ClaimOwnerMapRequest>([&daemon](const auto& request) {
+              MakePeerHandler<ClaimOwnerMapRequest>(daemon, [&daemon](const auto& request) {
                 return daemon.GetClaims().AnswerOwnerMap(request);
               }));
 }
--- a/Source/Daemon/daemon.cc
+++ b/Source/Daemon/daemon.cc
@@ -68,7 +68,7 @@
       services(given.data_centre, given.region, given.state_shards),
       metrics(given.state_shards),
       connections(given.state_shards, milliseconds(given.connect_timeout_ms)),
-      peers(this->connections, kPeerTimeout) {}
+      peers(this->connections, this->metrics, kPeerTimeout) {}
 
 Daemon::~Daemon() { this->Shutdown(); }
 
--- a/Source/Daemon/peer_client.cc
+++ b/Source/Daemon/peer_client.cc
@@ -4,6 +4,7 @@
 #include <httplib.h>
 
 #include "Daemon/http_connection_pool.h"
+#include "Daemon/peer_traffic.h"
 
 namespace lacewingbridge {
 
@@ -24,6 +25,7 @@
                         fmt::format("{}{}: status {}", address, path, answer->status)},
                        false};
   }
+  CountPeerAnswer(this->metrics, path, *answer);
   std::string reply = std::move(answer->body);
   this->pool.Return(address, std::move(client));
   return reply;
--- a/Source/Daemon/peer_client.h
+++ b/Source/Daemon/peer_client.h
@@ -11,6 +11,7 @@
 namespace lacewingbridge {
 
 class HttpConnectionPool;
+class MetricsRegistry;
 
 // Whether a failed call may have reached the other daemon.
 struct PeerFailure {
@@ -22,9 +23,10 @@
 // Calls to other daemons: HTTP POST with protobuf bodies.
 class PeerClient {
  public:
-  // The pool must outlive the client.
-  PeerClient(HttpConnectionPool& connections, std::chrono::milliseconds call_limit)
-      : pool(connections), timeout(call_limit) {}
+  // The pool and the registry must outlive the client.
+  PeerClient(HttpConnectionPool& connections, MetricsRegistry& registry,
+             std::chrono::milliseconds call_limit)
+      : pool(connections), metrics(registry), timeout(call_limit) {}
 
   template <typename Reply, typename Request>
   std::variant<Reply, PeerFailure> Call(const std::string& address, const char* path,
@@ -45,6 +47,7 @@
                                               const std::string& body);
 
   HttpConnectionPool& pool;
+  MetricsRegistry& metrics;
   std::chrono::milliseconds timeout;
 };
 
--- /dev/null
+++ b/Source/Daemon/peer_traffic.cc
@@ -0,0 +1,48 @@
+#include "Daemon/peer_traffic.h"
+
+#include <fmt/core.h>
+#include <httplib.h>
+
+#include <string>
+
+#include "Daemon/metrics_registry.h"
+
+namespace lacewingbridge {
+
+namespace {
+
+// "HTTP/1.1 200 OK" or "POST <path> HTTP/1.1", and the line ends around the headers.
+constexpr std::size_t kStatusLineBytes = 19;
+constexpr std::size_t kRequestLineBytes = 18;
+// ": " and the line end.
+constexpr std::size_t kHeaderSeparatorBytes = 4;
+
+std::size_t CountHeaderBytes(const httplib::Headers& headers) {
+  std::size_t bytes = 0;
+  for (const auto& [name, value] : headers) {
+    // The library adds these to the headers that were received.
+    if (!name.starts_with("REMOTE_") && !name.starts_with("LOCAL_")) {
+      bytes += name.size() + value.size() + kHeaderSeparatorBytes;
+    }
+  }
+  return bytes;
+}
+
+}  // namespace
+
+void CountPeerAnswer(MetricsRegistry& metrics, const char* path, const httplib::Response& answer) {
+  const std::string labels = fmt::format("path=\"{}\",part=\"answer\"", path);
+  metrics.AddCount("peer_messages_received", labels);
+  metrics.AddCount("peer_bytes_received", labels,
+                   kStatusLineBytes + CountHeaderBytes(answer.headers) + answer.body.size());
+}
+
+void CountPeerRequest(MetricsRegistry& metrics, const httplib::Request& request) {
+  const std::string labels = fmt::format("path=\"{}\",part=\"request\"", request.path);
+  metrics.AddCount("peer_messages_received", labels);
+  metrics.AddCount("peer_bytes_received", labels,
+                   kRequestLineBytes + request.path.size() + CountHeaderBytes(request.headers) +
+                       request.body.size());
+}
+
+}  // namespace lacewingbridge
