daemon: Gossip no listed members on after a join

Cause: MemberTable::MergeListed was called by nothing; ClusterNode merged the list of a joining daemon like news, so each of up to 900 records filled its datagrams.

Change: hosts of the list that are alive and unknown are merged without gossip. All other records, such as suspicions and news about this host, go through the prober as before.

The tail of a restart of the whole fleet is not shortened by it and stays to be examined.

--- a/Source/Daemon/cluster_node.cc
+++ b/Source/Daemon/cluster_node.cc
@@ -193,7 +193,7 @@
   const std::lock_guard guard(this->mutex);
   ClusterActions result;
   this->join.HandleMembers();
-  this->MergeMembers(reply.members, now, result);
+  this->MergeListed(reply.members, now, result);
   return result;
 }
 
@@ -266,6 +266,19 @@
   this->Append(this->prober.MergeRecords(this->table, records, now), now, result);
 }
 
+void ClusterNode::MergeListed(std::span<const MemberRecord> records, TimePoint now,
+                              ClusterActions& result) {
+  for (const MemberRecord& record : records) {
+    const bool is_new =
+        record.state == MemberState::kAlive && this->table.Find(record.host) == nullptr;
+    if (!is_new) {
+      this->MergeMembers(std::span(&record, 1), now, result);
+    } else if (this->table.MergeListed(record, now) == MemberMerge::kJoined) {
+      this->AppendAction(MemberEvent{Event::kMemberJoined, record.host}, now, result);
+    }
+  }
+}
+
 void ClusterNode::MergeProgress(std::span<const DataCentreProgress> entries, TimePoint now) {
   for (const DataCentreProgress& entry : entries) {
     this->progress.Merge(entry, now);
--- a/Source/Daemon/cluster_node.h
+++ b/Source/Daemon/cluster_node.h
@@ -93,6 +93,9 @@
   void AppendAction(Action action, TimePoint now, ClusterActions& result);
 
   void MergeMembers(std::span<const MemberRecord> records, TimePoint now, ClusterActions& result);
+  // Merges the list that a joining daemon got. Its senders know these members already, so
+  // hosts that are new here are not gossiped on.
+  void MergeListed(std::span<const MemberRecord> records, TimePoint now, ClusterActions& result);
   void MergeProgress(std::span<const DataCentreProgress> entries, TimePoint now);
   void CheckOwnerMap(std::uint64_t epoch, std::string_view address, ClusterActions& result);
   void UpdateTargets(const std::vector<TargetRegistry::Change>& changes, ClusterActions& result);
