merge: Take measurements into the daemon

Change: a joining daemon's list is merged once, with the check of the own name. Conclusion: callers of changed interfaces follow.

--- a/Source/Daemon/cluster_node.cc
+++ b/Source/Daemon/cluster_node.cc
@@ -194,11 +194,8 @@
   const std::lock_guard guard(this->mutex);
   ClusterActions result;
   this->join.HandleMembers();
-  this->members_touched = true;
   this->CheckOwnName(reply.members, result);
-  for (const MemberRecord& record : reply.members) {
-    this->table.MergeListed(record, now);
-  }
+  this->MergeListed(reply.members, now, result);
   return result;
 }
 
@@ -288,6 +285,19 @@
   }
 }
 
+void ClusterNode::MergeListed(std::span<const MemberRecord> records, TimePoint now,
+                              ClusterActions& result) {
+  for (const MemberRecord& record : records) {
+    const bool is_new =
+        record.state == MemberState::kAlive && this->table.Find(record.host) == nullptr;
+    if (!is_new) {
+      this->MergeMembers(std::span(&record, 1), now, result);
+    } else if (this->table.MergeListed(record, now) == MemberMerge::kJoined) {
+      this->AppendAction(MemberEvent{Event::kMemberJoined, record.host}, now, result);
+    }
+  }
+}
+
 void ClusterNode::MergeProgress(std::span<const DataCentreProgress> entries, TimePoint now) {
   for (const DataCentreProgress& entry : entries) {
     this->progress.Merge(entry, now);
--- a/Source/Daemon/cluster_node.h
+++ b/Source/Daemon/cluster_node.h
@@ -101,6 +101,10 @@
   void MergeMembers(std::span<const MemberRecord> records, TimePoint now, ClusterActions& result);
   // Continues under a larger incarnation when an earlier process of this host had one.
   void CheckOwnName(std::span<const MemberRecord> records, ClusterActions& result);
+
+  // Merges the list that a joining daemon got. Its senders know these members already, so
+  // hosts that are new here are not gossiped on.
+  void MergeListed(std::span<const MemberRecord> records, TimePoint now, ClusterActions& result);
   void MergeProgress(std::span<const DataCentreProgress> entries, TimePoint now);
   void CheckOwnerMap(std::uint64_t epoch, std::string_view address, ClusterActions& result);
   void UpdateTargets(const std::vector<TargetRegistry::Change>& changes, ClusterActions& result);
--- a/Source/Daemon/peer_client.h
+++ b/Source/Daemon/peer_client.h
@@ -14,6 +14,7 @@
 namespace lacewingbridge {
 
 class HttpConnectionPool;
+class MetricsRegistry;
 
 // Whether a failed call may have reached the other daemon.
 struct PeerFailure {
@@ -25,9 +26,10 @@
 // Calls to other daemons: HTTP POST with protobuf bodies.
 class PeerClient {
  public:
-  // The pool must outlive the client.
-  PeerClient(HttpConnectionPool& connections, std::chrono::milliseconds call_limit)
-      : pool(connections), timeout(call_limit) {}
+  // The pool and the registry must outlive the client.
+  PeerClient(HttpConnectionPool& connections, MetricsRegistry& registry,
+             std::chrono::milliseconds call_limit)
+      : pool(connections), metrics(registry), timeout(call_limit) {}
 
   // The limit shortens the client's own time limit.
   template <typename Reply, typename Request>
@@ -52,6 +54,7 @@
                                               std::chrono::milliseconds limit);
 
   HttpConnectionPool& pool;
+  MetricsRegistry& metrics;
   std::chrono::milliseconds timeout;
 };
 
--- a/Source/Daemon/proxy_refusal.cc
+++ b/Source/Daemon/proxy_refusal.cc
@@ -21,7 +21,7 @@
   std::string_view text;
 };
 
-constexpr std::array<RefusalDescription, 15> kRefusals = {{
+constexpr std::array<RefusalDescription, 16> kRefusals = {{
     {RefusalKind::kNotReady, "not_ready", 503, true,
      "this daemon holds no rules yet; send the request again shortly"},
     {RefusalKind::kAmbiguousPath, "ambiguous_path", 400, true,
--- a/Tests/stress_daemon_state.cc
+++ b/Tests/stress_daemon_state.cc
@@ -59,7 +59,7 @@
       : services("dc-1", "carolinas", 4),
         metrics(4),
         pool(4, std::chrono::milliseconds(100)),
-        peers(this->pool, std::chrono::milliseconds(100)),
+        peers(this->pool, this->metrics, std::chrono::milliseconds(100)),
         work(3, 64) {
     Settings settings;
     settings.host = "host-1";
