tests: Add fuzzers of versions and requests

Change: FuzzRunner with shrinking and replay by seed, a world of request paths with an oracle for I4 to I7 and one broken variant for each, and a first world of versions with an oracle for I1, I2, I3 and I9.

--- /dev/null
+++ b/Tests/Fuzz/fuzz_step.h
@@ -0,0 +1,20 @@
+#ifndef LACEWINGBRIDGE_TESTS_FUZZ_FUZZ_STEP_H_
+#define LACEWINGBRIDGE_TESTS_FUZZ_FUZZ_STEP_H_
+
+#include <cstdint>
+#include <vector>
+
+namespace lacewingbridge {
+
+// One random decision of a fuzzer: which action, and two choices within it.
+struct FuzzStep {
+  std::uint32_t action = 0;
+  std::uint32_t first = 0;
+  std::uint32_t second = 0;
+};
+
+using FuzzSteps = std::vector<FuzzStep>;
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_TESTS_FUZZ_FUZZ_STEP_H_
--- /dev/null
+++ b/Tests/Fuzz/fuzz_store.h
@@ -0,0 +1,59 @@
+#ifndef LACEWINGBRIDGE_TESTS_FUZZ_FUZZ_STORE_H_
+#define LACEWINGBRIDGE_TESTS_FUZZ_FUZZ_STORE_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <random>
+#include <utility>
+
+#include "Core/time_point.h"
+#include "Fakes/fake_store.h"
+#include "Fuzz/event_queue.h"
+
+namespace lacewingbridge {
+
+// The store behind a slow network: a call takes effect and is answered some time later,
+// possibly after its caller has given up on it.
+class FuzzStore {
+ public:
+  static constexpr Duration kCallTimeout = std::chrono::seconds(2);
+
+  explicit FuzzStore(EventQueue& event_queue) : events(event_queue) {}
+
+  // call(store, now) takes effect at the store; then(reply) is called exactly once, with
+  // nothing when no answer came in time.
+  template <typename Call, typename Then>
+  void Start(std::mt19937_64& random, Call call, Then then) {
+    using Reply = decltype(call(this->store, TimePoint()));
+    auto waiting = std::make_shared<bool>(true);
+    const auto answer = [waiting, then](Reply reply) {
+      if (std::exchange(*waiting, false)) {
+        then(std::move(reply));
+      }
+    };
+    const Duration back = this->DrawDelay(random);
+    this->events.Add(this->DrawDelay(random), [this, call, answer, back] {
+      Reply reply = call(this->store, this->events.GetNow());
+      if (reply.has_value()) {
+        this->events.Add(back, [answer, reply] { answer(reply); });
+      }
+    });
+    this->events.Add(kCallTimeout, [answer] { answer(std::nullopt); });
+  }
+
+  FakeStore store;
+
+ private:
+  Duration DrawDelay(std::mt19937_64& random) const {
+    const auto limit = static_cast<std::uint64_t>(this->store.GetDelay().count());
+    return std::chrono::milliseconds(1) +
+           Duration(limit == 0 ? 0 : static_cast<std::int64_t>(random() % limit));
+  }
+
+  EventQueue& events;
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_TESTS_FUZZ_FUZZ_STORE_H_
--- /dev/null
+++ b/Tests/Fuzz/request_daemon.h
@@ -0,0 +1,47 @@
+#ifndef LACEWINGBRIDGE_TESTS_FUZZ_REQUEST_DAEMON_H_
+#define LACEWINGBRIDGE_TESTS_FUZZ_REQUEST_DAEMON_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+
+#include "Claims/claim_limits.h"
+#include "Claims/claim_owner_view.h"
+#include "Core/result.h"
+#include "Quarantine/quarantine_table.h"
+#include "Retry/retry_budget.h"
+
+namespace lacewingbridge {
+
+// The request state of one daemon process. Parts names the types that a test may replace
+// by deliberately broken ones.
+template <typename Parts>
+struct RequestDaemon {
+  RequestDaemon(std::size_t index, std::uint64_t own_incarnation, const ClaimLimits& limits,
+                const ClaimOwnerView& owner_view, TimePoint now)
+      : host("host-" + std::to_string(index)),
+        incarnation(own_incarnation),
+        selector("dc-" + std::to_string(index % 2), "region-" + std::to_string(index % 2),
+                 Duration{0}),
+        budget(now),
+        quarantine(QuarantineLimits{}),
+        table(GetValue(Parts::Table::Create(this->host, own_incarnation, limits))),
+        view(owner_view) {
+    this->table.AdoptMap(now, this->view);
+  }
+
+  std::string host;
+  std::uint64_t incarnation;
+  typename Parts::Selector selector;
+  RetryBudget budget;
+  QuarantineTable quarantine;
+  typename Parts::Table table;
+  ClaimOwnerView view;
+  std::map<std::string, std::uint64_t> target_incarnations;
+  TimePoint paused_until{};
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_TESTS_FUZZ_REQUEST_DAEMON_H_
--- /dev/null
+++ b/Tests/Fuzz/request_oracle.cc
@@ -0,0 +1,49 @@
+#include "Fuzz/request_oracle.h"
+
+namespace lacewingbridge {
+
+void RequestOracle::Report(std::string_view text, std::uint64_t send) {
+  if (this->violation.empty()) {
+    this->violation =
+        std::string(text) + ", send " + std::to_string(send) + " of " + this->GetSend(send).key;
+  }
+}
+
+std::uint64_t RequestOracle::AddSend(const Send& send) {
+  this->sends.push_back(send);
+  return this->sends.size();
+}
+
+void RequestOracle::NoteRun(std::uint64_t send, TimePoint now, Duration drained_for) {
+  const Send& request = this->GetSend(send);
+  if (this->told_not_run.contains(send)) {
+    this->Report("I5 runs after its caller was told that it did not", send);
+  }
+  if (drained_for > this->drain_time) {
+    this->Report("I7 new work on a target that is leaving", send);
+  }
+  if (!request.idempotent) {
+    const auto last = this->last_run.find(request.key);
+    if (last != this->last_run.end() && now - last->second < this->retention) {
+      this->Report("I6 runs again", send);
+    }
+    this->last_run[request.key] = now;
+  }
+  this->ran.insert(send);
+}
+
+void RequestOracle::NoteNotRun(std::uint64_t send) {
+  this->told_not_run.insert(send);
+  if (this->ran.contains(send)) {
+    this->Report("I5 told not run after it ran", send);
+  }
+}
+
+void RequestOracle::NoteAnswer(std::uint64_t send, std::string_view answer) {
+  ++this->answers;
+  if (answer != MakeAnswer(this->GetSend(send))) {
+    this->Report("I4 another or an incomplete answer", send);
+  }
+}
+
+}  // namespace lacewingbridge
--- /dev/null
+++ b/Tests/Fuzz/request_world.h
@@ -0,0 +1,366 @@
+#ifndef LACEWINGBRIDGE_TESTS_FUZZ_REQUEST_WORLD_H_
+#define LACEWINGBRIDGE_TESTS_FUZZ_REQUEST_WORLD_H_
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "Fuzz/event_queue.h"
+#include "Fuzz/fault_state.h"
+#include "Fuzz/fuzz_step.h"
+#include "Fuzz/request_attempt.h"
+#include "Fuzz/request_daemon.h"
+#include "Fuzz/request_oracle.h"
+#include "Fuzz/request_target.h"
+
+namespace lacewingbridge {
+
+// Four daemons that own keys and send to five targets, with callers that send a request
+// again through any daemon. The owner map is fixed; ClaimsCluster changes it.
+template <typename Parts>
+class RequestWorld {
+ public:
+  using Daemon = RequestDaemon<Parts>;
+  using Attempt = RequestAttempt<RequestWorld, Parts>;
+  static constexpr std::size_t kHosts = 4;
+  static constexpr std::size_t kTargets = 5;
+  // Longest time until every daemon knows of a target that leaves.
+  static constexpr Duration kNoticeTime = std::chrono::seconds(2);
+
+  explicit RequestWorld(std::uint64_t seed) : random(seed) {
+    ClaimOwnerMap map{1, {}, {}};
+    for (std::size_t host = 0; host < kHosts; ++host) {
+      map.hosts.push_back("host-" + std::to_string(host));
+      map.founding_incarnations.push_back(host + 1);
+    }
+    this->view.Adopt(map);
+    for (std::size_t host = 0; host < kHosts; ++host) {
+      this->StartDaemon(host);
+    }
+    for (std::size_t i = 0; i < kTargets; ++i) {
+      this->targets[i].address = "10.1.0." + std::to_string(i) + ":9000";
+    }
+    this->Refresh();
+  }
+
+  void RunStep(const FuzzStep& step) {
+    const std::size_t host = step.first % kHosts;
+    RequestTarget& target = this->targets[step.first % kTargets];
+    switch (step.action % kActions) {
+      case 0:
+      case 1:
+      case 2:
+        this->SendRequest(host, "key-" + std::to_string(step.second % 6), false);
+        break;
+      case 3:
+      case 4:
+        this->SendRequest(host, "lookup-" + std::to_string(step.second % 6), true);
+        break;
+      case 5:
+        this->RestartDaemon(host);
+        break;
+      case 6:
+        this->Pause(host, std::chrono::milliseconds(step.second % 30000));
+        break;
+      case 7:
+        this->CrashTarget(target);
+        break;
+      case 8:
+        this->RestartTarget(target);
+        break;
+      case 9:
+        this->DrainTarget(target);
+        break;
+      default:
+        this->RunFault(step, target);
+        break;
+    }
+    this->Advance(std::chrono::milliseconds((step.second >> 8U) % 800));
+  }
+
+  void Finish() {
+    this->faults = FaultState{};
+    this->Advance(std::chrono::seconds(60));
+    runs += this->oracle.GetRunCount();
+    answers += this->oracle.GetAnswerCount();
+  }
+
+  const std::string& GetViolation() const { return this->oracle.GetViolation(); }
+  static std::string Describe(const FuzzStep& step) {
+    static constexpr const char* kNames[kActions] = {
+        "order",        "order",         "order",        "lookup", "lookup", "restart daemon",
+        "pause daemon", "crash target",  "start target", "drain",  "shed",   "lie",
+        "slow target",  "lose messages", "heal network", "poison", "wait"};
+    return std::string(kNames[step.action % kActions]) + " first " + std::to_string(step.first) +
+           " second " + std::to_string(step.second);
+  }
+
+  // Used by the attempts.
+  Daemon& GetDaemon(std::size_t host) { return *this->daemons[host]; }
+  bool IsListening(std::string_view address) { return this->FindTarget(address).alive; }
+
+  // Runs the action in the process that the host has now, after any pause of it.
+  void Later(std::size_t host, Duration delay, std::function<void()> action) {
+    const std::weak_ptr<Daemon> weak = this->daemons[host];
+    this->events.Add(delay, [this, host, weak, action = std::move(action)] {
+      const std::shared_ptr<Daemon> daemon = weak.lock();
+      if (daemon != nullptr && this->events.GetNow() < daemon->paused_until) {
+        this->Later(host, daemon->paused_until - this->events.GetNow(), action);
+      } else if (daemon != nullptr) {
+        action();
+      }
+    });
+  }
+
+  // Asks the owner of the key; then(reply) follows once, empty after a failure.
+  template <typename Then>
+  void AskOwner(std::size_t host, const ClaimRequest& request, Then then) {
+    const std::size_t owner = this->FindOwner(request.key);
+    auto waiting = std::make_shared<bool>(true);
+    const auto finish = [waiting, then](const std::optional<ClaimReply>& reply) {
+      if (std::exchange(*waiting, false)) {
+        then(reply);
+      }
+    };
+    this->Later(host, std::chrono::seconds(2), [finish] { finish(std::nullopt); });
+    const std::weak_ptr<Daemon> caller = this->daemons[host];
+    const int copies = this->faults.Draws(this->faults.repeated_percent, this->random) ? 2 : 1;
+    for (int i = 0; i < copies; ++i) {
+      if (this->faults.Draws(this->faults.dropped_percent, this->random)) {
+        continue;
+      }
+      this->Later(owner, this->faults.DrawDelay(this->random), [=, this] {
+        const ClaimReply reply = this->daemons[owner]->table.Claim(this->events.GetNow(), request);
+        const bool lost = this->faults.Draws(this->faults.dropped_percent, this->random);
+        if (!lost && caller.lock() == this->daemons[host]) {
+          this->Later(host, this->faults.DrawDelay(this->random),
+                      [finish, reply] { finish(reply); });
+        }
+      });
+    }
+  }
+
+  // Reports until the owner has recorded the outcome or the tries are used up.
+  void SendReport(std::size_t host, const ClaimDoneRequest& report, int tries) {
+    const std::size_t owner = this->FindOwner(report.key);
+    auto recorded = std::make_shared<bool>(false);
+    if (!this->faults.Draws(this->faults.dropped_percent, this->random)) {
+      this->Later(owner, this->faults.DrawDelay(this->random), [=, this] {
+        *recorded = this->daemons[owner]->table.Finish(this->events.GetNow(), report).recorded;
+      });
+    }
+    if (tries > 1) {
+      this->Later(host, std::chrono::milliseconds(500), [=, this] {
+        if (!*recorded) {
+          this->SendReport(host, report, tries - 1);
+        }
+      });
+    }
+  }
+
+  // Sends to a target; then(outcome) follows once in the sending process.
+  template <typename Then>
+  void Send(std::size_t host, std::uint64_t send, std::string_view address, Duration time_left,
+            Then then) {
+    RequestTarget& target = this->FindTarget(address);
+    const Duration soon = std::chrono::milliseconds(1);
+    if (!target.alive) {
+      this->Later(host, soon, [then] { then(TargetOutcome::kConnectionRefused); });
+      return;
+    }
+    if (target.shedding || target.in_flight >= 4) {
+      this->Later(host, soon, [then] { then(TargetOutcome::kShed); });
+      return;
+    }
+    const TimePoint now = this->events.GetNow();
+    // A daemon that was paused may not have read yet that the target leaves.
+    const TimePoint noticed =
+        std::max(target.draining_since.value_or(now), this->daemons[host]->paused_until);
+    this->oracle.NoteRun(send, now, now - noticed);
+    if (this->oracle.GetSend(send).key == this->poison) {
+      this->CrashTarget(target);
+      this->Later(host, soon, [then] { then(TargetOutcome::kLostMidRequest); });
+      return;
+    }
+    this->Run(host, target, time_left, std::move(then));
+  }
+
+  EventQueue events;
+  std::mt19937_64 random;
+  RequestOracle oracle{kLimits.retention, kNoticeTime + std::chrono::seconds(1)};
+
+  // Figures over all worlds of the program.
+  inline static std::size_t runs = 0;
+  inline static std::size_t answers = 0;
+
+ private:
+  static constexpr std::uint32_t kActions = 17;
+  static constexpr ClaimLimits kLimits{std::chrono::seconds(20), std::chrono::seconds(5), 100,
+                                       1 << 20};
+
+  void RunFault(const FuzzStep& step, RequestTarget& target) {
+    switch (step.action % kActions) {
+      case 10:
+        target.shedding = !target.shedding;
+        break;
+      case 11:
+        target.lying = !target.lying;
+        break;
+      case 12:
+        target.latency = std::chrono::milliseconds(step.second % 3000);
+        break;
+      case 13:
+        this->faults.dropped_percent = step.first % 60;
+        this->faults.repeated_percent = step.second % 40;
+        this->faults.longest_delay = std::chrono::milliseconds(1 + step.second % 3000);
+        break;
+      case 14:
+        this->faults = FaultState{};
+        break;
+      case 15:
+        this->poison = "lookup-" + std::to_string(step.first % 6);
+        break;
+      default:
+        this->Advance(std::chrono::milliseconds(step.second % 10000));
+        break;
+    }
+  }
+
+  template <typename Then>
+  void Run(std::size_t host, RequestTarget& target, Duration time_left, Then then) {
+    ++target.in_flight;
+    auto waiting = std::make_shared<bool>(true);
+    const auto finish = [waiting, then](TargetOutcome outcome) {
+      if (std::exchange(*waiting, false)) {
+        then(outcome);
+      }
+    };
+    this->Later(host, std::max(time_left, Duration(1)),
+                [finish] { finish(TargetOutcome::kLostMidRequest); });
+    const std::weak_ptr<Daemon> caller = this->daemons[host];
+    const bool lost = this->faults.Draws(this->faults.dropped_percent, this->random);
+    this->events.Add(target.latency + Duration(1),
+                     [=, this, &target, incarnation = target.incarnation] {
+                       const bool crashed = target.incarnation != incarnation || !target.alive;
+                       target.in_flight -= crashed ? 0 : 1;
+                       if (caller.lock() == this->daemons[host]) {
+                         this->Later(host, Duration(1), [finish, fails = crashed || lost] {
+                           finish(fails ? TargetOutcome::kLostMidRequest : TargetOutcome::kOk);
+                         });
+                       }
+                     });
+  }
+
+  void SendRequest(std::size_t host, const std::string& key, bool idempotent) {
+    const std::uint64_t send = this->oracle.AddSend({key, idempotent});
+    this->Later(host, Duration{0},
+                [this, host, send] { std::make_shared<Attempt>(*this, host, send)->Start(); });
+  }
+
+  void StartDaemon(std::size_t host) {
+    this->daemons[host] = std::make_shared<Daemon>(host, ++this->last_incarnation, kLimits,
+                                                   this->view, this->events.GetNow());
+  }
+  void RestartDaemon(std::size_t host) {
+    const std::uint64_t lost = this->daemons[host]->incarnation;
+    this->StartDaemon(host);
+    this->RefreshDaemon(host);
+    for (std::size_t other = 0; other < kHosts; ++other) {
+      this->Later(other, std::chrono::milliseconds(this->random() % 3000),
+                  [this, other, host, lost] {
+                    this->daemons[other]->table.MarkCallerGone(this->events.GetNow(),
+                                                               this->daemons[host]->host, lost);
+                  });
+    }
+  }
+  void Pause(std::size_t host, Duration duration) {
+    TimePoint& until = this->daemons[host]->paused_until;
+    until = std::max(until, this->events.GetNow() + duration);
+  }
+
+  void CrashTarget(RequestTarget& target) {
+    target.alive = false;
+    target.in_flight = 0;
+  }
+  void RestartTarget(RequestTarget& target) {
+    target.alive = true;
+    target.in_flight = 0;
+    target.shedding = false;
+    target.draining_since.reset();
+    ++target.incarnation;
+    this->Refresh();
+  }
+  void DrainTarget(RequestTarget& target) {
+    if (target.alive && !target.draining_since.has_value()) {
+      target.draining_since = this->events.GetNow();
+      this->Refresh();
+    }
+  }
+
+  // Every daemon hears of the targets some time later; a paused one when it goes on.
+  void Refresh() {
+    for (std::size_t host = 0; host < kHosts; ++host) {
+      const auto limit = static_cast<std::uint64_t>(kNoticeTime.count());
+      this->Later(host, Duration(static_cast<std::int64_t>(this->random() % limit)),
+                  [this, host] { this->RefreshDaemon(host); });
+    }
+  }
+  void RefreshDaemon(std::size_t host) {
+    Daemon& daemon = *this->daemons[host];
+    std::vector<TargetEndpoint> endpoints;
+    for (std::size_t i = 0; i < kTargets; ++i) {
+      endpoints.push_back(this->targets[i].MakeEndpoint(i));
+      std::uint64_t& known = daemon.target_incarnations[this->targets[i].address];
+      if (std::exchange(known, this->targets[i].incarnation) != this->targets[i].incarnation) {
+        daemon.quarantine.NoteIncarnation(this->events.GetNow(), this->targets[i].address, known);
+      }
+    }
+    daemon.selector.UpdateTargets(this->events.GetNow(), endpoints);
+  }
+
+  RequestTarget& FindTarget(std::string_view address) {
+    return *std::find_if(
+        this->targets.begin(), this->targets.end(),
+        [address](const RequestTarget& target) { return target.address == address; });
+  }
+  std::size_t FindOwner(std::string_view key) const {
+    return static_cast<std::size_t>(this->view.FindOwner(key).back() - '0');
+  }
+
+  void SpreadStrikes() {
+    for (std::size_t from = 0; from < kHosts; ++from) {
+      const std::vector<QuarantineStrike> strikes = this->daemons[from]->quarantine.TakeStrikes(4);
+      for (std::size_t to = 0; to < kHosts && !strikes.empty(); ++to) {
+        if (!this->faults.Draws(this->faults.dropped_percent, this->random)) {
+          this->Later(to, this->faults.DrawDelay(this->random), [this, to, strikes] {
+            this->daemons[to]->quarantine.MergeStrikes(this->events.GetNow(), strikes);
+          });
+        }
+      }
+    }
+  }
+  void Advance(Duration duration) {
+    this->SpreadStrikes();
+    this->events.RunUntil(this->events.GetNow() + duration);
+  }
+
+  FaultState faults;
+  ClaimOwnerView view;
+  std::array<std::shared_ptr<Daemon>, kHosts> daemons;
+  std::array<RequestTarget, kTargets> targets;
+  std::uint64_t last_incarnation = 0;
+  std::string poison;
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_TESTS_FUZZ_REQUEST_WORLD_H_
--- /dev/null
+++ b/Tests/Fuzz/version_network.h
@@ -0,0 +1,130 @@
+#ifndef LACEWINGBRIDGE_TESTS_FUZZ_VERSION_NETWORK_H_
+#define LACEWINGBRIDGE_TESTS_FUZZ_VERSION_NETWORK_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "Fuzz/event_queue.h"
+#include "Fuzz/fault_state.h"
+#include "Fuzz/fuzz_store.h"
+#include "Fuzz/version_oracle.h"
+#include "membership.h"
+
+namespace lacewingbridge {
+
+// What the processes of a version fuzzer share: time, store, faults and the network.
+template <typename Node>
+class VersionNetwork {
+ public:
+  static constexpr Duration kPeerTimeout = std::chrono::seconds(2);
+
+  VersionNetwork(std::uint64_t seed, std::vector<std::size_t> host_data_centres)
+      : random(seed),
+        data_centres(std::move(host_data_centres)),
+        nodes(this->data_centres.size()) {}
+
+  static std::string GetAddress(std::size_t host) {
+    return "10.0.0." + std::to_string(host + 1) + ":7000";
+  }
+  static std::size_t FindHost(std::string_view address) {
+    return static_cast<std::size_t>(std::stoul(std::string(address.substr(7)))) - 1;
+  }
+
+  bool IsCut(std::size_t left, std::size_t right) const {
+    return this->faults.IsCut(this->data_centres[left], this->data_centres[right]);
+  }
+
+  void SendDatagram(std::size_t from, std::string_view address, const GossipDatagram& datagram) {
+    const std::size_t to = FindHost(address);
+    const int copies = this->faults.Draws(this->faults.repeated_percent, this->random) ? 2 : 1;
+    for (int i = 0; i < copies; ++i) {
+      if (this->IsCut(from, to) || this->faults.Draws(this->faults.dropped_percent, this->random)) {
+        continue;
+      }
+      GossipDatagram sent = datagram;
+      if (sent.delta.has_value() &&
+          this->faults.Draws(this->faults.corrupted_percent, this->random)) {
+        sent.delta->edits.push_back({0, 0, "service forged # nobody\n"});
+      }
+      this->events.Add(this->faults.DrawDelay(this->random), [this, from, to, sent] {
+        if (this->nodes[to] != nullptr) {
+          this->nodes[to]->Later(Duration{0}, [this, from, to, sent] {
+            this->nodes[to]->HandleDatagram(sent, GetAddress(from));
+          });
+        }
+      });
+    }
+  }
+
+  // answer(peer) runs at the peer; then(reply) runs at the caller, with nothing when the
+  // call failed.
+  template <typename Answer, typename Then>
+  void CallPeer(std::size_t from, std::string_view address, Answer answer, Then then) {
+    using Reply = decltype(answer(*this->nodes[0]));
+    const std::size_t to = FindHost(address);
+    auto waiting = std::make_shared<bool>(true);
+    const auto finish = [waiting, then](std::optional<Reply> reply) {
+      if (std::exchange(*waiting, false)) {
+        then(std::move(reply));
+      }
+    };
+    Node& caller = *this->nodes[from];
+    if (this->nodes[to] == nullptr && !this->IsCut(from, to)) {
+      caller.Later(std::chrono::milliseconds(1), [finish] { finish(std::nullopt); });
+      return;
+    }
+    caller.Later(kPeerTimeout, [finish] { finish(std::nullopt); });
+    if (this->IsCut(from, to) || this->faults.Draws(this->faults.dropped_percent, this->random)) {
+      return;
+    }
+    const std::weak_ptr<Node> weak = this->nodes[from];
+    this->nodes[to]->Later(this->faults.DrawDelay(this->random), [=, this] {
+      Reply reply = answer(*this->nodes[to]);
+      const std::shared_ptr<Node> back = weak.lock();
+      if (back != nullptr && !this->IsCut(from, to)) {
+        back->Later(this->faults.DrawDelay(this->random), [finish, reply] { finish(reply); });
+      }
+    });
+  }
+
+  // A call of a process to the store; then(reply) runs only while the process lives.
+  template <typename Call, typename Then>
+  void CallStore(std::size_t from, Call call, Then then) {
+    const std::weak_ptr<Node> weak = this->nodes[from];
+    const auto guarded = [weak, then](auto reply) {
+      if (const std::shared_ptr<Node> node = weak.lock()) {
+        node->Later(Duration{0}, [then, reply] { then(reply); });
+      }
+    };
+    const bool reachable = this->IsStoreReachable(from);
+    this->store.Start(
+        this->random,
+        [call, reachable](FakeStore& target, TimePoint now) {
+          return reachable ? call(target, now) : decltype(call(target, now))();
+        },
+        guarded);
+  }
+  bool IsStoreReachable(std::size_t from) const {
+    return !this->faults.cut_from_store.contains(this->data_centres[from]);
+  }
+
+  EventQueue events;
+  FuzzStore store{this->events};
+  FaultState faults;
+  std::mt19937_64 random;
+  VersionOracle oracle;
+  // Data centre of each host; two data centres form a region.
+  std::vector<std::size_t> data_centres;
+  // The process on each host; null while there is none.
+  std::vector<std::shared_ptr<Node>> nodes;
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_TESTS_FUZZ_VERSION_NETWORK_H_
--- /dev/null
+++ b/Tests/Fuzz/version_world.h
@@ -0,0 +1,319 @@
+#ifndef LACEWINGBRIDGE_TESTS_FUZZ_VERSION_WORLD_H_
+#define LACEWINGBRIDGE_TESTS_FUZZ_VERSION_WORLD_H_
+
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "Core/digest.h"
+#include "Daemon/event_log.h"
+#include "Fuzz/fuzz_step.h"
+#include "Fuzz/version_node.h"
+#include "Fuzz/version_submission.h"
+#include "Rules/rules_delta.h"
+
+namespace lacewingbridge {
+
+// Eight daemons in four data centres of two regions, their operators and the store, with
+// every fault of section 1.4 of the design page that concerns versions.
+template <typename Parts>
+class VersionWorld {
+ public:
+  using Node = VersionNode<Parts>;
+  // Injected time after the last fault within which every daemon holds the highest
+  // accepted version and the store agrees.
+  static constexpr Duration kConvergence = std::chrono::seconds(60);
+  // Time that converged daemons are watched for a later change.
+  static constexpr Duration kRest = std::chrono::seconds(20);
+
+  explicit VersionWorld(std::uint64_t seed) : network(seed, {0, 0, 0, 1, 1, 2, 2, 3}) {
+    EventLog::Configure("fuzz", "error");
+    for (std::size_t host = 0; host < kHosts; ++host) {
+      this->StartHost(host);
+    }
+    this->Submit(0);
+    this->Advance(std::chrono::seconds(10));
+  }
+
+  void RunStep(const FuzzStep& step) {
+    const std::size_t host = step.first % kHosts;
+    switch (step.action % kActions) {
+      case 0:
+      case 1:
+      case 2:
+        this->Submit(host);
+        break;
+      case 3:
+        this->Resume(host, step.second);
+        break;
+      case 4:
+        this->Crash(host);
+        break;
+      case 5:
+        // A herd: all hosts of a random set at once.
+        for (std::size_t other = 0; other < kHosts; ++other) {
+          if ((step.first >> other & 1U) != 0) {
+            this->Crash(other);
+          }
+        }
+        break;
+      case 6:
+      case 7:
+        for (std::size_t other = 0; other < kHosts; ++other) {
+          this->StartHost(other);
+        }
+        break;
+      case 8:
+        this->Pause(host, std::chrono::milliseconds(step.second % 15000));
+        break;
+      default:
+        this->RunFault(step);
+        break;
+    }
+    this->Advance(std::chrono::milliseconds(step.second >> 8U) % std::chrono::milliseconds(3000));
+  }
+
+  // Ends every fault and checks that the daemons and the store agree in time.
+  void Finish() {
+    this->Heal();
+    this->WaitForPauses();
+    const VersionStamp expected = this->GetHighestLeft();
+    const TimePoint healed = this->network.events.GetNow();
+    for (std::size_t host = 0; host < kHosts; ++host) {
+      this->StartHost(host);
+    }
+    while (!this->HasConverged(expected)) {
+      if (this->network.events.GetNow() - healed >= kConvergence) {
+        this->network.oracle.Report("I9", 0, "not converged: " + this->DescribeHeld(expected));
+        return;
+      }
+      this->Advance(std::chrono::milliseconds(100));
+    }
+    longest = std::max(longest, Duration(this->network.events.GetNow() - healed));
+    accepted += this->network.oracle.GetAcceptedCount();
+    older_after_restart += this->network.oracle.GetOlderAfterRestart();
+    this->Advance(kRest);
+    if (!this->HasConverged(expected)) {
+      this->network.oracle.Report("I9", 0, "diverged again: " + this->DescribeHeld(expected));
+    }
+  }
+
+  const std::string& GetViolation() const { return this->network.oracle.GetViolation(); }
+  static std::string Describe(const FuzzStep& step) {
+    static constexpr const char* kNames[kActions] = {
+        "submit",        "submit",      "submit",         "resume",     "crash",    "crash herd",
+        "start all",     "start all",   "pause",          "store down", "store up", "store slow",
+        "lose answers",  "lose leases", "remember state", "lose state", "cut pair", "cut store",
+        "heal networks", "bad network", "announce",       "heal all"};
+    return std::string(kNames[step.action % kActions]) + " host " +
+           std::to_string(step.first % kHosts) + " first " + std::to_string(step.first) +
+           " second " + std::to_string(step.second);
+  }
+
+  // Figures over all worlds of the program.
+  inline static Duration longest{};
+  inline static std::size_t accepted = 0;
+  inline static std::size_t older_after_restart = 0;
+
+ private:
+  static constexpr std::size_t kHosts = 8;
+  static constexpr std::uint32_t kActions = 22;
+
+  void RunFault(const FuzzStep& step) {
+    FaultState& faults = this->network.faults;
+    FakeStore& store = this->network.store.store;
+    const std::size_t left = step.first % 4;
+    const std::size_t right = (left + 1 + step.second % 3) % 4;
+    switch (step.action % kActions) {
+      case 9:
+        store.SetDown(true);
+        break;
+      case 10:
+        store.SetDown(false);
+        store.SetDelay(Duration{0});
+        break;
+      case 11:
+        store.SetDelay(std::chrono::milliseconds(step.first % 3000));
+        break;
+      case 12:
+        store.LoseSwapAnswers(1 + step.first % 3);
+        break;
+      case 13:
+        store.LoseLeaseAnswers(1 + step.first % 3);
+        break;
+      case 14:
+        store.RememberState();
+        break;
+      case 15:
+        store.LoseRecentState();
+        this->network.oracle.NoteStateLost();
+        break;
+      case 16:
+        faults.cut.insert(std::minmax(left, right));
+        break;
+      case 17:
+        faults.cut_from_store.insert(left);
+        break;
+      case 18:
+        faults = FaultState{};
+        break;
+      case 19:
+        faults.dropped_percent = step.first % 50;
+        faults.repeated_percent = step.second % 30;
+        faults.corrupted_percent = step.first % 20;
+        faults.longest_delay = std::chrono::milliseconds(1 + step.second % 1500);
+        break;
+      case 20:
+        this->Announce(step.first % kHosts, step.second);
+        break;
+      default:
+        this->Heal();
+        break;
+    }
+  }
+
+  void Heal() {
+    this->network.faults = FaultState{};
+    this->network.store.store.SetDown(false);
+    this->network.store.store.SetDelay(Duration{0});
+  }
+  void WaitForPauses() {
+    for (const std::shared_ptr<Node>& node : this->network.nodes) {
+      if (node != nullptr) {
+        this->Advance(std::max(node->GetPauseEnd() - this->network.events.GetNow(), Duration{0}));
+      }
+    }
+  }
+
+  void StartHost(std::size_t host) {
+    if (this->network.nodes[host] == nullptr) {
+      this->network.oracle.NoteStarted(host);
+      this->network.nodes[host] =
+          std::make_shared<Node>(this->network, host, ++this->last_incarnation);
+      this->network.nodes[host]->Start();
+    }
+  }
+  void Crash(std::size_t host) { this->network.nodes[host].reset(); }
+  void Pause(std::size_t host, Duration duration) {
+    if (this->network.nodes[host] != nullptr) {
+      this->network.nodes[host]->PauseUntil(this->network.events.GetNow() + duration);
+    }
+  }
+  void Announce(std::size_t host, std::uint32_t choice) {
+    if (this->network.nodes[host] != nullptr) {
+      const std::string service = "service-" + std::to_string(choice % 5);
+      const std::string address = "10.0.0." + std::to_string(host + 1) + ":9000";
+      this->network.nodes[host]->Announce(
+          {service, address, 1 + choice % 9, choice % 3 == 0, 0, 1});
+    }
+  }
+
+  // An operator edits what the daemon holds.
+  void Submit(std::size_t host) {
+    if (this->network.nodes[host] == nullptr) {
+      return;
+    }
+    SubmitRequest request;
+    request.submission_id = "submission-" + std::to_string(this->requests.size());
+    request.operator_name = "operator-" + std::to_string(this->requests.size() % 2);
+    request.base = this->network.nodes[host]->GetRules().GetStamp();
+    request.text = this->MakeText(request.submission_id);
+    this->AddDelta(host, request);
+    this->requests.push_back(request);
+    this->StartSubmission(host, request);
+  }
+  // An operator whose earlier attempt may have ended without an answer asks again.
+  void Resume(std::size_t host, std::uint32_t choice) {
+    if (this->network.nodes[host] != nullptr && !this->requests.empty()) {
+      SubmitRequest request = this->requests[choice % this->requests.size()];
+      request.resumed = true;
+      this->StartSubmission(host, request);
+    }
+  }
+  void StartSubmission(std::size_t host, const SubmitRequest& request) {
+    using Submission = VersionSubmission<VersionNetwork<Node>, Node>;
+    const std::uint64_t attempt = this->network.oracle.StartAttempt(request.submission_id);
+    const auto submission = std::make_shared<Submission>(this->network, this->network.nodes[host],
+                                                         host, request, attempt);
+    this->network.nodes[host]->Later(Duration{0}, [submission] { submission->Start(); });
+  }
+  void AddDelta(std::size_t host, SubmitRequest& request) {
+    const auto held = this->network.nodes[host]->GetRules().GetHeld();
+    if (held != nullptr && this->network.random() % 4 != 0) {
+      RulesDeltaScript delta = RulesDelta::Compute(held->text, request.text);
+      delta.parent = held->stamp;
+      delta.result = {held->stamp.number + 1, ComputeDigest(request.text)};
+      delta.origin = {request.submission_id, request.operator_name, 0};
+      request.delta_encoded_bytes = Encode(delta).size();
+      request.delta = std::move(delta);
+    }
+  }
+  // The services that exist differ from version to version.
+  std::string MakeText(const std::string& id) {
+    std::string text;
+    for (std::size_t i = 0; i < 5; ++i) {
+      const std::string name = "service-" + std::to_string(i);
+      if (i == 0 || this->network.random() % 2 == 0) {
+        text += "service " + name + " # operator: " + id + "\n";
+        text += "route route-" + std::to_string(i) + " path=/" + name + " service=" + name +
+                " # operator\n";
+      }
+    }
+    return text;
+  }
+
+  // The highest version that the store or a live daemon still has. Unless the store lost
+  // state, that is the highest version ever accepted.
+  VersionStamp GetHighestLeft() {
+    if (!this->network.oracle.IsStateLost()) {
+      return this->network.oracle.GetHighest();
+    }
+    VersionStamp best = this->GetStoredStamp();
+    for (const std::shared_ptr<Node>& node : this->network.nodes) {
+      if (node != nullptr && IsNewer(node->GetRules().GetStamp(), best)) {
+        best = node->GetRules().GetStamp();
+      }
+    }
+    return best;
+  }
+  VersionStamp GetStoredStamp() {
+    const StoredHead stored =
+        DecodeHead(this->network.store.store.Peek(kHeadKey, this->network.events.GetNow()));
+    return stored.head.has_value() ? stored.head->stamp : VersionStamp{};
+  }
+  // All daemons serve the version of the store, which is not older than the expected one.
+  bool HasConverged(const VersionStamp& expected) {
+    const VersionStamp stored = this->GetStoredStamp();
+    return !IsNewer(expected, stored) &&
+           std::all_of(this->network.nodes.begin(), this->network.nodes.end(),
+                       [&](const std::shared_ptr<Node>& node) {
+                         return node->IsReady() && node->GetRules().GetStamp() == stored;
+                       });
+  }
+  std::string DescribeHeld(const VersionStamp& expected) {
+    std::string text = "expected " + std::to_string(expected.number) + ", store " +
+                       std::to_string(this->GetStoredStamp().number) + ", held";
+    for (const std::shared_ptr<Node>& node : this->network.nodes) {
+      text += " " + std::to_string(node->GetRules().GetStamp().number);
+      text += node->IsReady() ? "" : " (not ready)";
+    }
+    return text;
+  }
+
+  void Advance(Duration duration) {
+    this->network.events.RunUntil(this->network.events.GetNow() + duration);
+  }
+
+  VersionNetwork<Node> network;
+  std::vector<SubmitRequest> requests;
+  std::uint64_t last_incarnation = 0;
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_TESTS_FUZZ_VERSION_WORLD_H_
--- /dev/null
+++ b/Tests/test_fuzz_requests.cc
@@ -0,0 +1,144 @@
+// Guards against requests that run twice, run after their caller was told that they did
+// not, end with another request's answer, or start on a target that is leaving.
+#include <criterion/criterion.h>
+
+#include <string>
+#include <vector>
+
+#include "Claims/claim_table.h"
+#include "Fuzz/fuzz_runner.h"
+#include "Fuzz/request_world.h"
+#include "Routing/target_selector.h"
+
+using namespace lacewingbridge;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+struct RealParts {
+  using Selector = TargetSelector;
+  using Table = ClaimTable;
+  using Gate = ClaimGate;
+  using Policy = RetryPolicy;
+};
+
+// Broken on purpose: takes a target that drains for one that stays.
+class DeafSelector : public TargetSelector {
+ public:
+  using TargetSelector::TargetSelector;
+  void UpdateTargets(TimePoint now, std::span<const TargetEndpoint> targets) {
+    std::vector<TargetEndpoint> copies(targets.begin(), targets.end());
+    for (TargetEndpoint& endpoint : copies) {
+      endpoint.draining = false;
+    }
+    TargetSelector::UpdateTargets(now, copies);
+  }
+};
+
+// Broken on purpose: says not run when the answer was lost.
+struct HopefulPolicy {
+  static RetryDecision Decide(TimePoint now, const RetryRoute& route, const RetryAttempt& attempt,
+                              RetryBudget& budget) {
+    RetryDecision decision = RetryPolicy::Decide(now, route, attempt, budget);
+    if (decision.action == RetryAction::kGiveUpUnknown) {
+      decision.action = RetryAction::kGiveUpNotRun;
+    }
+    return decision;
+  }
+};
+
+// Broken on purpose: a process that starts takes every key for free.
+class ForgetfulTable : public ClaimTable {
+ public:
+  static Result<ForgetfulTable> Create(std::string_view host, std::uint64_t incarnation,
+                                       const ClaimLimits& limits) {
+    return ForgetfulTable(GetValue(ClaimTable::Create(host, incarnation, limits)),
+                          std::string(host), incarnation);
+  }
+  bool AdoptMap(TimePoint now, const ClaimOwnerView& next) {
+    ClaimOwnerMap map = next.GetMap();
+    for (std::size_t i = 0; i < map.hosts.size(); ++i) {
+      if (map.hosts[i] == this->name) {
+        map.founding_incarnations[i] = this->process;
+      }
+    }
+    ClaimOwnerView founded;
+    founded.Adopt(map);
+    return ClaimTable::AdoptMap(now, founded);
+  }
+
+ private:
+  ForgetfulTable(ClaimTable table, std::string own_name, std::uint64_t own_process)
+      : ClaimTable(std::move(table)), name(std::move(own_name)), process(own_process) {}
+  std::string name;
+  std::uint64_t process;
+};
+
+// Broken on purpose: answers a resend with the last outcome of any key.
+class MixedTable : public ClaimTable {
+ public:
+  static Result<MixedTable> Create(std::string_view host, std::uint64_t incarnation,
+                                   const ClaimLimits& limits) {
+    return MixedTable(GetValue(ClaimTable::Create(host, incarnation, limits)));
+  }
+  ClaimDoneReply Finish(TimePoint now, const ClaimDoneRequest& request) {
+    this->last_answer = request.outcome == ClaimOutcome::kDone ? request.answer : this->last_answer;
+    return ClaimTable::Finish(now, request);
+  }
+  ClaimReply Claim(TimePoint now, const ClaimRequest& request) {
+    ClaimReply reply = ClaimTable::Claim(now, request);
+    reply.record.answer = this->last_answer;
+    return reply;
+  }
+
+ private:
+  explicit MixedTable(ClaimTable table) : ClaimTable(std::move(table)) {}
+  std::string last_answer;
+};
+
+struct DeafParts : RealParts {
+  using Selector = DeafSelector;
+};
+struct HopefulParts : RealParts {
+  using Policy = HopefulPolicy;
+};
+struct ForgetfulParts : RealParts {
+  using Table = ForgetfulTable;
+};
+struct MixedParts : RealParts {
+  using Table = MixedTable;
+};
+
+// The name of the invariant that the broken variant violates first, within fixed seeds.
+template <typename Parts>
+std::string FindBroken() {
+  const auto failure = FuzzRunner<RequestWorld<Parts>>({1, 200, 100}).Run();
+  return failure.has_value() ? failure->violation.substr(0, 2) : "";
+}
+
+}  // namespace
+
+Test(fuzz_requests, invariants_hold_under_faults) {
+  FuzzRunner<RequestWorld<RealParts>> runner(FuzzOptions::Read({1, 200, 400}));
+  const bool passes = runner.Passes();
+  cr_log_warn("%zu steps, %zu runs, %zu answers", runner.GetStepCount(),
+              RequestWorld<RealParts>::runs, RequestWorld<RealParts>::answers);
+  cr_assert(passes);
+  // A world that refuses everything would pass the check above.
+  cr_assert_gt(RequestWorld<RealParts>::answers, 0);
+}
+
+Test(fuzz_requests, the_oracle_finds_an_answer_of_another_request) {
+  cr_assert_str_eq(FindBroken<MixedParts>().c_str(), "I4");
+}
+
+Test(fuzz_requests, the_oracle_finds_a_not_run_after_a_lost_answer) {
+  cr_assert_str_eq(FindBroken<HopefulParts>().c_str(), "I5");
+}
+
+Test(fuzz_requests, the_oracle_finds_a_claim_table_that_forgets_after_a_restart) {
+  cr_assert_str_eq(FindBroken<ForgetfulParts>().c_str(), "I6");
+}
+
+Test(fuzz_requests, the_oracle_finds_a_selector_that_ignores_draining) {
+  cr_assert_str_eq(FindBroken<DeafParts>().c_str(), "I7");
+}
