daemon: Compare store and held version after every watch

Cause: a watcher looked at the head only when its revision changed. When it read the head of a store that had lost state and a peer told it of the newer version only then, the store stayed older than the daemons until the next change of the head. No call is made while both agree.

--- a/Source/Daemon/store_watcher.cc
+++ b/Source/Daemon/store_watcher.cc
@@ -245,11 +245,11 @@
       continue;
     }
     const StoreEntry& entry = GetValue(reply).entry;
-    if (first || entry.revision != known_revision) {
-      this->HandleHead(DecodeHead(entry));
-      known_revision = entry.revision;
-      first = false;
-    }
+    // Also when the head did not change: this daemon may have come to hold a newer
+    // version than the store since the last look. Nothing is called while both agree.
+    this->HandleHead(DecodeHead(entry));
+    known_revision = entry.revision;
+    first = false;
   }
 }
 
