daemon: Exchange members with an unknown sender

Cause: a daemon that outlived a restart of all others had gossiped its record long ago. The restarted ones joined through each other and did not know it, so neither its datagrams nor the version it alone held were used. Change: a datagram of an unknown sender leads to one exchange of member lists with it, at most one a second. Conclusion: the last holder of a version spreads it again after a herd of restarts.

--- a/Source/Daemon/cluster_node.cc
+++ b/Source/Daemon/cluster_node.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::size_t kMaxStrikesPerDatagram = 4;
+// Limits the calls of a daemon to strangers after a restart of a whole data centre.
+constexpr Duration kStrangerInterval = std::chrono::seconds(1);
 
 std::size_t GetEncodedSize(const GossipDatagram& datagram) { return Encode(datagram).size(); }
 
@@ -122,6 +124,7 @@
   }
   const MemberRecord* sender = this->table.Find(datagram.sender_host);
   if (sender == nullptr) {
+    this->AskStranger(from, now, result);
     return result;
   }
   this->CheckOwnerMap(datagram.claim_epoch, sender->control_address, result);
@@ -135,6 +138,15 @@
   return result;
 }
 
+// A daemon that outlived a restart of all others has told its record long ago, and those
+// that joined since know each other only. Exchanging lists makes both sides complete.
+void ClusterNode::AskStranger(std::string_view address, TimePoint now, ClusterActions& result) {
+  if (now >= this->next_stranger_ask) {
+    this->next_stranger_ask = now + kStrangerInterval;
+    result.emplace_back(JoinAskPeer{std::string(address)});
+  }
+}
+
 ClusterActions ClusterNode::HandleHeld(const VersionStamp& stamp,
                                        std::optional<RulesDeltaScript> delta, TimePoint now) {
   const std::lock_guard guard(this->mutex);
--- a/Source/Daemon/cluster_node.h
+++ b/Source/Daemon/cluster_node.h
@@ -93,6 +93,8 @@
   void AppendAction(Action action, TimePoint now, ClusterActions& result);
 
   void MergeMembers(std::span<const MemberRecord> records, TimePoint now, ClusterActions& result);
+  // Exchanges lists of members with a sender that is not in the table.
+  void AskStranger(std::string_view address, TimePoint now, ClusterActions& result);
   void MergeProgress(std::span<const DataCentreProgress> entries, TimePoint now);
   void CheckOwnerMap(std::uint64_t epoch, std::string_view address, ClusterActions& result);
   void UpdateTargets(const std::vector<TargetRegistry::Change>& changes, ClusterActions& result);
@@ -114,6 +116,7 @@
   std::vector<QuarantineStrike> strikes;
   bool members_touched = true;
   std::uint64_t members_hash = 0;
+  TimePoint next_stranger_ask;
 };
 
 }  // namespace lacewingbridge
