--- a/Tests/Fuzz/version_submission.h
+++ b/Tests/Fuzz/version_submission.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <variant>
 
+#include "Core/digest.h"
 #include "Daemon/store_keys.h"
 #include "Daemon/store_records.h"
 #include "Version/submit_process.h"
@@ -81,6 +82,19 @@
   }
   void Perform(const SubmitFinished& action) {
     this->network.oracle.NoteOutcome(this->id, this->attempt, action.outcome);
+    const auto* accepted = std::get_if<SubmitAccepted>(&action.outcome);
+    const std::shared_ptr<Node> alive = this->node.lock();
+    if (accepted == nullptr || alive == nullptr ||
+        accepted->stamp.digest != ComputeDigest(this->text)) {
+      return;
+    }
+    // As the daemon does, the accepted version is put in force here at once.
+    RulesVersion version;
+    version.stamp = accepted->stamp;
+    version.parent = alive->GetRules().GetStamp();
+    version.submission_id = this->id;
+    version.text = this->text;
+    alive->OfferVersion(std::move(version));
   }
 
   Network& network;
--- a/Tests/Fuzz/version_watcher.h
+++ b/Tests/Fuzz/version_watcher.h
@@ -110,7 +110,8 @@
       return;
     }
     this->store_reachable = true;
-    if (this->first || entry->revision != this->known_revision) {
+    if (this->first || entry->revision != this->known_revision ||
+        this->node.GetNow() >= this->watch_ends) {
       this->next_revision = entry->revision;
       this->Handle(RepairHeadRead{DecodeHead(*entry)});
       return;
@@ -121,6 +122,7 @@
   void EndHead() {
     this->known_revision = this->next_revision;
     this->first = false;
+    this->watch_ends = this->node.GetNow() + std::chrono::seconds(30);
     this->node.Later(std::chrono::milliseconds(1), [this] { this->RunHeadWatch(); });
   }
 
@@ -210,6 +212,8 @@
   TimePoint acting_until{};
   bool store_reachable = true;
   bool first = true;
+  // A watch ends without a change of the head after this time.
+  TimePoint watch_ends{};
   std::uint64_t known_revision = 0;
   std::uint64_t next_revision = 0;
 };
