--- a/Tests/test_fuzz_versions.cc
+++ b/Tests/test_fuzz_versions.cc
@@ -157,9 +157,9 @@
   cr_assert(passes);
 }
 
-// The watcher read the head of a store that had lost state before a peer told it of the
-// newer version, and did not compare the two again.
-Test(fuzz_versions, store_is_repaired_after_the_watcher_learns_of_a_newer_version) {
+// Seeds that found a store left older than its daemons, and a daemon that was unknown to
+// those that had restarted.
+Test(fuzz_versions, seeds_of_faults_found_earlier_pass) {
   for (const std::uint64_t seed : {std::uint64_t{61}, std::uint64_t{1383}}) {
     cr_assert(FuzzRunner<VersionWorld<RealParts>>({seed, 100, 1}).Passes());
   }
