spread: Let the collector exchange while a watcher does

Cause: a version known to one daemon did not leave its data centre while the store was away (measured at 100 and 225 daemons: not everywhere within 20 s). Only watchers, and collectors that had seen the store fail, exchanged; a daemon that is no candidate of the election never calls the store.

Change: the collector is always a relay; a removed previous owner is waited for one and a half times the claim memory; the parent is set only when the edited version is held.

Conclusion: one more exchange a second in each data centre is the price.

--- a/Source/Claims/claim_wait_list.cc
+++ b/Source/Claims/claim_wait_list.cc
@@ -21,7 +21,7 @@
     }
     HostWait wait;
     if (!stays) {
-      wait.release_at = now + this->claim_memory;
+      wait.release_at = now + this->GetRemovedWait();
     }
     change.hosts.emplace(previous, wait);
   }
@@ -34,7 +34,7 @@
   for (auto& [epoch, change] : this->changes) {
     for (auto& [name, wait] : change.hosts) {
       if (!wait.release_at.has_value() && !view.HasHost(name)) {
-        wait.release_at = now + this->claim_memory;
+        wait.release_at = now + this->GetRemovedWait();
       }
     }
   }
--- a/Source/Claims/claim_wait_list.h
+++ b/Source/Claims/claim_wait_list.h
@@ -92,6 +92,10 @@
 
   const HostWait* FindWait(const ClaimWait& wait) const;
 
+  // A host that was removed while cut off grants on under the old map until it knows that
+  // it is isolated, at most half of the claim memory; its last claim is kept a whole one.
+  Duration GetRemovedWait() const { return this->claim_memory + this->claim_memory / 2; }
+
   std::string host;
   Duration claim_memory;
   std::map<std::uint64_t, Change> changes;
--- a/Source/Daemon/admin_service.cc
+++ b/Source/Daemon/admin_service.cc
@@ -128,7 +128,9 @@
     if (outcome.stamp.digest == ComputeDigest(this->text)) {
       RulesVersion version;
       version.stamp = outcome.stamp;
-      if (const auto held = this->daemon.GetRules().GetHeld()) {
+      // Known only when this daemon holds the version that was edited.
+      const auto held = this->daemon.GetRules().GetHeld();
+      if (held != nullptr && held->stamp.number + 1 == outcome.stamp.number) {
         version.parent = held->stamp;
       }
       version.submission_id = this->submission_id;
--- a/Source/Daemon/cluster_node.h
+++ b/Source/Daemon/cluster_node.h
@@ -105,6 +105,9 @@
   // Merges the list that a joining daemon got. Its senders know these members already, so
   // hosts that are new here are not gossiped on.
   void MergeListed(std::span<const MemberRecord> records, TimePoint now, ClusterActions& result);
+
+  // Exchanges lists of members with a sender that is not in the table.
+  void AskStranger(std::string_view address, TimePoint now, ClusterActions& result);
   void MergeProgress(std::span<const DataCentreProgress> entries, TimePoint now);
   void CheckOwnerMap(std::uint64_t epoch, std::string_view address, ClusterActions& result);
   void UpdateTargets(const std::vector<TargetRegistry::Change>& changes, ClusterActions& result);
@@ -128,6 +131,7 @@
   bool strikes_sent = false;
   bool members_touched = true;
   std::uint64_t members_hash = 0;
+  TimePoint next_stranger_ask;
 };
 
 }  // namespace lacewingbridge
--- a/Source/Daemon/daemon.cc
+++ b/Source/Daemon/daemon.cc
@@ -240,7 +240,6 @@
   SpreadRelayRole role;
   role.watching = this->watcher->IsWatching();
   role.store_reachable = this->watcher->IsStoreReachable();
-  role.region_scope = IsRegionScope(this->settings);
   this->cluster->SetRole(role);
   this->cluster->SetClaimEpoch(this->claims->GetEpoch());
   if (this->cluster->NeedsStrikes()) {
--- a/Source/Spread/spread_relay.cc
+++ b/Source/Spread/spread_relay.cc
@@ -37,8 +37,9 @@
 // A daemon that is not the watcher cannot know whether another one watches for the
 // data centre unless it tried to itself; the one ranked first is the one that tries.
 bool SpreadRelay::IsRelay(const MemberTable& table, const SpreadRelayRole& role) {
-  return role.watching || ((!role.store_reachable || role.region_scope) &&
-                           SpreadProgress::GetCollector(table) == table.GetSelf().host);
+  // The collector exchanges even while a watcher does: a daemon that is no candidate of
+  // the election never calls the store and does not learn that it is away.
+  return role.watching || SpreadProgress::GetCollector(table) == table.GetSelf().host;
 }
 
 std::string SpreadRelay::GetFirstDataCentre(const MemberTable& table, std::string_view region) {
--- a/Source/Spread/spread_relay.h
+++ b/Source/Spread/spread_relay.h
@@ -48,8 +48,6 @@
 struct SpreadRelayRole {
   bool watching = false;
   bool store_reachable = true;
-  // One watcher per region, so most data centres have none.
-  bool region_scope = false;
 };
 
 // Call RelayExchange at the address, then report with HandleReply or HandleFailure.
--- a/Tests/test_spread_fleet.cc
+++ b/Tests/test_spread_fleet.cc
@@ -28,7 +28,6 @@
                    {"macon", "georgia", daemons}},
                   kSeed);
   for (std::size_t i = 0; i < fleet.GetCount(); ++i) {
-    fleet.Get(i).role.region_scope = true;
   }
   fleet.network.SetFaults(0.05, 0.01);
   fleet.Run(seconds(3));
--- a/Utilities/Bench/spread_fleet.cc
+++ b/Utilities/Bench/spread_fleet.cc
@@ -93,7 +93,6 @@
   SpreadRelayRole role;
   role.watching = this->IsActing(node);
   role.store_reachable = node.store_reachable;
-  role.region_scope = this->region_scope;
   this->Perform(node, this->Measure([&] {
     node.cluster->SetRole(role);
     return node.cluster->Tick(this->network.GetNow());
