cluster: Relay strikes and repair members that gossip missed

Cause: strikes travel by gossip, which stays in a data centre, so that a request sent again in another data centre could take two more targets there. After a restart of 225 or 900 daemons some still lacked 3 or 45 to 51 members after 60 s, because each record is sent a bounded number of times and nothing compared the results within a data centre.

Change: relays carry the strikes of the last 30 s; datagrams carry the hash of the data centre's members, and a daemon whose hash differs for 5 s asks the sender for its list, at most once in 30 s. cluster_node.cc is divided into inputs, queries and options.

--- a/Source/Daemon/cluster_node.cc
+++ b/Source/Daemon/cluster_node.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "Core/hash.h"
+#include "Daemon/cluster_options.h"
 #include "Membership/gossip_packer.h"
 #include "membership_codec.h"
 
@@ -17,27 +18,6 @@
 
 std::size_t GetEncodedSize(const GossipDatagram& datagram) { return Encode(datagram).size(); }
 
-bool IsConvergenceProfile(const Settings& settings) { return settings.profile == "convergence"; }
-
-MemberProberOptions MakeProberOptions(const Settings& settings) {
-  MemberProberOptions options;
-  options.probe_interval = std::chrono::milliseconds(settings.probe_interval_ms);
-  options.suspicions.suspicion = std::chrono::milliseconds(settings.suspicion_ms);
-  return options;
-}
-
-SpreadNodeOptions MakeSpreadOptions(const Settings& settings) {
-  SpreadNodeOptions options;
-  options.fan_out = IsConvergenceProfile(settings) ? 4 : 2;
-  return options;
-}
-
-SpreadRelayOptions MakeRelayOptions(const Settings& settings) {
-  SpreadRelayOptions options;
-  options.interval = std::chrono::seconds(IsConvergenceProfile(settings) ? 1 : 5);
-  return options;
-}
-
 MemberRecord MakeOwnRecord(const Settings& settings, std::uint64_t incarnation) {
   MemberRecord record;
   record.host = settings.host;
@@ -120,9 +100,7 @@
   this->CheckOwnName(datagram.members, result);
   this->Append(this->prober.HandleDatagram(this->table, datagram, from, now), now, result);
   this->MergeProgress(datagram.progress, now);
-  if (!datagram.strikes.empty()) {
-    result.emplace_back(ClusterStrikesHeard{datagram.strikes});
-  }
+  HearStrikes(datagram.strikes, result);
   const MemberRecord* sender = this->table.Find(datagram.sender_host);
   if (sender == nullptr) {
     this->AskStranger(from, now, result);
@@ -134,6 +112,10 @@
     return result;
   }
   this->join.RecordHeard(datagram.sender_host);
+  if (datagram.members_hash != 0 &&
+      this->member_sync.HandleHash(this->centre_hash, datagram.members_hash, now)) {
+    result.emplace_back(JoinAskPeer{sender->control_address});
+  }
   this->progress.RecordStamp(this->table, datagram);
   this->Append(this->spread.HandleDatagram(this->table, datagram, now, this->random), now, result);
   return result;
@@ -174,6 +156,7 @@
                                              const RelayExchangeReply& reply, TimePoint now) {
   const std::lock_guard guard(this->mutex);
   ClusterActions result;
+  HearStrikes(reply.strikes, result);
   this->MergeMembers(reply.members, now, result);
   this->MergeProgress(reply.progress, now);
   this->Append(this->relay.HandleReply(this->table, this->spread, this->progress, data_centre,
@@ -195,13 +178,21 @@
                                         RelayExchangeReply& reply, TimePoint now) {
   const std::lock_guard guard(this->mutex);
   ClusterActions result;
+  HearStrikes(request.strikes, result);
   this->MergeMembers(request.members, now, result);
   this->MergeProgress(request.progress, now);
   reply = this->relay.Answer(this->table, this->spread, this->progress, request, now);
   reply.claim_epoch = this->claim_epoch;
+  reply.strikes = this->strike_relay.List(now);
   return result;
 }
 
+void ClusterNode::HearStrikes(std::span<const QuarantineStrike> heard, ClusterActions& result) {
+  if (!heard.empty()) {
+    result.emplace_back(ClusterStrikesHeard{{heard.begin(), heard.end()}});
+  }
+}
+
 ClusterActions ClusterNode::HandleMembers(const ListMembersReply& reply, TimePoint now) {
   const std::lock_guard guard(this->mutex);
   ClusterActions result;
@@ -274,8 +265,9 @@
   return this->strikes.empty() || this->strikes_sent;
 }
 
-void ClusterNode::SetStrikes(std::vector<QuarantineStrike> outgoing) {
+void ClusterNode::SetStrikes(std::vector<QuarantineStrike> outgoing, TimePoint now) {
   const std::lock_guard guard(this->mutex);
+  this->strike_relay.Add(now, outgoing);
   this->strikes = std::move(outgoing);
   this->strikes_sent = false;
 }
@@ -350,97 +342,22 @@
   }
 }
 
-std::uint64_t ClusterNode::HashMembers() const {
+std::uint64_t ClusterNode::HashMembers() {
   std::uint64_t hash = 0;
   for (const DataCentreDigest& digest : this->table.GetDigests(false)) {
     hash = CombineHashes(hash, digest.members_hash);
-  }
-  return hash;
-}
-
-bool ClusterNode::IsReady() {
-  const std::lock_guard guard(this->mutex);
-  return this->join.IsReady();
-}
-
-MemberRecord ClusterNode::GetOwnRecord() {
-  const std::lock_guard guard(this->mutex);
-  return this->table.GetSelf();
-}
-
-bool ClusterNode::HasFirstSibling() {
-  const std::lock_guard guard(this->mutex);
-  return SpreadRelay::GetFirstDataCentre(this->table, this->settings.region) !=
-         this->settings.data_centre;
-}
-
-bool ClusterNode::IsDistrusted() {
-  const std::lock_guard guard(this->mutex);
-  return this->prober.IsDistrusted();
-}
-
-std::vector<MemberRecord> ClusterNode::ListMembers() {
-  const std::lock_guard guard(this->mutex);
-  std::vector<MemberRecord> members;
-  for (const MemberRecord* record : this->table.ListMembers("")) {
-    members.push_back(*record);
-  }
-  return members;
-}
-
-std::vector<WatchMember> ClusterNode::ListScopeMembers(bool region_scope) {
-  const std::lock_guard guard(this->mutex);
-  std::vector<WatchMember> members;
-  for (const MemberRecord* record : this->table.ListMembers("")) {
-    const bool in_scope = region_scope ? record->region == this->settings.region
-                                       : record->data_centre == this->settings.data_centre;
-    if (in_scope) {
-      members.push_back({record->host, record->incarnation});
-    }
-  }
-  return members;
-}
-
-std::vector<DataCentreProgress> ClusterNode::ListProgress(TimePoint now) {
-  const std::lock_guard guard(this->mutex);
-  return this->progress.List(now);
-}
-
-bool ClusterNode::HasOtherActiveMember() {
-  const std::lock_guard guard(this->mutex);
-  const std::vector<const MemberRecord*> members = this->table.ListMembers("");
-  return std::any_of(members.begin(), members.end(), [this](const MemberRecord* record) {
-    return record->host != this->settings.host && record->state == MemberState::kAlive;
-  });
-}
-
-bool ClusterNode::IsOwnDataCentre(std::string_view host) {
-  const std::lock_guard guard(this->mutex);
-  const MemberRecord* record = this->table.Find(host);
-  return record != nullptr && record->data_centre == this->settings.data_centre;
-}
-
-std::string ClusterNode::FindControlAddress(std::string_view host) {
-  const std::lock_guard guard(this->mutex);
-  const MemberRecord* record = this->table.Find(host);
-  return record == nullptr ? std::string() : record->control_address;
-}
-
-std::vector<std::string> ClusterNode::ListSeedAddresses(std::size_t count) {
-  const std::lock_guard guard(this->mutex);
-  std::vector<std::string> addresses;
-  for (const MemberRecord* record : this->table.ListMembers(this->settings.data_centre)) {
-    if (addresses.size() < count) {
-      addresses.push_back(record->control_address);
+    if (digest.data_centre == this->settings.data_centre) {
+      this->centre_hash = digest.members_hash;
     }
   }
-  return addresses;
+  return hash;
 }
 
 void ClusterNode::AppendAction(SendDatagram action, TimePoint now, ClusterActions& result) {
   GossipDatagram& datagram = action.datagram;
   datagram.held = this->spread.GetHeld();
   datagram.claim_epoch = this->claim_epoch;
+  datagram.members_hash = this->centre_hash;
   if (datagram.progress.empty()) {
     if (std::optional<DataCentreProgress> entry = this->progress.TakeNext(now)) {
       datagram.progress.push_back(std::move(*entry));
@@ -456,6 +373,11 @@
   result.emplace_back(std::move(action));
 }
 
+void ClusterNode::AppendAction(RelayCall action, TimePoint now, ClusterActions& result) {
+  action.request.strikes = this->strike_relay.List(now);
+  result.emplace_back(std::move(action));
+}
+
 void ClusterNode::AppendAction(MemberEvent action, TimePoint /*now*/, ClusterActions& result) {
   this->members_touched = true;
   result.emplace_back(std::move(action));
--- a/Source/Daemon/cluster_node.h
+++ b/Source/Daemon/cluster_node.h
@@ -15,8 +15,10 @@
 #include "Daemon/cluster_action.h"
 #include "Membership/join_process.h"
 #include "Membership/member_prober.h"
+#include "Membership/member_sync.h"
 #include "Membership/member_table.h"
 #include "Membership/target_registry.h"
+#include "Quarantine/quarantine_relay.h"
 #include "Spread/spread_node.h"
 #include "Spread/spread_progress.h"
 #include "Spread/spread_relay.h"
@@ -67,7 +69,7 @@
   // Strikes for the next datagram. They stay until one has carried them; NeedsStrikes
   // tells when the next ones are due.
   bool NeedsStrikes();
-  void SetStrikes(std::vector<QuarantineStrike> outgoing);
+  void SetStrikes(std::vector<QuarantineStrike> outgoing, TimePoint now);
 
   bool IsReady();
   MemberRecord GetOwnRecord();
@@ -92,6 +94,7 @@
   void Append(Actions&& actions, TimePoint now, ClusterActions& result);
   void AppendAction(SendDatagram action, TimePoint now, ClusterActions& result);
   void AppendAction(MemberEvent action, TimePoint now, ClusterActions& result);
+  void AppendAction(RelayCall action, TimePoint now, ClusterActions& result);
   void AppendAction(const RelaySource& action, TimePoint now, ClusterActions& result);
   void AppendAction(const JoinProbeMembers& action, TimePoint now, ClusterActions& result);
   // Any other action is the caller's to perform.
@@ -112,7 +115,9 @@
   void CheckOwnerMap(std::uint64_t epoch, std::string_view address, ClusterActions& result);
   void UpdateTargets(const std::vector<TargetRegistry::Change>& changes, ClusterActions& result);
   void CheckMembersChanged(ClusterActions& result);
-  std::uint64_t HashMembers() const;
+  static void HearStrikes(std::span<const QuarantineStrike> heard, ClusterActions& result);
+  // Hash of all members; also brings the hash of the own data centre up to date.
+  std::uint64_t HashMembers();
 
   std::mutex mutex;
   Settings settings;
@@ -131,6 +136,9 @@
   bool strikes_sent = false;
   bool members_touched = true;
   std::uint64_t members_hash = 0;
+  std::uint64_t centre_hash = 0;
+  MemberSync member_sync;
+  QuarantineRelay strike_relay;
   TimePoint next_stranger_ask;
 };
 
--- a/Source/Daemon/daemon.cc
+++ b/Source/Daemon/daemon.cc
@@ -243,7 +243,7 @@
   this->cluster->SetRole(role);
   this->cluster->SetClaimEpoch(this->claims->GetEpoch());
   if (this->cluster->NeedsStrikes()) {
-    this->cluster->SetStrikes(this->services.TakeStrikes(kStrikesPerDatagram));
+    this->cluster->SetStrikes(this->services.TakeStrikes(kStrikesPerDatagram), now);
   }
   this->Perform(this->cluster->Tick(now));
   this->services.ExpireQueues(now);
--- a/Source/Generated/membership.h
+++ b/Source/Generated/membership.h
@@ -128,6 +128,7 @@
   std::optional<RulesDeltaScript> delta;
   std::vector<MemberSuspicion> suspicions;
   std::uint64_t claim_epoch = 0;
+  std::uint64_t members_hash = 0;
 
   bool operator==(const GossipDatagram&) const = default;
 };
--- a/Source/Generated/membership_codec.cc
+++ b/Source/Generated/membership_codec.cc
@@ -330,6 +330,7 @@
     ToWire(element, *wire.add_suspicions());
   }
   wire.set_claim_epoch(plain.claim_epoch);
+  wire.set_members_hash(plain.members_hash);
 }
 
 void FromWire(const wire::GossipDatagram& wire, GossipDatagram& plain) {
@@ -360,6 +361,7 @@
     FromWire(element, plain.suspicions.emplace_back());
   }
   plain.claim_epoch = wire.claim_epoch();
+  plain.members_hash = wire.members_hash();
 }
 
 std::string Encode(const GossipDatagram& plain) {
--- a/Source/Generated/peer_codec.cc
+++ b/Source/Generated/peer_codec.cc
@@ -293,6 +293,9 @@
 }
 
 void ToWire(const RelayExchangeRequest& plain, wire::RelayExchangeRequest& wire) {
+  for (const auto& element : plain.strikes) {
+    ToWire(element, *wire.add_strikes());
+  }
   wire.set_data_centre(plain.data_centre);
   if (plain.held != VersionStamp{}) {
     ToWire(plain.held, *wire.mutable_held());
@@ -309,6 +312,10 @@
 }
 
 void FromWire(const wire::RelayExchangeRequest& wire, RelayExchangeRequest& plain) {
+  plain.strikes.reserve(static_cast<std::size_t>(wire.strikes_size()));
+  for (const auto& element : wire.strikes()) {
+    FromWire(element, plain.strikes.emplace_back());
+  }
   plain.data_centre = wire.data_centre();
   FromWire(wire.held(), plain.held);
   plain.digests.reserve(static_cast<std::size_t>(wire.digests_size()));
@@ -368,6 +375,9 @@
 
 void ToWire(const RelayExchangeReply& plain, wire::RelayExchangeReply& wire) {
   wire.set_claim_epoch(plain.claim_epoch);
+  for (const auto& element : plain.strikes) {
+    ToWire(element, *wire.add_strikes());
+  }
   if (plain.held != VersionStamp{}) {
     ToWire(plain.held, *wire.mutable_held());
   }
@@ -384,6 +394,10 @@
 
 void FromWire(const wire::RelayExchangeReply& wire, RelayExchangeReply& plain) {
   plain.claim_epoch = wire.claim_epoch();
+  plain.strikes.reserve(static_cast<std::size_t>(wire.strikes_size()));
+  for (const auto& element : wire.strikes()) {
+    FromWire(element, plain.strikes.emplace_back());
+  }
   FromWire(wire.held(), plain.held);
   plain.digests.reserve(static_cast<std::size_t>(wire.digests_size()));
   for (const auto& element : wire.digests()) {
