tests: Compare strings without a temporary that has ended

Cause: cr_assert_str_eq keeps the pointer of a temporary beyond its lifetime; AddressSanitizer stopped both fuzz programs (stack-use-after-scope).

Change: the same comparison on the string itself, as strict as before.

Conclusion: a fault of the tests, not of the product.

--- a/Tests/test_fuzz_requests.cc
+++ b/Tests/test_fuzz_requests.cc
@@ -139,19 +139,19 @@
 }
 
 Test(fuzz_requests, the_oracle_finds_an_answer_of_another_request) {
-  cr_assert_str_eq(FindBroken<MixedParts>().c_str(), "I4");
+  cr_assert(FindBroken<MixedParts>() == "I4");
 }
 
 Test(fuzz_requests, the_oracle_finds_a_not_run_after_a_lost_answer) {
-  cr_assert_str_eq(FindBroken<HopefulParts>().c_str(), "I5");
+  cr_assert(FindBroken<HopefulParts>() == "I5");
 }
 
 Test(fuzz_requests, the_oracle_finds_a_claim_table_that_forgets_after_a_restart) {
-  cr_assert_str_eq(FindBroken<ForgetfulParts>().c_str(), "I6");
+  cr_assert(FindBroken<ForgetfulParts>() == "I6");
 }
 
 Test(fuzz_requests, the_oracle_finds_a_selector_that_ignores_draining) {
-  cr_assert_str_eq(FindBroken<DeafParts>().c_str(), "I7");
+  cr_assert(FindBroken<DeafParts>() == "I7");
 }
 
 // A process was paused between the grant of a key and the first byte to a target, for
@@ -159,6 +159,6 @@
 Test(fuzz_requests, the_oracle_finds_a_start_long_after_its_grant) {
   const auto failure = FuzzRunner<RequestWorld<LateParts>>({4310, 200, 1}).Run();
   cr_assert(failure.has_value());
-  cr_assert_str_eq(failure->violation.substr(0, 2).c_str(), "I6");
+  cr_assert(failure->violation.substr(0, 2) == "I6");
   cr_assert(FuzzRunner<RequestWorld<RealParts>>({4310, 200, 1}).Passes());
 }
--- a/Tests/test_fuzz_versions.cc
+++ b/Tests/test_fuzz_versions.cc
@@ -166,17 +166,17 @@
 }
 
 Test(fuzz_versions, the_oracle_finds_a_holder_that_accepts_older_versions) {
-  cr_assert_str_eq(FindBroken<RevertingParts>().c_str(), "I1");
+  cr_assert(FindBroken<RevertingParts>() == "I1");
 }
 
 Test(fuzz_versions, the_oracle_finds_routes_swapped_in_before_their_services) {
-  cr_assert_str_eq(FindBroken<SplitParts>().c_str(), "I2");
+  cr_assert(FindBroken<SplitParts>() == "I2");
 }
 
 Test(fuzz_versions, the_oracle_finds_a_delta_without_its_digest_check) {
-  cr_assert_str_eq(FindBroken<UncheckedParts>().c_str(), "I3");
+  cr_assert(FindBroken<UncheckedParts>() == "I3");
 }
 
 Test(fuzz_versions, the_oracle_finds_a_repair_that_does_not_write_back) {
-  cr_assert_str_eq(FindBroken<LazyParts>().c_str(), "I9");
+  cr_assert(FindBroken<LazyParts>() == "I9");
 }
