daemon: Convert times for waiting in one place

Cause: the read-through found the conversion from TimePoint to the steady clock's time written four times (store watcher, request waiter, proxy handler, operators' calls).

Change: ToSteadyTime in daemon_clock.h, beside GetNow, which defines what a TimePoint stands for in the daemon. Behaviour is unchanged.

Conclusion: one definition for the clock and its inverse.

--- a/Source/Daemon/admin_service.cc
+++ b/Source/Daemon/admin_service.cc
@@ -85,8 +85,7 @@
     std::mutex mutex;
     std::condition_variable never;
     std::unique_lock lock(mutex);
-    const std::chrono::steady_clock::time_point until{time.time_since_epoch()};
-    never.wait_until(lock, until, [time] { return GetNow() >= time; });
+    never.wait_until(lock, ToSteadyTime(time), [time] { return GetNow() >= time; });
   }
 
   bool CheckRules() {
--- a/Source/Daemon/daemon_clock.h
+++ b/Source/Daemon/daemon_clock.h
@@ -14,6 +14,11 @@
   return TimePoint(std::chrono::duration_cast<Duration>(since_boot));
 }
 
+// The same moment for waiting on a condition variable.
+inline std::chrono::steady_clock::time_point ToSteadyTime(TimePoint time) {
+  return std::chrono::steady_clock::time_point(time.time_since_epoch());
+}
+
 // Milliseconds since the Unix epoch, for display, incarnations and the times of claim keys
 // and owner maps.
 inline std::uint64_t GetUnixMilliseconds() {
--- a/Source/Daemon/proxy_handler.cc
+++ b/Source/Daemon/proxy_handler.cc
@@ -86,12 +86,9 @@
 }
 
 void ProxyHandler::WaitUntilIdle(TimePoint earliest, TimePoint limit) {
-  const auto to_steady = [](TimePoint time) {
-    return std::chrono::steady_clock::time_point(time.time_since_epoch());
-  };
   std::unique_lock lock(this->idle_mutex);
-  this->idle.wait_until(lock, to_steady(earliest), [earliest] { return GetNow() >= earliest; });
-  this->idle.wait_until(lock, to_steady(limit), [this] { return this->CountInFlight() == 0; });
+  this->idle.wait_until(lock, ToSteadyTime(earliest), [earliest] { return GetNow() >= earliest; });
+  this->idle.wait_until(lock, ToSteadyTime(limit), [this] { return this->CountInFlight() == 0; });
 }
 
 void ProxyHandler::Serve(const httplib::Request& request, httplib::Response& response) {
--- a/Source/Daemon/request_waiter.cc
+++ b/Source/Daemon/request_waiter.cc
@@ -1,6 +1,6 @@
 #include "Daemon/request_waiter.h"
 
-#include <chrono>
+#include "Daemon/daemon_clock.h"
 
 namespace lacewingbridge {
 
@@ -13,10 +13,9 @@
 }
 
 RequestWaiter::Verdict RequestWaiter::WaitUntil(TimePoint limit) {
-  // GetNow counts the steady clock's time.
-  const std::chrono::steady_clock::time_point until{limit.time_since_epoch()};
   std::unique_lock lock(this->mutex);
-  this->decided.wait_until(lock, until, [this] { return this->verdict != Verdict::kWaiting; });
+  this->decided.wait_until(lock, ToSteadyTime(limit),
+                           [this] { return this->verdict != Verdict::kWaiting; });
   return this->verdict;
 }
 
--- a/Source/Daemon/store_watcher.cc
+++ b/Source/Daemon/store_watcher.cc
@@ -43,10 +43,6 @@
   return election;
 }
 
-std::chrono::steady_clock::time_point ToSteady(TimePoint time) {
-  return std::chrono::steady_clock::time_point(time.time_since_epoch());
-}
-
 }  // namespace
 
 StoreWatcher::StoreWatcher(const Settings& given, std::string watch_scope, StoreHttpClient& client,
@@ -103,11 +99,11 @@
 
 bool StoreWatcher::SleepUntil(TimePoint time) {
   std::unique_lock lock(this->mutex);
-  return !this->changed.wait_until(lock, ToSteady(time), [this] { return this->stopped; });
+  return !this->changed.wait_until(lock, ToSteadyTime(time), [this] { return this->stopped; });
 }
 
 bool StoreWatcher::WaitForVersion(const VersionStamp& stamp, Duration limit) {
-  const auto until = ToSteady(GetNow() + limit);
+  const auto until = ToSteadyTime(GetNow() + limit);
   std::unique_lock lock(this->mutex);
   return this->changed.wait_until(
       lock, until, [&] { return this->stopped || !IsNewer(stamp, this->rules.GetStamp()); });
@@ -243,7 +239,7 @@
     if (!this->IsWatching()) {
       first = true;
       std::unique_lock lock(this->mutex);
-      this->changed.wait_until(lock, ToSteady(GetNow() + kDutyInterval),
+      this->changed.wait_until(lock, ToSteadyTime(GetNow() + kDutyInterval),
                                [this] { return this->stopped || GetNow() < this->acting_until; });
       continue;
     }
