--- /dev/null
+++ b/Source/Admission/target_admission.cc
@@ -0,0 +1,122 @@
+#include "Admission/target_admission.h"
+
+#include <algorithm>
+
+namespace lacewingbridge {
+
+namespace {
+
+void MoveTowards(Duration& moving, Duration newest, int divisor) {
+  moving += (newest - moving) / divisor;
+}
+
+}  // namespace
+
+Duration TargetAdmission::GetServiceTimeOf(std::uint32_t priority) const {
+  const auto found = this->service_times.find(priority);
+  return found == this->service_times.end() ? this->service_time : found->second;
+}
+
+bool TargetAdmission::IsOnTime(TimePoint start, const WorkOffer& offer) const {
+  return start + this->GetServiceTimeOf(offer.priority) <= offer.objective_at;
+}
+
+AdmissionVerdict TargetAdmission::Offer(TimePoint now, const WorkOffer& offer) {
+  if (this->slots == 0) {
+    return AdmissionVerdict::kRefusedNoSlots;
+  }
+  if (offer.deadline <= now) {
+    return AdmissionVerdict::kRefusedDeadline;
+  }
+  if (this->running.size() < this->slots && this->waiting.empty()) {
+    this->Start(now, offer);
+    return AdmissionVerdict::kAdmitted;
+  }
+  const TimePoint start = now + this->EstimateWait(offer.priority);
+  const Duration time_left = offer.deadline - now;
+  TimePoint hold_until = now + time_left / kLateWaitDivisor;
+  if (this->IsOnTime(start, offer)) {
+    hold_until = std::max(hold_until, offer.objective_at - this->GetServiceTimeOf(offer.priority));
+  } else if (start > hold_until) {
+    return AdmissionVerdict::kRefusedQueueFull;
+  }
+  this->waiting.push_back({offer, hold_until});
+  return AdmissionVerdict::kQueued;
+}
+
+void TargetAdmission::Start(TimePoint now, const WorkOffer& offer) {
+  this->running.emplace(offer.id, Running{offer.priority, now});
+}
+
+AdmissionRelease TargetAdmission::Finish(TimePoint now, RequestId id) {
+  const auto found = this->running.find(id);
+  if (found == this->running.end()) {
+    return {};
+  }
+  const Duration taken = now - found->second.started_at;
+  auto [of_priority, added] = this->service_times.try_emplace(found->second.priority, taken);
+  MoveTowards(of_priority->second, taken, kServiceTimeDivisor);
+  MoveTowards(this->service_time, taken, kServiceTimeDivisor);
+  this->running.erase(found);
+  return this->Release(now);
+}
+
+void TargetAdmission::Cancel(RequestId id) {
+  std::erase_if(this->waiting, [id](const Waiting& entry) { return entry.offer.id == id; });
+}
+
+AdmissionRelease TargetAdmission::Expire(TimePoint now) {
+  AdmissionRelease release;
+  std::erase_if(this->waiting, [&](const Waiting& entry) {
+    const bool late = this->slots == 0 || entry.hold_until <= now || entry.offer.deadline <= now;
+    if (late) {
+      release.refused.push_back(entry.offer.id);
+    }
+    return late;
+  });
+  return release;
+}
+
+AdmissionRelease TargetAdmission::SetSlots(TimePoint now, std::uint32_t new_slots) {
+  this->slots = new_slots;
+  return this->Release(now);
+}
+
+Duration TargetAdmission::EstimateWait(std::uint32_t priority) const {
+  if (this->slots == 0 || (this->running.size() < this->slots && this->waiting.empty())) {
+    return Duration{0};
+  }
+  const auto ahead =
+      std::count_if(this->waiting.begin(), this->waiting.end(), [priority](const Waiting& entry) {
+        return entry.offer.priority <= priority;
+      });
+  return this->service_time * (ahead + 1) / this->slots;
+}
+
+bool TargetAdmission::GoesBefore(TimePoint now, const Waiting& left, const Waiting& right) const {
+  if (left.offer.priority != right.offer.priority) {
+    return left.offer.priority < right.offer.priority;
+  }
+  const bool left_on_time = this->IsOnTime(now, left.offer);
+  if (left_on_time != this->IsOnTime(now, right.offer)) {
+    return left_on_time;
+  }
+  return left_on_time ? left.offer.objective_at < right.offer.objective_at
+                      : left.offer.deadline < right.offer.deadline;
+}
+
+AdmissionRelease TargetAdmission::Release(TimePoint now) {
+  AdmissionRelease release = this->Expire(now);
+  while (this->running.size() < this->slots && !this->waiting.empty()) {
+    const auto next = std::min_element(this->waiting.begin(), this->waiting.end(),
+                                       [&](const Waiting& left, const Waiting& right) {
+                                         return this->GoesBefore(now, left, right);
+                                       });
+    this->Start(now, next->offer);
+    release.admitted.push_back(next->offer.id);
+    this->waiting.erase(next);
+  }
+  return release;
+}
+
+}  // namespace lacewingbridge
--- /dev/null
+++ b/Source/Admission/target_admission.h
@@ -0,0 +1,94 @@
+#ifndef LACEWINGBRIDGE_SOURCE_ADMISSION_TARGET_ADMISSION_H_
+#define LACEWINGBRIDGE_SOURCE_ADMISSION_TARGET_ADMISSION_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+#include "Admission/admission_types.h"
+#include "Core/time_point.h"
+
+namespace lacewingbridge {
+
+// A request that asks for a slot of the target.
+struct WorkOffer {
+  RequestId id = 0;
+  // 0 is the most urgent.
+  std::uint32_t priority = 0;
+  // An answer after this time is worth only a part of its credit.
+  TimePoint objective_at;
+  TimePoint deadline;
+};
+
+// Slots and waiting requests of the one target beside this daemon, which sees all of the
+// target's work. The load pattern it answers: more requests than slots for seconds, of
+// several priorities, with callers that leave at a deadline but want the answer earlier.
+//
+// A request waits only if its turn is expected in time for its objective, or, when the
+// objective cannot be met any more, if the whole queue is short. Urgent requests go first;
+// among equals those that can still meet their objective, by objective, then the others by
+// deadline. What cannot be served is refused at once, so the caller's daemon can place it
+// elsewhere.
+class TargetAdmission {
+ public:
+  // Most waiting time of a request that misses its objective, as a divisor of the time
+  // until its deadline. Callers give up a third of their time to a retry interval at most,
+  // so a longer wait would cost them more than being told to return.
+  static constexpr int kLateWaitDivisor = 4;
+
+  AdmissionVerdict Offer(TimePoint now, const WorkOffer& offer);
+
+  // An admitted request has ended. An unknown id changes nothing.
+  AdmissionRelease Finish(TimePoint now, RequestId id);
+
+  // The caller of a waiting request has left.
+  void Cancel(RequestId id);
+
+  // Refuses the waiting requests whose turn comes too late.
+  AdmissionRelease Expire(TimePoint now);
+
+  // 0 slots: the target takes no new work; everything that waits is refused.
+  AdmissionRelease SetSlots(TimePoint now, std::uint32_t new_slots);
+
+  // Time until a request of the priority that arrives now is likely to start.
+  Duration EstimateWait(std::uint32_t priority) const;
+
+  // Moving time from admission to the end of a request.
+  Duration GetServiceTime() const { return this->service_time; }
+  std::size_t GetRunningCount() const { return this->running.size(); }
+  std::size_t GetWaitingCount() const { return this->waiting.size(); }
+  std::uint32_t GetSlots() const { return this->slots; }
+
+ private:
+  // Used until a request has ended; a new target has no history.
+  static constexpr Duration kInitialServiceTime = std::chrono::milliseconds(50);
+  // Weight of the newest service time in the moving one, as a divisor.
+  static constexpr int kServiceTimeDivisor = 16;
+
+  struct Running {
+    std::uint32_t priority = 0;
+    TimePoint started_at;
+  };
+  struct Waiting {
+    WorkOffer offer;
+    // Refused when its turn has not come by then.
+    TimePoint hold_until;
+  };
+
+  Duration GetServiceTimeOf(std::uint32_t priority) const;
+  bool IsOnTime(TimePoint start, const WorkOffer& offer) const;
+  bool GoesBefore(TimePoint now, const Waiting& left, const Waiting& right) const;
+  void Start(TimePoint now, const WorkOffer& offer);
+  AdmissionRelease Release(TimePoint now);
+
+  std::uint32_t slots = 0;
+  std::unordered_map<RequestId, Running> running;
+  std::vector<Waiting> waiting;
+  Duration service_time = kInitialServiceTime;
+  std::unordered_map<std::uint32_t, Duration> service_times;
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_SOURCE_ADMISSION_TARGET_ADMISSION_H_
--- a/Source/Daemon/admin_service.cc
+++ b/Source/Daemon/admin_service.cc
@@ -17,7 +17,7 @@
 #include "Core/digest.h"
 #include "Daemon/daemon.h"
 #include "Daemon/daemon_clock.h"
-#include "Daemon/event_log.h"
+#include "Observe/event_log.h"
 #include "Daemon/request_path.h"
 #include "Daemon/submit_runner.h"
 #include "Rules/rules_delta.h"
--- a/Source/Daemon/claim_service.cc
+++ b/Source/Daemon/claim_service.cc
@@ -7,7 +7,7 @@
 
 #include "Core/hash.h"
 #include "Daemon/daemon_clock.h"
-#include "Daemon/event_log.h"
+#include "Observe/event_log.h"
 #include "Daemon/peer_client.h"
 #include "Daemon/work_queue.h"
 
--- a/Source/Daemon/daemon.cc
+++ b/Source/Daemon/daemon.cc
@@ -10,7 +10,7 @@
 
 #include "Daemon/control_handlers.h"
 #include "Daemon/daemon_clock.h"
-#include "Daemon/event_log.h"
+#include "Observe/event_log.h"
 #include "Daemon/proxy_exchange.h"
 #include "Daemon/store_records.h"
 #include "Rules/rules_document.h"
--- a/Source/Daemon/daemon.h
+++ b/Source/Daemon/daemon.h
@@ -16,7 +16,7 @@
 #include "Daemon/gossip_socket.h"
 #include "Daemon/http_connection_pool.h"
 #include "Daemon/http_listener.h"
-#include "Daemon/metrics_registry.h"
+#include "Observe/metrics_registry.h"
 #include "Daemon/peer_client.h"
 #include "Daemon/proxy_handler.h"
 #include "Daemon/rules_state.h"
--- a/Source/Daemon/daemon_clock.h
+++ b/Source/Daemon/daemon_clock.h
@@ -5,18 +5,13 @@
 #include <cstdint>
 
 #include "Core/time_point.h"
+#include "Http/boot_clock.h"
 
 namespace lacewingbridge {
 
-// The time that the daemon gives to decision logic: the monotonic clock.
-inline TimePoint GetNow() {
-  const auto since_boot = std::chrono::steady_clock::now().time_since_epoch();
-  return TimePoint(std::chrono::duration_cast<Duration>(since_boot));
-}
-
 // The same moment for waiting on a condition variable.
 inline std::chrono::steady_clock::time_point ToSteadyTime(TimePoint time) {
-  return std::chrono::steady_clock::time_point(time.time_since_epoch());
+  return std::chrono::steady_clock::now() + (time - GetNow());
 }
 
 // Milliseconds since the Unix epoch, for display, incarnations and the times of claim keys
--- a/Source/Daemon/daemon_main.cc
+++ b/Source/Daemon/daemon_main.cc
@@ -7,7 +7,7 @@
 
 #include "Daemon/daemon.h"
 #include "Daemon/daemon_settings_loader.h"
-#include "Daemon/event_log.h"
+#include "Observe/event_log.h"
 #include "Daemon/signal_waiter.h"
 
 namespace lacewingbridge {
--- a/Source/Daemon/peer_traffic.cc
+++ b/Source/Daemon/peer_traffic.cc
@@ -5,7 +5,7 @@
 
 #include <string>
 
-#include "Daemon/metrics_registry.h"
+#include "Observe/metrics_registry.h"
 
 namespace lacewingbridge {
 
--- a/Source/Daemon/proxy_handler.cc
+++ b/Source/Daemon/proxy_handler.cc
@@ -11,7 +11,7 @@
 #include <string_view>
 
 #include "Daemon/daemon_clock.h"
-#include "Daemon/metrics_registry.h"
+#include "Observe/metrics_registry.h"
 #include "Daemon/proxy_exchange.h"
 #include "Daemon/proxy_refusal.h"
 #include "Daemon/proxy_request.h"
--- a/Source/Daemon/proxy_request.cc
+++ b/Source/Daemon/proxy_request.cc
@@ -12,7 +12,7 @@
 #include "Daemon/claim_service.h"
 #include "Daemon/connection_probe.h"
 #include "Daemon/daemon_clock.h"
-#include "Daemon/event_log.h"
+#include "Observe/event_log.h"
 #include "Daemon/request_waiter.h"
 #include "Daemon/service_table.h"
 #include "Retry/retry_policy.h"
--- a/Source/Daemon/rules_state.cc
+++ b/Source/Daemon/rules_state.cc
@@ -3,7 +3,7 @@
 #include <utility>
 #include <variant>
 
-#include "Daemon/event_log.h"
+#include "Observe/event_log.h"
 #include "Rules/rules_delta.h"
 #include "Rules/rules_document.h"
 #include "Rules/rules_error.h"
--- a/Source/Daemon/store_watcher.cc
+++ b/Source/Daemon/store_watcher.cc
@@ -6,7 +6,7 @@
 
 #include "Daemon/claim_service.h"
 #include "Daemon/daemon_clock.h"
-#include "Daemon/event_log.h"
+#include "Observe/event_log.h"
 #include "Daemon/rules_state.h"
 #include "Daemon/store_records.h"
 #include "Version/version_order.h"
--- a/Source/Generated/errors.h
+++ b/Source/Generated/errors.h
@@ -28,6 +28,8 @@
   kNotReady = 13,
   kNotFound = 14,
   kLimitExceeded = 15,
+  kStoreHistoryGone = 16,
+  kLeaseEnded = 17,
 };
 
 // Word for a value, as shown to people.
@@ -65,6 +67,10 @@
       return "not_found";
     case ErrorKind::kLimitExceeded:
       return "limit_exceeded";
+    case ErrorKind::kStoreHistoryGone:
+      return "store_history_gone";
+    case ErrorKind::kLeaseEnded:
+      return "lease_ended";
   }
   return "invalid";
 }
@@ -75,7 +81,7 @@
   std::string_view remedy;
 };
 
-inline constexpr std::array<ErrorKindDescription, 16> kErrorKindCatalogue = {{
+inline constexpr std::array<ErrorKindDescription, 18> kErrorKindCatalogue = {{
     {ErrorKind::kNone,
      "no error",
      "nothing to do"},
@@ -124,6 +130,12 @@
     {ErrorKind::kLimitExceeded,
      "a size or count limit was exceeded",
      "reduce the input below the limit in the message"},
+    {ErrorKind::kStoreHistoryGone,
+     "the store no longer has the history after the known revision",
+     "read the keys anew and continue from the revision of that answer"},
+    {ErrorKind::kLeaseEnded,
+     "the lease has ended",
+     "request a new lease and write the record again"},
 }};
 
 }  // namespace lacewingbridge
--- a/Source/Generated/events.h
+++ b/Source/Generated/events.h
@@ -18,15 +18,24 @@
   kStopped = 102,
   kDrainLimit = 103,
   kStartFailed = 104,
+  kSettingsReloaded = 105,
+  kSettingsRejected = 106,
+  kLinesDropped = 107,
   kVersionInForce = 200,
   kVersionRejected = 201,
   kSubmissionAccepted = 202,
   kSubmissionRefused = 203,
   kStoreOlder = 204,
+  kTableInForce = 205,
+  kTableRejected = 206,
   kWatchStarted = 300,
   kWatchEnded = 301,
   kStoreUnreachable = 302,
   kStoreReached = 303,
+  kLeaseGranted = 310,
+  kLeaseLost = 311,
+  kStoreHistoryGone = 312,
+  kRecordUnreadable = 313,
   kMemberJoined = 400,
   kMemberSuspect = 401,
   kMemberDead = 402,
@@ -39,8 +48,13 @@
   kTargetDraining = 502,
   kTargetEjected = 503,
   kRequestQuarantined = 504,
+  kAnnouncementRejected = 510,
+  kTargetState = 511,
   kClaimOwnersChanged = 600,
   kClaimsHandedOver = 601,
+  kRequestEnded = 800,
+  kHopEnded = 801,
+  kTargetHopEnded = 802,
   kOperatorCallFailed = 700,
 };
 
@@ -59,6 +73,12 @@
       return "drain_limit";
     case Event::kStartFailed:
       return "start_failed";
+    case Event::kSettingsReloaded:
+      return "settings_reloaded";
+    case Event::kSettingsRejected:
+      return "settings_rejected";
+    case Event::kLinesDropped:
+      return "lines_dropped";
     case Event::kVersionInForce:
       return "version_in_force";
     case Event::kVersionRejected:
@@ -69,6 +89,10 @@
       return "submission_refused";
     case Event::kStoreOlder:
       return "store_older";
+    case Event::kTableInForce:
+      return "table_in_force";
+    case Event::kTableRejected:
+      return "table_rejected";
     case Event::kWatchStarted:
       return "watch_started";
     case Event::kWatchEnded:
@@ -77,6 +101,14 @@
       return "store_unreachable";
     case Event::kStoreReached:
       return "store_reached";
+    case Event::kLeaseGranted:
+      return "lease_granted";
+    case Event::kLeaseLost:
+      return "lease_lost";
+    case Event::kStoreHistoryGone:
+      return "store_history_gone";
+    case Event::kRecordUnreadable:
+      return "record_unreadable";
     case Event::kMemberJoined:
       return "member_joined";
     case Event::kMemberSuspect:
@@ -101,10 +133,20 @@
       return "target_ejected";
     case Event::kRequestQuarantined:
       return "request_quarantined";
+    case Event::kAnnouncementRejected:
+      return "announcement_rejected";
+    case Event::kTargetState:
+      return "target_state";
     case Event::kClaimOwnersChanged:
       return "claim_owners_changed";
     case Event::kClaimsHandedOver:
       return "claims_handed_over";
+    case Event::kRequestEnded:
+      return "request_ended";
+    case Event::kHopEnded:
+      return "hop_ended";
+    case Event::kTargetHopEnded:
+      return "target_hop_ended";
     case Event::kOperatorCallFailed:
       return "operator_call_failed";
   }
@@ -118,7 +160,7 @@
   std::string_view action;
 };
 
-inline constexpr std::array<EventDescription, 30> kEventCatalogue = {{
+inline constexpr std::array<EventDescription, 44> kEventCatalogue = {{
     {Event::kNone, "info",
      "no event",
      ""},
@@ -137,6 +179,15 @@
     {Event::kStartFailed, "error",
      "daemon could not start",
      "Follow the remedy in the message."},
+    {Event::kSettingsReloaded, "info",
+     "settings file read again",
+     ""},
+    {Event::kSettingsRejected, "warning",
+     "settings file is not valid; the earlier settings stay in force",
+     "Correct the keys named in the message."},
+    {Event::kLinesDropped, "warning",
+     "log lines of an event were left out to bound the volume",
+     "Use the counters on the metrics address for totals."},
     {Event::kVersionInForce, "info",
      "rules version in force",
      ""},
@@ -152,6 +203,12 @@
     {Event::kStoreOlder, "warning",
      "store holds an older version than this daemon; writing it back",
      "Ask the platform's team whether the store lost state; see displaced versions in status."},
+    {Event::kTableInForce, "info",
+     "route table in force",
+     ""},
+    {Event::kTableRejected, "warning",
+     "route table rejected; the earlier one stays in force",
+     "Correct the route named in the message."},
     {Event::kWatchStarted, "info",
      "this daemon watches the store for its scope",
      ""},
@@ -164,6 +221,18 @@
     {Event::kStoreReached, "info",
      "store answers again",
      ""},
+    {Event::kLeaseGranted, "info",
+     "lease granted; this host will be listed",
+     ""},
+    {Event::kLeaseLost, "warning",
+     "lease or record of this host is gone; listing it again",
+     ""},
+    {Event::kStoreHistoryGone, "info",
+     "store has dropped the history after the known revision; reading everything again",
+     ""},
+    {Event::kRecordUnreadable, "warning",
+     "store entry cannot be read and names no host",
+     "Find out who writes below the prefix of the hosts."},
     {Event::kMemberJoined, "info",
      "member joined",
      ""},
@@ -200,12 +269,27 @@
     {Event::kRequestQuarantined, "warning",
      "request quarantined after it crashed targets",
      "Find the request by its fingerprint and fix the target."},
+    {Event::kAnnouncementRejected, "warning",
+     "announcement of a target cannot be used",
+     "Correct the target's settings; the reason names the field."},
+    {Event::kTargetState, "info",
+     "state of the local target changed",
+     ""},
     {Event::kClaimOwnersChanged, "info",
      "owner map changed",
      ""},
     {Event::kClaimsHandedOver, "info",
      "claims handed over",
      ""},
+    {Event::kRequestEnded, "info",
+     "request of a caller ended",
+     ""},
+    {Event::kHopEnded, "info",
+     "hop to another daemon ended",
+     ""},
+    {Event::kTargetHopEnded, "info",
+     "request at the local target ended",
+     ""},
     {Event::kOperatorCallFailed, "info",
      "operator call failed",
      ""},
--- /dev/null
+++ b/Source/Generated/mesh_codec.cc
@@ -0,0 +1,714 @@
+// Generated from Source/Schema/mesh.proto by Utilities/SchemaGenerator. Do not edit.
+#include "mesh_codec.h"
+
+#include <google/protobuf/util/json_util.h>
+
+#include "mesh.pb.h"
+#include "membership_codec.h"
+
+namespace lacewingbridge {
+
+void ToWire(const RouteDestination& plain, wire::RouteDestination& wire) {
+  wire.set_service(plain.service);
+  wire.set_weight(plain.weight);
+}
+
+void FromWire(const wire::RouteDestination& wire, RouteDestination& plain) {
+  plain.service = wire.service();
+  plain.weight = wire.weight();
+}
+
+std::string Encode(const RouteDestination& plain) {
+  wire::RouteDestination wire;
+  ToWire(plain, wire);
+  return wire.SerializeAsString();
+}
+
+bool Decode(std::string_view bytes, RouteDestination& plain) {
+  wire::RouteDestination wire;
+  if (!wire.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
+std::string EncodeJson(const RouteDestination& plain) {
+  wire::RouteDestination wire;
+  ToWire(plain, wire);
+  std::string text;
+  google::protobuf::util::JsonPrintOptions options;
+  options.preserve_proto_field_names = true;
+  options.always_print_primitive_fields = true;
+  if (!google::protobuf::util::MessageToJsonString(wire, &text, options).ok()) {
+    return {};
+  }
+  return text;
+}
+
+bool DecodeJson(std::string_view text, RouteDestination& plain) {
+  wire::RouteDestination wire;
+  if (!google::protobuf::util::JsonStringToMessage(
+           google::protobuf::StringPiece(text.data(), text.size()), &wire)
+           .ok()) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
+void ToWire(const HostRoute& plain, wire::HostRoute& wire) {
+  wire.set_name(plain.name);
+  wire.set_host(plain.host);
+  wire.set_path_prefix(plain.path_prefix);
+  for (const auto& element : plain.destinations) {
+    ToWire(element, *wire.add_destinations());
+  }
+  wire.set_idempotent(plain.idempotent);
+  wire.set_timeout_ms(plain.timeout_ms);
+  wire.set_objective_ms(plain.objective_ms);
+  wire.set_priority(plain.priority);
+  wire.set_max_attempts(plain.max_attempts);
+}
+
+void FromWire(const wire::HostRoute& wire, HostRoute& plain) {
+  plain.name = wire.name();
+  plain.host = wire.host();
+  plain.path_prefix = wire.path_prefix();
+  plain.destinations.reserve(static_cast<std::size_t>(wire.destinations_size()));
+  for (const auto& element : wire.destinations()) {
+    FromWire(element, plain.destinations.emplace_back());
+  }
+  plain.idempotent = wire.idempotent();
+  plain.timeout_ms = wire.timeout_ms();
+  plain.objective_ms = wire.objective_ms();
+  plain.priority = wire.priority();
+  plain.max_attempts = wire.max_attempts();
+}
+
+std::string Encode(const HostRoute& plain) {
+  wire::HostRoute wire;
+  ToWire(plain, wire);
+  return wire.SerializeAsString();
+}
+
+bool Decode(std::string_view bytes, HostRoute& plain) {
+  wire::HostRoute wire;
+  if (!wire.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
+std::string EncodeJson(const HostRoute& plain) {
+  wire::HostRoute wire;
+  ToWire(plain, wire);
+  std::string text;
+  google::protobuf::util::JsonPrintOptions options;
+  options.preserve_proto_field_names = true;
+  options.always_print_primitive_fields = true;
+  if (!google::protobuf::util::MessageToJsonString(wire, &text, options).ok()) {
+    return {};
+  }
+  return text;
+}
+
+bool DecodeJson(std::string_view text, HostRoute& plain) {
+  wire::HostRoute wire;
+  if (!google::protobuf::util::JsonStringToMessage(
+           google::protobuf::StringPiece(text.data(), text.size()), &wire)
+           .ok()) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
+void ToWire(const MeshService& plain, wire::MeshService& wire) {
+  wire.set_name(plain.name);
+  wire.set_health_path(plain.health_path);
+  wire.set_max_connections(plain.max_connections);
+}
+
+void FromWire(const wire::MeshService& wire, MeshService& plain) {
+  plain.name = wire.name();
+  plain.health_path = wire.health_path();
+  plain.max_connections = wire.max_connections();
+}
+
+std::string Encode(const MeshService& plain) {
+  wire::MeshService wire;
+  ToWire(plain, wire);
+  return wire.SerializeAsString();
+}
+
+bool Decode(std::string_view bytes, MeshService& plain) {
+  wire::MeshService wire;
+  if (!wire.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
+std::string EncodeJson(const MeshService& plain) {
+  wire::MeshService wire;
+  ToWire(plain, wire);
+  std::string text;
+  google::protobuf::util::JsonPrintOptions options;
+  options.preserve_proto_field_names = true;
+  options.always_print_primitive_fields = true;
+  if (!google::protobuf::util::MessageToJsonString(wire, &text, options).ok()) {
+    return {};
+  }
+  return text;
+}
+
+bool DecodeJson(std::string_view text, MeshService& plain) {
+  wire::MeshService wire;
+  if (!google::protobuf::util::JsonStringToMessage(
+           google::protobuf::StringPiece(text.data(), text.size()), &wire)
+           .ok()) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
+void ToWire(const CallerLimits& plain, wire::CallerLimits& wire) {
+  wire.set_max_header_bytes(plain.max_header_bytes);
+  wire.set_max_body_bytes(plain.max_body_bytes);
+  wire.set_header_timeout_ms(plain.header_timeout_ms);
+  wire.set_idle_timeout_ms(plain.idle_timeout_ms);
+}
+
+void FromWire(const wire::CallerLimits& wire, CallerLimits& plain) {
+  plain.max_header_bytes = wire.max_header_bytes();
+  plain.max_body_bytes = wire.max_body_bytes();
+  plain.header_timeout_ms = wire.header_timeout_ms();
+  plain.idle_timeout_ms = wire.idle_timeout_ms();
+}
+
+std::string Encode(const CallerLimits& plain) {
+  wire::CallerLimits wire;
+  ToWire(plain, wire);
+  return wire.SerializeAsString();
+}
+
+bool Decode(std::string_view bytes, CallerLimits& plain) {
+  wire::CallerLimits wire;
+  if (!wire.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
+std::string EncodeJson(const CallerLimits& plain) {
+  wire::CallerLimits wire;
+  ToWire(plain, wire);
+  std::string text;
+  google::protobuf::util::JsonPrintOptions options;
+  options.preserve_proto_field_names = true;
+  options.always_print_primitive_fields = true;
+  if (!google::protobuf::util::MessageToJsonString(wire, &text, options).ok()) {
+    return {};
+  }
+  return text;
+}
+
+bool DecodeJson(std::string_view text, CallerLimits& plain) {
+  wire::CallerLimits wire;
+  if (!google::protobuf::util::JsonStringToMessage(
+           google::protobuf::StringPiece(text.data(), text.size()), &wire)
+           .ok()) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
+void ToWire(const RouteTable& plain, wire::RouteTable& wire) {
+  wire.set_version(plain.version);
+  for (const auto& element : plain.routes) {
+    ToWire(element, *wire.add_routes());
+  }
+  for (const auto& element : plain.services) {
+    ToWire(element, *wire.add_services());
+  }
+  if (plain.limits != CallerLimits{}) {
+    ToWire(plain.limits, *wire.mutable_limits());
+  }
+}
+
+void FromWire(const wire::RouteTable& wire, RouteTable& plain) {
+  plain.version = wire.version();
+  plain.routes.reserve(static_cast<std::size_t>(wire.routes_size()));
+  for (const auto& element : wire.routes()) {
+    FromWire(element, plain.routes.emplace_back());
+  }
+  plain.services.reserve(static_cast<std::size_t>(wire.services_size()));
+  for (const auto& element : wire.services()) {
+    FromWire(element, plain.services.emplace_back());
+  }
+  FromWire(wire.limits(), plain.limits);
+}
+
+std::string Encode(const RouteTable& plain) {
+  wire::RouteTable wire;
+  ToWire(plain, wire);
+  return wire.SerializeAsString();
+}
+
+bool Decode(std::string_view bytes, RouteTable& plain) {
+  wire::RouteTable wire;
+  if (!wire.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
+std::string EncodeJson(const RouteTable& plain) {
+  wire::RouteTable wire;
+  ToWire(plain, wire);
+  std::string text;
+  google::protobuf::util::JsonPrintOptions options;
+  options.preserve_proto_field_names = true;
+  options.always_print_primitive_fields = true;
+  if (!google::protobuf::util::MessageToJsonString(wire, &text, options).ok()) {
+    return {};
+  }
+  return text;
+}
+
+bool DecodeJson(std::string_view text, RouteTable& plain) {
+  wire::RouteTable wire;
+  if (!google::protobuf::util::JsonStringToMessage(
+           google::protobuf::StringPiece(text.data(), text.size()), &wire)
+           .ok()) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
+void ToWire(const LocalTargetRecord& plain, wire::LocalTargetRecord& wire) {
+  wire.set_service(plain.service);
+  wire.set_id(plain.id);
+  wire.set_born_unix_ms(plain.born_unix_ms);
+  wire.set_slots(plain.slots);
+  wire.set_accepting(plain.accepting);
+}
+
+void FromWire(const wire::LocalTargetRecord& wire, LocalTargetRecord& plain) {
+  plain.service = wire.service();
+  plain.id = wire.id();
+  plain.born_unix_ms = wire.born_unix_ms();
+  plain.slots = wire.slots();
+  plain.accepting = wire.accepting();
+}
+
+std::string Encode(const LocalTargetRecord& plain) {
+  wire::LocalTargetRecord wire;
+  ToWire(plain, wire);
+  return wire.SerializeAsString();
+}
+
+bool Decode(std::string_view bytes, LocalTargetRecord& plain) {
+  wire::LocalTargetRecord wire;
+  if (!wire.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
+std::string EncodeJson(const LocalTargetRecord& plain) {
+  wire::LocalTargetRecord wire;
+  ToWire(plain, wire);
+  std::string text;
+  google::protobuf::util::JsonPrintOptions options;
+  options.preserve_proto_field_names = true;
+  options.always_print_primitive_fields = true;
+  if (!google::protobuf::util::MessageToJsonString(wire, &text, options).ok()) {
+    return {};
+  }
+  return text;
+}
+
+bool DecodeJson(std::string_view text, LocalTargetRecord& plain) {
+  wire::LocalTargetRecord wire;
+  if (!google::protobuf::util::JsonStringToMessage(
+           google::protobuf::StringPiece(text.data(), text.size()), &wire)
+           .ok()) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
+void ToWire(const HostRecord& plain, wire::HostRecord& wire) {
+  wire.set_host(plain.host);
+  wire.set_data_centre(plain.data_centre);
+  wire.set_region(plain.region);
+  wire.set_peer_address(plain.peer_address);
+  wire.set_revision(plain.revision);
+  if (plain.target.has_value()) {
+    ToWire(*plain.target, *wire.mutable_target());
+  }
+}
+
+void FromWire(const wire::HostRecord& wire, HostRecord& plain) {
+  plain.host = wire.host();
+  plain.data_centre = wire.data_centre();
+  plain.region = wire.region();
+  plain.peer_address = wire.peer_address();
+  plain.revision = wire.revision();
+  if (wire.has_target()) {
+    FromWire(wire.target(), plain.target.emplace());
+  }
+}
+
+std::string Encode(const HostRecord& plain) {
+  wire::HostRecord wire;
+  ToWire(plain, wire);
+  return wire.SerializeAsString();
+}
+
+bool Decode(std::string_view bytes, HostRecord& plain) {
+  wire::HostRecord wire;
+  if (!wire.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
+std::string EncodeJson(const HostRecord& plain) {
+  wire::HostRecord wire;
+  ToWire(plain, wire);
+  std::string text;
+  google::protobuf::util::JsonPrintOptions options;
+  options.preserve_proto_field_names = true;
+  options.always_print_primitive_fields = true;
+  if (!google::protobuf::util::MessageToJsonString(wire, &text, options).ok()) {
+    return {};
+  }
+  return text;
+}
+
+bool DecodeJson(std::string_view text, HostRecord& plain) {
+  wire::HostRecord wire;
+  if (!google::protobuf::util::JsonStringToMessage(
+           google::protobuf::StringPiece(text.data(), text.size()), &wire)
+           .ok()) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
+void ToWire(const PeerSnapshot& plain, wire::PeerSnapshot& wire) {
+  if (plain.table != RouteTable{}) {
+    ToWire(plain.table, *wire.mutable_table());
+  }
+  for (const auto& element : plain.hosts) {
+    ToWire(element, *wire.add_hosts());
+  }
+}
+
+void FromWire(const wire::PeerSnapshot& wire, PeerSnapshot& plain) {
+  FromWire(wire.table(), plain.table);
+  plain.hosts.reserve(static_cast<std::size_t>(wire.hosts_size()));
+  for (const auto& element : wire.hosts()) {
+    FromWire(element, plain.hosts.emplace_back());
+  }
+}
+
+std::string Encode(const PeerSnapshot& plain) {
+  wire::PeerSnapshot wire;
+  ToWire(plain, wire);
+  return wire.SerializeAsString();
+}
+
+bool Decode(std::string_view bytes, PeerSnapshot& plain) {
+  wire::PeerSnapshot wire;
+  if (!wire.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
+std::string EncodeJson(const PeerSnapshot& plain) {
+  wire::PeerSnapshot wire;
+  ToWire(plain, wire);
+  std::string text;
+  google::protobuf::util::JsonPrintOptions options;
+  options.preserve_proto_field_names = true;
+  options.always_print_primitive_fields = true;
+  if (!google::protobuf::util::MessageToJsonString(wire, &text, options).ok()) {
+    return {};
+  }
+  return text;
+}
+
+bool DecodeJson(std::string_view text, PeerSnapshot& plain) {
+  wire::PeerSnapshot wire;
+  if (!google::protobuf::util::JsonStringToMessage(
+           google::protobuf::StringPiece(text.data(), text.size()), &wire)
+           .ok()) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
+void ToWire(const HopRequest& plain, wire::HopRequest& wire) {
+  wire.set_service(plain.service);
+  wire.set_target_id(plain.target_id);
+  wire.set_caller_service(plain.caller_service);
+  wire.set_time_left_ms(plain.time_left_ms);
+  wire.set_objective_left_ms(plain.objective_left_ms);
+  wire.set_priority(plain.priority);
+  wire.set_idempotent(plain.idempotent);
+  wire.set_repeated(plain.repeated);
+  wire.set_table_version(plain.table_version);
+  wire.set_sender(plain.sender);
+  for (const auto& element : plain.strikes) {
+    ToWire(element, *wire.add_strikes());
+  }
+}
+
+void FromWire(const wire::HopRequest& wire, HopRequest& plain) {
+  plain.service = wire.service();
+  plain.target_id = wire.target_id();
+  plain.caller_service = wire.caller_service();
+  plain.time_left_ms = wire.time_left_ms();
+  plain.objective_left_ms = wire.objective_left_ms();
+  plain.priority = wire.priority();
+  plain.idempotent = wire.idempotent();
+  plain.repeated = wire.repeated();
+  plain.table_version = wire.table_version();
+  plain.sender = wire.sender();
+  plain.strikes.reserve(static_cast<std::size_t>(wire.strikes_size()));
+  for (const auto& element : wire.strikes()) {
+    FromWire(element, plain.strikes.emplace_back());
+  }
+}
+
+std::string Encode(const HopRequest& plain) {
+  wire::HopRequest wire;
+  ToWire(plain, wire);
+  return wire.SerializeAsString();
+}
+
+bool Decode(std::string_view bytes, HopRequest& plain) {
+  wire::HopRequest wire;
+  if (!wire.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
+std::string EncodeJson(const HopRequest& plain) {
+  wire::HopRequest wire;
+  ToWire(plain, wire);
+  std::string text;
+  google::protobuf::util::JsonPrintOptions options;
+  options.preserve_proto_field_names = true;
+  options.always_print_primitive_fields = true;
+  if (!google::protobuf::util::MessageToJsonString(wire, &text, options).ok()) {
+    return {};
+  }
+  return text;
+}
+
+bool DecodeJson(std::string_view text, HopRequest& plain) {
+  wire::HopRequest wire;
+  if (!google::protobuf::util::JsonStringToMessage(
+           google::protobuf::StringPiece(text.data(), text.size()), &wire)
+           .ok()) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
+void ToWire(const HopReport& plain, wire::HopReport& wire) {
+  wire.set_outcome(static_cast<wire::HopOutcome>(plain.outcome));
+  wire.set_running(plain.running);
+  wire.set_waiting(plain.waiting);
+  wire.set_slots(plain.slots);
+  wire.set_expected_wait_ms(plain.expected_wait_ms);
+  wire.set_service_time_ms(plain.service_time_ms);
+  wire.set_accepting(plain.accepting);
+  wire.set_target_id(plain.target_id);
+  wire.set_table_version(plain.table_version);
+  wire.set_reason(plain.reason);
+  for (const auto& element : plain.strikes) {
+    ToWire(element, *wire.add_strikes());
+  }
+}
+
+void FromWire(const wire::HopReport& wire, HopReport& plain) {
+  plain.outcome = static_cast<HopOutcome>(wire.outcome());
+  plain.running = wire.running();
+  plain.waiting = wire.waiting();
+  plain.slots = wire.slots();
+  plain.expected_wait_ms = wire.expected_wait_ms();
+  plain.service_time_ms = wire.service_time_ms();
+  plain.accepting = wire.accepting();
+  plain.target_id = wire.target_id();
+  plain.table_version = wire.table_version();
+  plain.reason = wire.reason();
+  plain.strikes.reserve(static_cast<std::size_t>(wire.strikes_size()));
+  for (const auto& element : wire.strikes()) {
+    FromWire(element, plain.strikes.emplace_back());
+  }
+}
+
+std::string Encode(const HopReport& plain) {
+  wire::HopReport wire;
+  ToWire(plain, wire);
+  return wire.SerializeAsString();
+}
+
+bool Decode(std::string_view bytes, HopReport& plain) {
+  wire::HopReport wire;
+  if (!wire.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
+std::string EncodeJson(const HopReport& plain) {
+  wire::HopReport wire;
+  ToWire(plain, wire);
+  std::string text;
+  google::protobuf::util::JsonPrintOptions options;
+  options.preserve_proto_field_names = true;
+  options.always_print_primitive_fields = true;
+  if (!google::protobuf::util::MessageToJsonString(wire, &text, options).ok()) {
+    return {};
+  }
+  return text;
+}
+
+bool DecodeJson(std::string_view text, HopReport& plain) {
+  wire::HopReport wire;
+  if (!google::protobuf::util::JsonStringToMessage(
+           google::protobuf::StringPiece(text.data(), text.size()), &wire)
+           .ok()) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
+void ToWire(const MeshSettings& plain, wire::MeshSettings& wire) {
+  wire.set_host(plain.host);
+  wire.set_data_centre(plain.data_centre);
+  wire.set_region(plain.region);
+  wire.set_service(plain.service);
+  wire.set_target_address(plain.target_address);
+  wire.set_caller_address(plain.caller_address);
+  wire.set_peer_address(plain.peer_address);
+  wire.set_control_address(plain.control_address);
+  wire.set_ready_address(plain.ready_address);
+  wire.set_metrics_address(plain.metrics_address);
+  wire.set_store_address(plain.store_address);
+  wire.set_worker_threads(plain.worker_threads);
+  wire.set_min_lease_ms(plain.min_lease_ms);
+  wire.set_stop_limit_ms(plain.stop_limit_ms);
+  wire.set_retry_ratio(plain.retry_ratio);
+  wire.set_retry_slack(plain.retry_slack);
+  wire.set_retry_window_ms(plain.retry_window_ms);
+}
+
+void FromWire(const wire::MeshSettings& wire, MeshSettings& plain) {
+  plain.host = wire.host();
+  plain.data_centre = wire.data_centre();
+  plain.region = wire.region();
+  plain.service = wire.service();
+  plain.target_address = wire.target_address();
+  plain.caller_address = wire.caller_address();
+  plain.peer_address = wire.peer_address();
+  plain.control_address = wire.control_address();
+  plain.ready_address = wire.ready_address();
+  plain.metrics_address = wire.metrics_address();
+  plain.store_address = wire.store_address();
+  plain.worker_threads = wire.worker_threads();
+  plain.min_lease_ms = wire.min_lease_ms();
+  plain.stop_limit_ms = wire.stop_limit_ms();
+  plain.retry_ratio = wire.retry_ratio();
+  plain.retry_slack = wire.retry_slack();
+  plain.retry_window_ms = wire.retry_window_ms();
+}
+
+std::string Encode(const MeshSettings& plain) {
+  wire::MeshSettings wire;
+  ToWire(plain, wire);
+  return wire.SerializeAsString();
+}
+
+bool Decode(std::string_view bytes, MeshSettings& plain) {
+  wire::MeshSettings wire;
+  if (!wire.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
+std::string EncodeJson(const MeshSettings& plain) {
+  wire::MeshSettings wire;
+  ToWire(plain, wire);
+  std::string text;
+  google::protobuf::util::JsonPrintOptions options;
+  options.preserve_proto_field_names = true;
+  options.always_print_primitive_fields = true;
+  if (!google::protobuf::util::MessageToJsonString(wire, &text, options).ok()) {
+    return {};
+  }
+  return text;
+}
+
+bool DecodeJson(std::string_view text, MeshSettings& plain) {
+  wire::MeshSettings wire;
+  if (!google::protobuf::util::JsonStringToMessage(
+           google::protobuf::StringPiece(text.data(), text.size()), &wire)
+           .ok()) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
+}  // namespace lacewingbridge
--- /dev/null
+++ b/Source/Http/inbound_bytes.h
@@ -0,0 +1,55 @@
+#ifndef LACEWINGBRIDGE_SOURCE_HTTP_INBOUND_BYTES_H_
+#define LACEWINGBRIDGE_SOURCE_HTTP_INBOUND_BYTES_H_
+
+#include <cstddef>
+#include <functional>
+
+#include "Core/time_point.h"
+#include "Http/asio_types.h"
+#include "Http/async_signal.h"
+
+namespace lacewingbridge {
+
+// Reads from a connection all the time, so that the end of the connection is noticed while
+// a request is under way. Holds a bounded number of bytes; beyond it the sender waits.
+class InboundBytes {
+ public:
+  // Room for a few pipelined requests, or for a chunk of a body.
+  static constexpr std::size_t kMaxHeldBytes = 64 * 1024;
+
+  InboundBytes(asio::io_context& context, TcpSocket& from);
+
+  // Runs until the connection ends. Started once, beside the coroutine that consumes.
+  Awaitable<void> Pump();
+
+  // Bytes that are not consumed yet.
+  asio::const_buffer GetBytes() const { return this->buffer.cdata(); }
+  void Consume(std::size_t count);
+
+  // Waits until there are more bytes than now or the connection has ended; false when the
+  // time is over before.
+  Awaitable<bool> WaitForMore(Duration limit);
+
+  bool HasEnded() const { return this->ended; }
+  bool IsPumping() const { return this->pumping; }
+
+  // Called when the connection ends; empty for none.
+  void SetEndListener(std::function<void()> new_listener) {
+    this->end_listener = std::move(new_listener);
+  }
+
+ private:
+  static constexpr std::size_t kReadBytes = 8 * 1024;
+
+  TcpSocket& socket;
+  boost::beast::flat_buffer buffer;
+  AsyncSignal arrived;
+  AsyncSignal consumed;
+  std::function<void()> end_listener;
+  bool pumping = false;
+  bool ended = false;
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_SOURCE_HTTP_INBOUND_BYTES_H_
--- /dev/null
+++ b/Source/Http/outbound_exchange.cc
@@ -0,0 +1,205 @@
+#include "Http/outbound_exchange.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdint>
+#include <limits>
+#include <utility>
+
+#include "Core/socket_address.h"
+#include "Http/boot_clock.h"
+#include "Http/io_shard.h"
+#include "Http/socket_options.h"
+
+namespace lacewingbridge {
+
+namespace {
+
+// A connection is no longer used this long before the other side may close it: a request
+// that crosses the close would be lost.
+constexpr Duration kIdleMargin = std::chrono::milliseconds(700);
+
+std::optional<Duration> ReadKeepAliveTimeout(const http::response_header<>& head) {
+  const std::string_view value(head["Keep-Alive"].data(), head["Keep-Alive"].size());
+  constexpr std::string_view kKey = "timeout=";
+  const std::size_t position = value.find(kKey);
+  if (position == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const std::string_view digits = value.substr(position + kKey.size());
+  int seconds = 0;
+  const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  if (error != std::errc()) {
+    return std::nullopt;
+  }
+  return std::chrono::seconds(seconds);
+}
+
+}  // namespace
+
+std::string_view GetName(ExchangeStatus status) {
+  switch (status) {
+    case ExchangeStatus::kOk:
+      return "ok";
+    case ExchangeStatus::kNotConnected:
+      return "not_connected";
+    case ExchangeStatus::kLost:
+      return "lost";
+    case ExchangeStatus::kTimedOut:
+      return "timed_out";
+    case ExchangeStatus::kCancelled:
+      return "cancelled";
+  }
+  return "invalid";
+}
+
+OutboundExchange::OutboundExchange(IoShard& io_shard, std::string_view to_address)
+    : shard(io_shard), address(to_address), timer(io_shard.GetContext()) {}
+
+ExchangeStatus OutboundExchange::GetFailure(ExchangeStatus otherwise) const {
+  if (this->cancelled) {
+    return ExchangeStatus::kCancelled;
+  }
+  return this->timer.HasExpired() ? ExchangeStatus::kTimedOut : otherwise;
+}
+
+Awaitable<ExchangeStatus> OutboundExchange::Connect(const OutboundOptions& options) {
+  this->connection = this->shard.GetPool().Take(GetNow(), this->address, options.max_idle);
+  if (this->connection != nullptr) {
+    co_return ExchangeStatus::kOk;
+  }
+  const Result<SocketAddress> parsed = SocketAddress::Parse(this->address);
+  if (!IsOk(parsed)) {
+    co_return ExchangeStatus::kNotConnected;
+  }
+  this->connection = std::make_unique<OutboundConnection>(this->shard.GetContext());
+  ErrorCode code;
+  const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(GetValue(parsed).GetIp(), code),
+                                         GetValue(parsed).GetPort());
+  SocketTimer connect_timer(this->shard.GetContext());
+  connect_timer.Start(this->connection->socket, options.connect_limit);
+  co_await this->connection->socket.async_connect(endpoint, AwaitInto(code));
+  connect_timer.Stop();
+  if (code || !this->connection->socket.is_open()) {
+    co_return this->cancelled ? ExchangeStatus::kCancelled : ExchangeStatus::kNotConnected;
+  }
+  SetConnectionOptions(this->connection->socket);
+  co_return ExchangeStatus::kOk;
+}
+
+Awaitable<ExchangeStatus> OutboundExchange::Start(const Request& request, const BodyWriter* rest,
+                                                  Duration limit,
+                                                  const OutboundOptions& options) {
+  const ExchangeStatus connected = co_await this->Connect(options);
+  if (connected != ExchangeStatus::kOk) {
+    co_return connected;
+  }
+  this->idle_limit = options.assumed_idle_limit;
+  this->is_head_request = request.method() == http::verb::head;
+  this->timer.Start(this->connection->socket, limit);
+  ErrorCode code;
+  if (rest == nullptr) {
+    co_await http::async_write(this->connection->socket, request, AwaitInto(code));
+    this->request_sent = !code;
+  } else {
+    http::request_serializer<http::string_body> serializer(request);
+    co_await http::async_write_header(this->connection->socket, serializer, AwaitInto(code));
+    if (!code) {
+      this->request_sent = co_await (*rest)(this->connection->socket);
+    }
+  }
+  // An answer may already be there although the target stopped reading, so the head is
+  // read even after a failed write.
+  co_return co_await this->ReadHead();
+}
+
+Awaitable<ExchangeStatus> OutboundExchange::ReadHead() {
+  do {
+    this->parser.emplace();
+    this->parser->header_limit(kMaxHeadBytes);
+    // Without any limit, Boost 1.74 rejects every body of a stated length.
+    this->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+    this->parser->skip(this->is_head_request);
+    ErrorCode code;
+    co_await http::async_read_header(this->connection->socket, this->connection->buffer,
+                                     *this->parser, AwaitInto(code));
+    if (code) {
+      this->broken = true;
+      this->failure = code;
+      co_return this->GetFailure(ExchangeStatus::kLost);
+    }
+    // Interim answers come before the final one.
+  } while (http::to_status_class(this->parser->get().result()) ==
+           http::status_class::informational);
+  co_return ExchangeStatus::kOk;
+}
+
+Awaitable<ExchangeStatus> OutboundExchange::ReadNextHead() {
+  if (!this->parser->is_done() || !this->parser->keep_alive()) {
+    co_return ExchangeStatus::kLost;
+  }
+  co_return co_await this->ReadHead();
+}
+
+std::optional<std::uint64_t> OutboundExchange::GetLength() const {
+  const boost::optional<std::uint64_t> length = this->parser->content_length();
+  return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+}
+
+Awaitable<BodyStatus> OutboundExchange::ReadBody(std::string& body, std::size_t max_bytes) {
+  constexpr std::size_t kChunkBytes = 16 * 1024;
+  std::size_t read = 0;
+  while (!this->parser->is_done() && read < max_bytes) {
+    const std::size_t old_size = body.size();
+    const std::size_t room = std::min(kChunkBytes, max_bytes - read);
+    body.resize(old_size + room);
+    this->parser->get().body().data = body.data() + old_size;
+    this->parser->get().body().size = room;
+    if (this->silence_limit > Duration{0}) {
+      this->timer.Start(this->connection->socket, this->silence_limit);
+    }
+    ErrorCode code;
+    co_await http::async_read_some(this->connection->socket, this->connection->buffer,
+                                   *this->parser, AwaitInto(code));
+    const std::size_t received = room - this->parser->get().body().size;
+    body.resize(old_size + received);
+    read += received;
+    if (code && code != http::error::need_buffer) {
+      this->broken = true;
+      co_return BodyStatus::kBroken;
+    }
+  }
+  co_return this->parser->is_done() ? BodyStatus::kComplete : BodyStatus::kMore;
+}
+
+void OutboundExchange::Cancel() {
+  this->cancelled = true;
+  if (this->connection != nullptr) {
+    ErrorCode ignored;
+    this->connection->socket.close(ignored);
+  }
+}
+
+void OutboundExchange::NoteIdleLimit(Duration assumed) {
+  const Duration limit = ReadKeepAliveTimeout(this->GetHead()).value_or(assumed);
+  this->connection->usable_until = GetNow() + std::max(limit - kIdleMargin, Duration{0});
+}
+
+void OutboundExchange::Finish() {
+  this->timer.Stop();
+  if (this->connection == nullptr) {
+    return;
+  }
+  const bool reusable = !this->broken && !this->cancelled && !this->timer.HasExpired() &&
+                        this->request_sent && this->parser.has_value() && this->parser->is_done() &&
+                        this->parser->keep_alive() && this->connection->buffer.size() == 0 &&
+                        this->connection->socket.is_open();
+  if (reusable) {
+    this->NoteIdleLimit(this->idle_limit);
+    this->shard.GetPool().Return(GetNow(), this->address, std::move(this->connection));
+  }
+  this->connection.reset();
+}
+
+}  // namespace lacewingbridge
--- /dev/null
+++ b/Source/Http/server_exchange.cc
@@ -0,0 +1,227 @@
+#include "Http/server_exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Http/boot_clock.h"
+
+namespace lacewingbridge {
+
+ServerExchange::ServerExchange(asio::io_context& context, TcpSocket& to, InboundBytes& from,
+                               const ServerLimits& server_limits)
+    : socket(to), bytes(from), limits(server_limits), write_timer(context) {
+  this->parser.header_limit(this->limits.max_header_bytes);
+  this->parser.body_limit(this->limits.max_body_bytes);
+  this->parser.eager(false);
+}
+
+ReadProblem ServerExchange::GetProblem(const ErrorCode& code) const {
+  if (code == http::error::header_limit) {
+    return ReadProblem::kHeadTooLong;
+  }
+  return code == http::error::body_limit ? ReadProblem::kBodyTooLong : ReadProblem::kMalformed;
+}
+
+Awaitable<ReadProblem> ServerExchange::ReadHead() {
+  if (this->bytes.GetBytes().size() == 0) {
+    const bool arrived = co_await this->bytes.WaitForMore(this->limits.idle_timeout);
+    if (!arrived) {
+      co_return ReadProblem::kEnded;
+    }
+  }
+  const TimePoint until = GetNow() + this->limits.header_timeout;
+  while (!this->parser.is_header_done()) {
+    if (this->bytes.GetBytes().size() > 0) {
+      ErrorCode code;
+      const std::size_t consumed = this->parser.put(this->bytes.GetBytes(), code);
+      this->bytes.Consume(consumed);
+      if (this->parser.is_header_done()) {
+        break;
+      }
+      if (code && code != http::error::need_more) {
+        co_return this->GetProblem(code);
+      }
+    }
+    if (this->bytes.HasEnded()) {
+      co_return ReadProblem::kEnded;
+    }
+    const bool arrived = co_await this->bytes.WaitForMore(until - GetNow());
+    if (!arrived) {
+      co_return ReadProblem::kTimedOut;
+    }
+  }
+  co_return ReadProblem::kNone;
+}
+
+Awaitable<ReadProblem> ServerExchange::ReadRequest() {
+  const ReadProblem problem = co_await this->ReadHead();
+  if (problem != ReadProblem::kNone) {
+    co_return problem;
+  }
+  if (!this->parser.is_done() && this->GetHeader("Expect") == "100-continue") {
+    constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+    const asio::const_buffer data(kContinue.data(), kContinue.size());
+    co_await this->Write(data);
+  }
+  co_return co_await this->ReadSome(this->body, kMaxHeldBody);
+}
+
+Awaitable<ReadProblem> ServerExchange::ReadSome(std::string& into, std::size_t max_bytes) {
+  constexpr std::size_t kChunkBytes = 16 * 1024;
+  bool starved = false;
+  while (!this->parser.is_done() && into.size() < max_bytes) {
+    if (starved || this->bytes.GetBytes().size() == 0) {
+      if (this->bytes.HasEnded()) {
+        co_return ReadProblem::kEnded;
+      }
+      const bool arrived = co_await this->bytes.WaitForMore(this->limits.idle_timeout);
+      if (!arrived) {
+        co_return ReadProblem::kTimedOut;
+      }
+      starved = false;
+      continue;
+    }
+    const std::size_t old_size = into.size();
+    const std::size_t room = std::min(kChunkBytes, max_bytes - old_size);
+    into.resize(old_size + room);
+    this->parser.get().body().data = into.data() + old_size;
+    this->parser.get().body().size = room;
+    ErrorCode code;
+    const std::size_t consumed = this->parser.put(this->bytes.GetBytes(), code);
+    into.resize(old_size + room - this->parser.get().body().size);
+    this->bytes.Consume(consumed);
+    if (code && code != http::error::need_more && code != http::error::need_buffer) {
+      co_return this->GetProblem(code);
+    }
+    // The head of a chunk may be there in part only.
+    starved = consumed == 0;
+  }
+  co_return ReadProblem::kNone;
+}
+
+Awaitable<bool> ServerExchange::ReadBodyPart(std::string& part) {
+  part.clear();
+  const ReadProblem problem = co_await this->ReadSome(part, kMaxHeldBody);
+  co_return problem == ReadProblem::kNone;
+}
+
+std::string_view ServerExchange::GetTarget() const {
+  const auto target = this->GetHead().target();
+  return {target.data(), target.size()};
+}
+
+std::string_view ServerExchange::GetHeader(std::string_view name) const {
+  const auto value = this->GetHead()[boost::string_view(name.data(), name.size())];
+  return {value.data(), value.size()};
+}
+
+std::optional<std::uint64_t> ServerExchange::GetLength() const {
+  const boost::optional<std::uint64_t> length = this->parser.content_length();
+  return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+}
+
+template <typename Message>
+void ServerExchange::Finalize(Message& answer) {
+  // Bytes of an unread body would be taken for the next request.
+  if (!this->parser.is_done()) {
+    this->close_after = true;
+  }
+  answer.version(11);
+  answer.keep_alive(!this->close_after && this->parser.keep_alive());
+  this->close_after = !answer.keep_alive();
+}
+
+Awaitable<bool> ServerExchange::Send(Answer answer) {
+  this->answered = true;
+  this->Finalize(answer);
+  if (this->GetHead().method() == http::verb::head) {
+    http::response<http::empty_body> head(std::move(answer.base()));
+    this->write_timer.Start(this->socket, this->limits.idle_timeout);
+    ErrorCode code;
+    http::response_serializer<http::empty_body> serializer(head);
+    co_await http::async_write_header(this->socket, serializer, AwaitInto(code));
+    this->write_timer.Stop();
+    this->complete = !code;
+    co_return this->complete;
+  }
+  answer.prepare_payload();
+  this->write_timer.Start(this->socket, this->limits.idle_timeout);
+  ErrorCode code;
+  co_await http::async_write(this->socket, answer, AwaitInto(code));
+  this->write_timer.Stop();
+  this->complete = !code;
+  co_return this->complete;
+}
+
+Awaitable<bool> ServerExchange::SendHead(http::response_header<> head,
+                                         std::optional<std::uint64_t> length) {
+  this->answered = true;
+  http::response<http::empty_body> answer(std::move(head));
+  if (!length.has_value() && this->GetHead().version() < 11) {
+    this->close_after = true;
+  }
+  this->Finalize(answer);
+  if (length.has_value()) {
+    answer.content_length(*length);
+  } else if (this->GetHead().version() >= 11) {
+    answer.chunked(true);
+    this->chunked = true;
+  }
+  http::response_serializer<http::empty_body> serializer(answer);
+  this->write_timer.Start(this->socket, this->limits.idle_timeout);
+  ErrorCode code;
+  co_await http::async_write_header(this->socket, serializer, AwaitInto(code));
+  this->write_timer.Stop();
+  co_return !code;
+}
+
+Awaitable<bool> ServerExchange::Write(asio::const_buffer data) {
+  this->write_timer.Start(this->socket, this->limits.idle_timeout);
+  ErrorCode code;
+  co_await asio::async_write(this->socket, data, AwaitInto(code));
+  this->write_timer.Stop();
+  co_return !code;
+}
+
+Awaitable<bool> ServerExchange::SendPart(std::string_view part) {
+  if (part.empty()) {
+    co_return true;
+  }
+  if (!this->chunked) {
+    const asio::const_buffer data(part.data(), part.size());
+    co_return co_await this->Write(data);
+  }
+  this->write_timer.Start(this->socket, this->limits.idle_timeout);
+  ErrorCode code;
+  const auto chunk = http::make_chunk(asio::const_buffer(part.data(), part.size()));
+  co_await asio::async_write(this->socket, chunk, AwaitInto(code));
+  this->write_timer.Stop();
+  co_return !code;
+}
+
+Awaitable<bool> ServerExchange::SendEnd() {
+  this->complete = true;
+  if (this->chunked) {
+    ErrorCode code;
+    const auto last = http::make_chunk_last();
+    co_await asio::async_write(this->socket, last, AwaitInto(code));
+    this->complete = !code;
+  }
+  co_return this->complete;
+}
+
+void ServerExchange::Abort() {
+  this->answered = true;
+  this->complete = false;
+  this->close_after = true;
+  // A reset cannot be taken for the end of an answer without a length.
+  ErrorCode ignored;
+  this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  this->socket.close(ignored);
+}
+
+bool ServerExchange::IsReusable() const {
+  return this->answered && this->complete && !this->close_after && this->parser.is_done();
+}
+
+}  // namespace lacewingbridge
--- /dev/null
+++ b/Source/Http/server_exchange.h
@@ -0,0 +1,88 @@
+#ifndef LACEWINGBRIDGE_SOURCE_HTTP_SERVER_EXCHANGE_H_
+#define LACEWINGBRIDGE_SOURCE_HTTP_SERVER_EXCHANGE_H_
+
+#include <cstddef>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "Core/time_point.h"
+#include "Http/asio_types.h"
+#include "Http/inbound_bytes.h"
+#include "Http/server_limits.h"
+#include "Http/socket_timer.h"
+
+namespace lacewingbridge {
+
+// Why a request could not be read.
+enum class ReadProblem { kNone, kEnded, kMalformed, kHeadTooLong, kBodyTooLong, kTimedOut };
+
+// One request on a connection of a listener and its answer. Exactly one answer is sent,
+// whole by Send or in parts by SendHead, SendPart and SendEnd.
+class ServerExchange {
+ public:
+  using Answer = http::response<http::string_body>;
+
+  // A body up to this size is held in memory, so that the request can be sent again.
+  static constexpr std::size_t kMaxHeldBody = 64 * 1024;
+
+  ServerExchange(asio::io_context& context, TcpSocket& to, InboundBytes& from,
+                 const ServerLimits& server_limits);
+
+  // Reads the head and the begin of the body. The connection may be idle for long before.
+  Awaitable<ReadProblem> ReadRequest();
+
+  const http::request_header<>& GetHead() const { return this->parser.get().base(); }
+  std::string_view GetTarget() const;
+  std::string_view GetHeader(std::string_view name) const;
+  // The body up to kMaxHeldBody bytes.
+  const std::string& GetBody() const { return this->body; }
+  bool IsBodyComplete() const { return this->parser.is_done(); }
+  std::optional<std::uint64_t> GetLength() const;
+  // Replaces the contents by the next part of a long body; false if it cannot be read.
+  Awaitable<bool> ReadBodyPart(std::string& part);
+
+  // The connection ends with this answer.
+  void CloseAfter() { this->close_after = true; }
+  Awaitable<bool> Send(Answer answer);
+  // Begins an answer of a stated length, or of an unknown one.
+  Awaitable<bool> SendHead(http::response_header<> head, std::optional<std::uint64_t> length);
+  Awaitable<bool> SendPart(std::string_view part);
+  Awaitable<bool> SendEnd();
+  // The answer ends early and must not look complete.
+  void Abort();
+
+  bool HasAnswer() const { return this->answered; }
+  // Whether a further request may follow on the connection.
+  bool IsReusable() const;
+
+  bool IsCallerGone() const { return this->bytes.HasEnded(); }
+  void SetGoneListener(std::function<void()> listener) {
+    this->bytes.SetEndListener(std::move(listener));
+  }
+
+ private:
+  Awaitable<ReadProblem> ReadHead();
+  Awaitable<ReadProblem> ReadBegin();
+  Awaitable<ReadProblem> ReadSome(std::string& into, std::size_t max_bytes);
+  ReadProblem GetProblem(const ErrorCode& code) const;
+  template <typename Message>
+  void Finalize(Message& answer);
+  Awaitable<bool> Write(asio::const_buffer data);
+
+  TcpSocket& socket;
+  InboundBytes& bytes;
+  ServerLimits limits;
+  SocketTimer write_timer;
+  http::request_parser<http::buffer_body> parser;
+  std::string body;
+  bool answered = false;
+  bool complete = false;
+  bool chunked = false;
+  bool close_after = false;
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_SOURCE_HTTP_SERVER_EXCHANGE_H_
--- /dev/null
+++ b/Source/Http/socket_options.cc
@@ -0,0 +1,34 @@
+#include "Http/socket_options.h"
+
+#include <netinet/tcp.h>
+
+namespace lacewingbridge {
+
+namespace {
+
+// Longest time that sent bytes may stay unacknowledged. Longer than the first repeats of
+// a lost packet (about 200, 400 and 800 ms), shorter than most deadlines.
+constexpr int kUnacknowledgedMilliseconds = 1500;
+// A connection on which nothing moves is probed after this time, then at this interval,
+// and given up after this many probes without an answer.
+constexpr int kProbeAfterSeconds = 1;
+constexpr int kProbeIntervalSeconds = 1;
+constexpr int kProbeCount = 2;
+
+template <int Name>
+using TcpOption = asio::detail::socket_option::integer<IPPROTO_TCP, Name>;
+
+}  // namespace
+
+void SetConnectionOptions(TcpSocket& socket) {
+  // A connection that has ended meanwhile shows at the next read or write.
+  ErrorCode ignored;
+  socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  socket.set_option(asio::socket_base::keep_alive(true), ignored);
+  socket.set_option(TcpOption<TCP_KEEPIDLE>(kProbeAfterSeconds), ignored);
+  socket.set_option(TcpOption<TCP_KEEPINTVL>(kProbeIntervalSeconds), ignored);
+  socket.set_option(TcpOption<TCP_KEEPCNT>(kProbeCount), ignored);
+  socket.set_option(TcpOption<TCP_USER_TIMEOUT>(kUnacknowledgedMilliseconds), ignored);
+}
+
+}  // namespace lacewingbridge
--- /dev/null
+++ b/Source/Membership/local_target.cc
@@ -0,0 +1,106 @@
+#include "Membership/local_target.h"
+
+#include <algorithm>
+
+namespace lacewingbridge {
+
+bool LocalTarget::IsDeparted(std::string_view target_id, std::uint64_t born) const {
+  return std::any_of(this->departed.begin(), this->departed.end(), [&](const Departed& entry) {
+    return entry.id == target_id && entry.born_unix_ms >= born;
+  });
+}
+
+void LocalTarget::BeginStart(const TargetAnnouncement& announcement) {
+  this->id = announcement.id;
+  this->born_unix_ms = announcement.born_unix_ms;
+  this->sequence = 0;
+  this->leaving = false;
+  this->proved = false;
+  this->proof_at = TimePoint();
+  this->refused_until = TimePoint();
+}
+
+AnnouncementVerdict LocalTarget::NoteAnnouncement(const TargetAnnouncement& announcement) {
+  if (announcement.service != this->service) {
+    return AnnouncementVerdict::kWrongService;
+  }
+  if (this->IsDeparted(announcement.id, announcement.born_unix_ms) ||
+      announcement.born_unix_ms < this->born_unix_ms) {
+    return AnnouncementVerdict::kStale;
+  }
+  // A start that was learnt from its health answer has no time of birth yet.
+  const bool same_start =
+      announcement.id == this->id &&
+      (announcement.born_unix_ms == this->born_unix_ms || this->born_unix_ms == 0);
+  if (!same_start) {
+    this->BeginStart(announcement);
+  } else if (announcement.sequence <= this->sequence) {
+    return AnnouncementVerdict::kStale;
+  }
+  this->born_unix_ms = announcement.born_unix_ms;
+  this->sequence = announcement.sequence;
+  this->slots = announcement.slots;
+  this->leaving = this->leaving || announcement.draining;
+  this->refused_until = TimePoint();
+  return AnnouncementVerdict::kCurrent;
+}
+
+void LocalTarget::NoteLeft(std::string_view left_id, std::uint64_t born) {
+  const bool current = left_id == this->id && (born == 0 || born >= this->born_unix_ms);
+  if (current) {
+    this->leaving = true;
+  }
+  this->departed.push_back({std::string(left_id), born == 0 && current ? this->born_unix_ms : born});
+  if (this->departed.size() > kMaxDeparted) {
+    this->departed.pop_front();
+  }
+}
+
+void LocalTarget::NoteRecord(const LocalTargetRecord& record) {
+  if (record.accepting || record.id.empty()) {
+    return;
+  }
+  this->NoteLeft(record.id, record.born_unix_ms);
+}
+
+bool LocalTarget::TakeProofTurn(TimePoint now) {
+  if (this->proved || this->leaving || now < this->proof_at) {
+    return false;
+  }
+  this->proof_at = now + kProofInterval;
+  return true;
+}
+
+void LocalTarget::NoteHealth(bool healthy, std::string_view answered_id,
+                             std::uint32_t answered_slots) {
+  if (!healthy || answered_id.empty()) {
+    return;
+  }
+  // A daemon that has just started learns its target before the next announcement.
+  if (this->id.empty() && !this->IsDeparted(answered_id, 0)) {
+    this->id = answered_id;
+  }
+  if (answered_id != this->id) {
+    return;
+  }
+  this->proved = true;
+  if (this->slots == 0) {
+    this->slots = answered_slots;
+  }
+}
+
+bool LocalTarget::IsAccepting(TimePoint now) const {
+  return this->proved && !this->leaving && this->slots > 0 && now >= this->refused_until;
+}
+
+LocalTargetRecord LocalTarget::MakeRecord() const {
+  LocalTargetRecord record;
+  record.service = this->service;
+  record.id = this->id;
+  record.born_unix_ms = this->born_unix_ms;
+  record.slots = this->slots;
+  record.accepting = this->proved && !this->leaving;
+  return record;
+}
+
+}  // namespace lacewingbridge
--- /dev/null
+++ b/Source/Node/mesh_node.h
@@ -0,0 +1,268 @@
+#ifndef LACEWINGBRIDGE_SOURCE_NODE_MESH_NODE_H_
+#define LACEWINGBRIDGE_SOURCE_NODE_MESH_NODE_H_
+
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "Core/result.h"
+#include "Http/boot_clock.h"
+#include "Http/io_shard.h"
+#include "Http/stream_listener.h"
+#include "Node/metrics_handler.h"
+#include "Node/snapshot_fetcher.h"
+#include "Node/target_prober.h"
+#include "Observe/event_log.h"
+#include "Observe/metrics_registry.h"
+#include "Proxy/caller_handler.h"
+#include "Proxy/daemon_stage.h"
+#include "Proxy/mesh_state.h"
+#include "Proxy/peer_handler.h"
+#include "Proxy/proxy_context.h"
+#include "Proxy/target_gate.h"
+#include "Store/store_sync.h"
+#include "mesh.h"
+
+namespace lacewingbridge {
+
+// What a platform brings: the names of headers, a client of its store, where the route
+// table is, and the handler of the target's announcements and of the readiness question.
+template <typename Platform>
+concept MeshPlatform = requires {
+  typename Platform::Wire;
+  typename Platform::StoreClient;
+  typename Platform::Source;
+  typename Platform::ControlHandler;
+  typename Platform::ReadyHandler;
+};
+
+// One daemon of a mesh: its listeners, its threads and what they share. Requests run on
+// the worker shards; the store, the target and the metrics on a shard of their own.
+template <MeshPlatform Platform>
+class MeshNode {
+ public:
+  static Result<std::unique_ptr<MeshNode>> Create(const MeshSettings& settings,
+                                                  std::uint64_t seed) {
+    std::unique_ptr<MeshNode> node(new MeshNode(settings, seed));
+    const Status listening = node->Listen();
+    if (!IsOk(listening)) {
+      return GetError(listening);
+    }
+    return node;
+  }
+
+  // Runs until Stop has finished the work under way. The hook runs on the control shard
+  // about every 200 ms.
+  void Run(const std::function<void()>& tick_hook) {
+    this->hook = tick_hook;
+    this->callers->Start();
+    this->peers->Start();
+    this->control->Start();
+    this->ready->Start();
+    this->metrics_page->Start();
+    this->sync.Start();
+    asio::co_spawn(
+        this->GetControlContext(), [this]() -> Awaitable<void> { co_await this->Tick(); },
+        asio::detached);
+    std::vector<std::thread> threads;
+    for (const std::unique_ptr<IoShard>& worker : this->workers) {
+      threads.emplace_back([&worker] {
+        const auto guard = asio::make_work_guard(worker->GetContext());
+        worker->GetContext().run();
+      });
+    }
+    this->GetControlContext().run();
+    for (const std::unique_ptr<IoShard>& worker : this->workers) {
+      worker->GetContext().stop();
+    }
+    for (std::thread& thread : threads) {
+      thread.join();
+    }
+  }
+
+  // Ends the process's work: no new work is invited, what arrives is still served. To be
+  // called on the control shard's thread.
+  void Stop() {
+    if (this->stage.IsStopping()) {
+      return;
+    }
+    this->stage.BeginStop();
+    this->gate.SetLeaving();
+    this->sync.NoteRecordChanged();
+    EventLog::Write(Event::kStopping, "requests={} connections={}", this->stage.GetRequestCount(),
+                    this->stage.GetConnectionCount());
+    asio::co_spawn(
+        this->GetControlContext(), [this]() -> Awaitable<void> { co_await this->Drain(); },
+        asio::detached);
+  }
+
+  asio::io_context& GetControlContext() { return this->control_shards[0]->GetContext(); }
+
+ private:
+  static constexpr Duration kTickInterval = std::chrono::milliseconds(200);
+  // Callers learn within two questions, one a second, that this daemon is not ready; until
+  // then new connections arrive.
+  static constexpr Duration kLeastDrain = std::chrono::milliseconds(2600);
+  // Left for the end of the process before it is ended by force.
+  static constexpr Duration kEndMargin = std::chrono::milliseconds(1200);
+  static constexpr std::size_t kMetricsShards = 4;
+
+  MeshNode(const MeshSettings& settings, std::uint64_t seed)
+      : stop_limit(std::chrono::milliseconds(settings.stop_limit_ms)),
+        addresses(settings),
+        workers(MakeShards(settings.worker_threads, seed)),
+        control_shards(MakeShards(1, seed + settings.worker_threads)),
+        metrics(kMetricsShards),
+        state(MakeIdentity(settings)),
+        gate(settings.service),
+        fetcher(*this->control_shards[0], this->state),
+        context{this->state, this->gate, this->stage, this->metrics,
+                [this](const std::string& peer) { this->RequestSnapshot(peer); }},
+        caller_handler(this->context),
+        peer_handler(this->context),
+        metrics_handler(this->context),
+        control_handler(this->gate, [this] { this->sync.NoteRecordChanged(); }),
+        ready_handler([this] { return this->IsReady(); }),
+        client(*this->control_shards[0], settings.store_address),
+        sync(*this->control_shards[0], this->state, this->gate, this->client,
+             std::chrono::milliseconds(settings.min_lease_ms)),
+        prober(*this->control_shards[0], this->state, this->gate) {}
+
+  static std::vector<std::unique_ptr<IoShard>> MakeShards(std::size_t count, std::uint64_t seed) {
+    std::vector<std::unique_ptr<IoShard>> shards;
+    for (std::size_t i = 0; i < std::max<std::size_t>(count, 1); ++i) {
+      shards.push_back(std::make_unique<IoShard>(seed + i));
+    }
+    return shards;
+  }
+
+  static MeshIdentity MakeIdentity(const MeshSettings& settings) {
+    MeshIdentity identity;
+    identity.host = settings.host;
+    identity.data_centre = settings.data_centre;
+    identity.region = settings.region;
+    identity.target_address = settings.target_address;
+    identity.service = settings.service;
+    identity.peer_address = settings.peer_address;
+    identity.retry_bound.ratio = settings.retry_ratio;
+    identity.retry_bound.slack = settings.retry_slack;
+    identity.retry_bound.window = std::chrono::milliseconds(settings.retry_window_ms);
+    return identity;
+  }
+
+  template <typename Handler>
+  Status OpenListener(const std::string& address,
+                      std::span<const std::unique_ptr<IoShard>> listener_shards, Handler& handler,
+                      std::unique_ptr<StreamListener<Handler>>& listener) {
+    auto created = StreamListener<Handler>::Create(address, listener_shards, handler);
+    if (!IsOk(created)) {
+      return GetError(created);
+    }
+    listener = std::move(GetValue(created));
+    return MakeOkStatus();
+  }
+
+  Status Listen() {
+    Status status = this->OpenListener(this->addresses.caller_address, this->workers,
+                                       this->caller_handler, this->callers);
+    if (IsOk(status)) {
+      status = this->OpenListener(this->addresses.peer_address, this->workers, this->peer_handler,
+                                  this->peers);
+    }
+    if (IsOk(status)) {
+      status = this->OpenListener(this->addresses.control_address, this->control_shards,
+                                  this->control_handler, this->control);
+    }
+    if (IsOk(status)) {
+      status = this->OpenListener(this->addresses.ready_address, this->control_shards,
+                                  this->ready_handler, this->ready);
+    }
+    if (IsOk(status)) {
+      status = this->OpenListener(this->addresses.metrics_address, this->control_shards,
+                                  this->metrics_handler, this->metrics_page);
+    }
+    return status;
+  }
+
+  bool IsReady() const { return !this->stage.IsStopping() && this->state.GetTableVersion() > 0; }
+
+  void RequestSnapshot(const std::string& peer) {
+    asio::post(this->GetControlContext(), [this, peer] { this->fetcher.Request(peer); });
+  }
+
+  Awaitable<void> Tick() {
+    asio::steady_timer timer(this->GetControlContext());
+    ErrorCode code;
+    while (!this->ended) {
+      this->hook();
+      this->state.DropRemovedHosts(GetNow());
+      const bool probed = co_await this->prober.ProbeIfDue();
+      if (probed) {
+        this->sync.NoteRecordChanged();
+      }
+      for (const std::unique_ptr<IoShard>& worker : this->workers) {
+        asio::post(worker->GetContext(),
+                   [&shard = *worker] { shard.GetPool().DropExpired(GetNow()); });
+      }
+      timer.expires_after(kTickInterval);
+      co_await timer.async_wait(AwaitInto(code));
+    }
+  }
+
+  Awaitable<void> Drain() {
+    const TimePoint begin = GetNow();
+    const TimePoint latest = begin + std::max(this->stop_limit - kEndMargin, kLeastDrain);
+    asio::steady_timer timer(this->GetControlContext());
+    ErrorCode code;
+    constexpr Duration kCheckInterval = std::chrono::milliseconds(50);
+    while (GetNow() < latest &&
+           (GetNow() < begin + kLeastDrain || this->stage.GetRequestCount() > 0)) {
+      timer.expires_after(kCheckInterval);
+      co_await timer.async_wait(AwaitInto(code));
+    }
+    this->callers->Stop();
+    this->peers->Stop();
+    co_await this->sync.EndLease();
+    EventLog::Write(this->stage.GetRequestCount() > 0 ? Event::kDrainLimit : Event::kStopped,
+                    "requests={}", this->stage.GetRequestCount());
+    this->ended = true;
+    this->GetControlContext().stop();
+  }
+
+  const Duration stop_limit;
+  const MeshSettings addresses;
+  const std::vector<std::unique_ptr<IoShard>> workers;
+  const std::vector<std::unique_ptr<IoShard>> control_shards;
+  MetricsRegistry metrics;
+  DaemonStage stage;
+  MeshState state;
+  TargetGate gate;
+  SnapshotFetcher fetcher;
+  ProxyContext context;
+  CallerHandler<typename Platform::Wire> caller_handler;
+  PeerHandler<typename Platform::Wire> peer_handler;
+  MetricsHandler metrics_handler;
+  typename Platform::ControlHandler control_handler;
+  typename Platform::ReadyHandler ready_handler;
+  typename Platform::StoreClient client;
+  StoreSync<typename Platform::StoreClient, typename Platform::Source> sync;
+  TargetProber<typename Platform::Wire> prober;
+  std::unique_ptr<StreamListener<CallerHandler<typename Platform::Wire>>> callers;
+  std::unique_ptr<StreamListener<PeerHandler<typename Platform::Wire>>> peers;
+  std::unique_ptr<StreamListener<typename Platform::ControlHandler>> control;
+  std::unique_ptr<StreamListener<typename Platform::ReadyHandler>> ready;
+  std::unique_ptr<StreamListener<MetricsHandler>> metrics_page;
+  std::function<void()> hook;
+  bool ended = false;
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_SOURCE_NODE_MESH_NODE_H_
--- /dev/null
+++ b/Source/Node/snapshot_fetcher.cc
@@ -0,0 +1,59 @@
+#include "Node/snapshot_fetcher.h"
+
+#include <cstdint>
+#include <utility>
+
+#include "Http/boot_clock.h"
+#include "Http/io_shard.h"
+#include "Http/outbound_exchange.h"
+#include "Proxy/mesh_state.h"
+#include "Proxy/peer_handler.h"
+#include "Store/table_offer_log.h"
+#include "mesh_codec.h"
+
+namespace lacewingbridge {
+
+void SnapshotFetcher::Request(const std::string& peer_address) {
+  if (this->under_way || peer_address.empty()) {
+    return;
+  }
+  this->under_way = true;
+  asio::co_spawn(
+      this->shard.GetContext(),
+      [this, peer_address]() -> Awaitable<void> { co_await this->Fetch(peer_address); },
+      asio::detached);
+}
+
+Awaitable<void> SnapshotFetcher::Fetch(std::string peer_address) {
+  const std::uint64_t version = this->state.GetTableVersion();
+  asio::steady_timer timer(this->shard.GetContext(), kDelay);
+  ErrorCode code;
+  co_await timer.async_wait(AwaitInto(code));
+  if (this->state.GetTableVersion() == version) {
+    co_await this->FetchFrom(peer_address);
+  }
+  this->under_way = false;
+}
+
+Awaitable<void> SnapshotFetcher::FetchFrom(const std::string& peer_address) {
+  OutboundExchange exchange(this->shard, peer_address);
+  OutboundExchange::Request request(http::verb::get, kSnapshotPath, 11);
+  request.set(http::field::host, peer_address);
+  const OutboundOptions options{kConnectLimit, Duration{0}, Duration{0}};
+  const ExchangeStatus status =
+      co_await exchange.Start(request, nullptr, kAnswerLimit, options);
+  if (status == ExchangeStatus::kOk && exchange.GetHead().result() == http::status::ok) {
+    std::string body;
+    PeerSnapshot snapshot;
+    const BodyStatus read = co_await exchange.ReadBody(body, kMaxBytes);
+    if (read == BodyStatus::kComplete && Decode(body, snapshot)) {
+      OfferAndLog(this->state, std::move(snapshot.table), peer_address);
+      for (const HostRecord& record : snapshot.hosts) {
+        this->state.MergeHost(GetNow(), record);
+      }
+    }
+  }
+  exchange.Finish();
+}
+
+}  // namespace lacewingbridge
--- /dev/null
+++ b/Source/Node/snapshot_fetcher.h
@@ -0,0 +1,43 @@
+#ifndef LACEWINGBRIDGE_SOURCE_NODE_SNAPSHOT_FETCHER_H_
+#define LACEWINGBRIDGE_SOURCE_NODE_SNAPSHOT_FETCHER_H_
+
+#include <string>
+
+#include "Core/time_point.h"
+#include "Http/asio_types.h"
+
+namespace lacewingbridge {
+
+class IoShard;
+class MeshState;
+
+// Fetches the route table and the hosts from a daemon that holds a newer version, for a
+// daemon that the store does not serve. Runs on its shard's thread.
+class SnapshotFetcher {
+ public:
+  SnapshotFetcher(IoShard& io_shard, MeshState& mesh_state)
+      : shard(io_shard), state(mesh_state) {}
+
+  // Starts a fetch unless one is under way.
+  void Request(const std::string& peer_address);
+
+ private:
+  // The store tells all daemons of a version within milliseconds; only those that it does
+  // not reach are behind after this time.
+  static constexpr Duration kDelay = std::chrono::milliseconds(120);
+  static constexpr Duration kConnectLimit = std::chrono::milliseconds(300);
+  static constexpr Duration kAnswerLimit = std::chrono::seconds(1);
+  // A table of 1 MB with a thousand hosts fits.
+  static constexpr std::size_t kMaxBytes = 4 * 1024 * 1024;
+
+  Awaitable<void> Fetch(std::string peer_address);
+  Awaitable<void> FetchFrom(const std::string& peer_address);
+
+  IoShard& shard;
+  MeshState& state;
+  bool under_way = false;
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_SOURCE_NODE_SNAPSHOT_FETCHER_H_
--- /dev/null
+++ b/Source/Node/target_prober.h
@@ -0,0 +1,64 @@
+#ifndef LACEWINGBRIDGE_SOURCE_NODE_TARGET_PROBER_H_
+#define LACEWINGBRIDGE_SOURCE_NODE_TARGET_PROBER_H_
+
+#include <string>
+
+#include "Http/boot_clock.h"
+#include "Http/io_shard.h"
+#include "Http/outbound_exchange.h"
+#include "Observe/event_log.h"
+#include "Proxy/mesh_state.h"
+#include "Proxy/proxy_wire.h"
+#include "Proxy/target_gate.h"
+
+namespace lacewingbridge {
+
+// Asks the local target for its health while its state is not proved.
+template <ProxyWire Wire>
+class TargetProber {
+ public:
+  TargetProber(IoShard& io_shard, MeshState& mesh_state, TargetGate& target_gate)
+      : shard(io_shard), state(mesh_state), gate(target_gate) {}
+
+  // Returns whether the target was asked.
+  Awaitable<bool> ProbeIfDue() {
+    const MeshIdentity& self = this->state.GetIdentity();
+    const std::shared_ptr<const RouteIndex> index = this->state.GetIndex();
+    const MeshService* service = index == nullptr ? nullptr : index->FindService(self.service);
+    if (service == nullptr || !this->gate.TakeProofTurn(GetNow())) {
+      co_return false;
+    }
+    OutboundExchange exchange(this->shard, self.target_address);
+    OutboundExchange::Request request(http::verb::get, service->health_path, 11);
+    request.set(http::field::host, self.target_address);
+    const OutboundOptions options{kConnectLimit, Duration{0}, Duration{0}};
+    const ExchangeStatus status =
+        co_await exchange.Start(request, nullptr, kAnswerLimit, options);
+    if (status == ExchangeStatus::kOk) {
+      std::string body;
+      co_await exchange.ReadBody(body, kMaxBodyBytes);
+      const TargetAnswerHead head = Wire::ReadAnswerHead(exchange.GetHead());
+      const bool healthy = exchange.GetHead().result() == http::status::ok && !head.not_run;
+      this->gate.NoteHealth(GetNow(), healthy, head.target_id,
+                            head.load.has_value() ? head.load->slots : 0);
+      EventLog::Write(Event::kTargetState, "target={} healthy={} status={}", head.target_id,
+                      healthy, exchange.GetHead().result_int());
+    }
+    exchange.Finish();
+    co_return true;
+  }
+
+ private:
+  // The target is on the same host; its health check waits for a slot.
+  static constexpr Duration kConnectLimit = std::chrono::milliseconds(250);
+  static constexpr Duration kAnswerLimit = std::chrono::milliseconds(600);
+  static constexpr std::size_t kMaxBodyBytes = 4096;
+
+  IoShard& shard;
+  MeshState& state;
+  TargetGate& gate;
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_SOURCE_NODE_TARGET_PROBER_H_
--- a/Source/Daemon/event_log.h
+++ b/Source/Observe/event_log.h
@@ -1,5 +1,5 @@
-#ifndef LACEWINGBRIDGE_SOURCE_DAEMON_EVENT_LOG_H_
-#define LACEWINGBRIDGE_SOURCE_DAEMON_EVENT_LOG_H_
+#ifndef LACEWINGBRIDGE_SOURCE_OBSERVE_EVENT_LOG_H_
+#define LACEWINGBRIDGE_SOURCE_OBSERVE_EVENT_LOG_H_
 
 #include <fmt/format.h>
 
@@ -10,13 +10,18 @@
 
 namespace lacewingbridge {
 
-// Writes numbered events to standard error, one line each:
-// "2026-12-04T11:00:00.123Z info LW0200 rules version in force: number=3".
+// Writes numbered events to standard output, one line of key=value pairs each:
+// time=2026-12-04T11:00:00.123Z level=info event=LW0200 host=a1 text="..." number=3
+// Lines are written by a thread of their own; a slow reader loses lines instead of delaying
+// requests, and each kind of event has a bounded rate.
 class EventLog {
  public:
   // Sets the host name shown in each line and the least severe level written.
   static void Configure(std::string_view host, std::string_view least_level);
 
+  // Writes what is queued; nothing may be logged afterwards.
+  static void Flush();
+
   // Writes the event with particulars given as a fmt format string.
   template <typename... Args>
   static void Write(Event event, fmt::format_string<Args...> format, Args&&... args) {
@@ -32,4 +37,4 @@
 
 }  // namespace lacewingbridge
 
-#endif  // LACEWINGBRIDGE_SOURCE_DAEMON_EVENT_LOG_H_
+#endif  // LACEWINGBRIDGE_SOURCE_OBSERVE_EVENT_LOG_H_
--- a/Source/Daemon/metrics_registry.cc
+++ b/Source/Observe/metrics_registry.cc
@@ -1,4 +1,4 @@
-#include "Daemon/metrics_registry.h"
+#include "Observe/metrics_registry.h"
 
 #include <fmt/core.h>
 
--- /dev/null
+++ b/Source/Proxy/answer_relay.cc
@@ -0,0 +1,84 @@
+#include "Proxy/answer_relay.h"
+
+#include <string_view>
+#include <utility>
+
+namespace lacewingbridge {
+
+namespace {
+
+// Held in memory between a fast sender and a slow reader.
+constexpr std::size_t kPartBytes = 32 * 1024;
+
+Awaitable<bool> WritePart(TcpSocket& to, std::string_view part, bool chunked) {
+  ErrorCode code;
+  if (part.empty()) {
+    co_return true;
+  }
+  const asio::const_buffer data(part.data(), part.size());
+  if (chunked) {
+    const auto chunk = http::make_chunk(data);
+    co_await asio::async_write(to, chunk, AwaitInto(code));
+  } else {
+    co_await asio::async_write(to, data, AwaitInto(code));
+  }
+  co_return !code;
+}
+
+}  // namespace
+
+Awaitable<void> HoldAnswer(OutboundExchange& from, HeldAnswer& held) {
+  held.head = from.GetHead();
+  held.status = co_await from.ReadBody(held.body, HeldAnswer::kMaxHeldAnswer);
+}
+
+Awaitable<std::uint64_t> RelayAnswer(OutboundExchange& from, HeldAnswer& held, ServerExchange& to) {
+  std::uint64_t bytes = held.body.size();
+  if (held.status == BodyStatus::kComplete) {
+    ServerExchange::Answer answer(std::move(held.head), std::move(held.body));
+    co_await to.Send(std::move(answer));
+    co_return bytes;
+  }
+  bool sound = co_await to.SendHead(std::move(held.head), from.GetLength());
+  std::string part = std::move(held.body);
+  BodyStatus status = held.status;
+  while (sound && status != BodyStatus::kBroken) {
+    sound = co_await to.SendPart(part);
+    if (!sound || status == BodyStatus::kComplete) {
+      break;
+    }
+    part.clear();
+    status = co_await from.ReadBody(part, kPartBytes);
+    bytes += part.size();
+  }
+  sound = sound && status == BodyStatus::kComplete;
+  if (sound) {
+    sound = co_await to.SendEnd();
+  }
+  if (!sound) {
+    to.Abort();
+  }
+  co_return bytes;
+}
+
+Awaitable<bool> RelayRequestBody(ServerExchange& from, bool chunked, TcpSocket& to) {
+  bool sound = co_await WritePart(to, from.GetBody(), chunked);
+  std::string part;
+  while (sound && !from.IsBodyComplete()) {
+    sound = co_await from.ReadBodyPart(part);
+    if (sound) {
+      sound = co_await WritePart(to, part, chunked);
+    }
+  }
+  if (!sound) {
+    co_return false;
+  }
+  ErrorCode code;
+  if (chunked) {
+    const auto last = http::make_chunk_last();
+    co_await asio::async_write(to, last, AwaitInto(code));
+  }
+  co_return !code;
+}
+
+}  // namespace lacewingbridge
--- /dev/null
+++ b/Source/Proxy/answer_relay.h
@@ -0,0 +1,37 @@
+#ifndef LACEWINGBRIDGE_SOURCE_PROXY_ANSWER_RELAY_H_
+#define LACEWINGBRIDGE_SOURCE_PROXY_ANSWER_RELAY_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+#include "Http/outbound_exchange.h"
+#include "Http/server_exchange.h"
+
+namespace lacewingbridge {
+
+// An answer with the begin of its body. Up to kMaxHeldAnswer bytes are read before any of
+// it is passed on, so that a request whose answer breaks off can still be sent again.
+struct HeldAnswer {
+  static constexpr std::size_t kMaxHeldAnswer = 64 * 1024;
+
+  http::response_header<> head;
+  std::string body;
+  BodyStatus status = BodyStatus::kMore;
+};
+
+// Reads the begin of the body.
+Awaitable<void> HoldAnswer(OutboundExchange& from, HeldAnswer& held);
+
+// Passes the answer on, the rest of a long body as it arrives and as fast as the reader
+// takes it. An answer that breaks off is aborted, so that it does not look complete.
+// Returns the number of bytes of the body.
+Awaitable<std::uint64_t> RelayAnswer(OutboundExchange& from, HeldAnswer& held, ServerExchange& to);
+
+// Writes the body of a request to another process: what was held, then the rest as it
+// arrives, in the framing of the request.
+Awaitable<bool> RelayRequestBody(ServerExchange& from, bool chunked, TcpSocket& to);
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_SOURCE_PROXY_ANSWER_RELAY_H_
--- /dev/null
+++ b/Source/Proxy/caller_handler.h
@@ -0,0 +1,51 @@
+#ifndef LACEWINGBRIDGE_SOURCE_PROXY_CALLER_HANDLER_H_
+#define LACEWINGBRIDGE_SOURCE_PROXY_CALLER_HANDLER_H_
+
+#include <chrono>
+#include <memory>
+
+#include "Http/server_connection.h"
+#include "Http/server_limits.h"
+#include "Proxy/caller_request.h"
+#include "Proxy/daemon_stage.h"
+#include "Proxy/mesh_state.h"
+#include "Proxy/proxy_context.h"
+#include "Proxy/proxy_wire.h"
+
+namespace lacewingbridge {
+
+// Limits of callers from the version in force; the defaults until there is one.
+inline ServerLimits MakeCallerLimits(const RouteIndex* index) {
+  ServerLimits limits;
+  if (index != nullptr) {
+    const CallerLimits& stated = index->GetTable().limits;
+    limits.max_header_bytes = stated.max_header_bytes;
+    limits.max_body_bytes = stated.max_body_bytes;
+    limits.header_timeout = std::chrono::milliseconds(stated.header_timeout_ms);
+    limits.idle_timeout = std::chrono::milliseconds(stated.idle_timeout_ms);
+  }
+  return limits;
+}
+
+// Requests of callers and of the local target, on their way out of this host.
+template <ProxyWire Wire>
+class CallerHandler {
+ public:
+  explicit CallerHandler(const ProxyContext& proxy_context) : context(proxy_context) {}
+
+  Awaitable<void> Handle(IoShard& shard, ServerExchange& exchange) {
+    CallerRequest request(this->context, shard, exchange, Wire::ReadCallerHead(exchange.GetHead()));
+    co_await request.Run();
+  }
+
+  ServerLimits GetLimits() const { return MakeCallerLimits(this->context.state.GetIndex().get()); }
+  void NoteOpened() { this->context.stage.NoteConnectionOpened(); }
+  void NoteClosed() { this->context.stage.NoteConnectionClosed(); }
+
+ private:
+  ProxyContext context;
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_SOURCE_PROXY_CALLER_HANDLER_H_
--- /dev/null
+++ b/Source/Proxy/caller_request.cc
@@ -0,0 +1,279 @@
+#include "Proxy/caller_request.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "Http/boot_clock.h"
+#include "Http/io_shard.h"
+#include "Observe/event_log.h"
+#include "Observe/metrics_registry.h"
+#include "Proxy/daemon_stage.h"
+#include "Proxy/header_fields.h"
+#include "Proxy/mesh_state.h"
+#include "Proxy/return_interval.h"
+
+namespace lacewingbridge {
+
+namespace {
+
+// Longer than the round trip between regions with one lost packet's repeat.
+constexpr Duration kConnectLimit = std::chrono::milliseconds(300);
+// Daemons keep idle connections of each other longer than that.
+constexpr Duration kPeerIdleLimit = std::chrono::seconds(30);
+// Longest silence within an answer that has begun.
+constexpr Duration kAnswerSilence = std::chrono::seconds(5);
+// Until a daemon without any version is likely to have one.
+constexpr Duration kNoTableReturn = std::chrono::milliseconds(300);
+
+std::uint32_t CountPositive(Duration duration) {
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(CountMilliseconds(duration), 0));
+}
+
+}  // namespace
+
+CallerRequest::CallerRequest(const ProxyContext& proxy_context, IoShard& io_shard,
+                             ServerExchange& server_exchange, const CallerHead& caller_head)
+    : context(proxy_context), shard(io_shard), exchange(server_exchange), head(caller_head) {}
+
+bool CallerRequest::FindRoute() {
+  this->route = this->index->Find(this->exchange.GetHeader("Host"), this->exchange.GetTarget());
+  return this->route != nullptr;
+}
+
+void CallerRequest::SetFacts(TimePoint now) {
+  const Duration timeout = std::chrono::milliseconds(this->route->timeout_ms);
+  this->facts.arrived_at = now;
+  this->facts.timeout_at = now + timeout;
+  this->facts.deadline = now + this->head.time_left.value_or(timeout);
+  this->facts.objective_at =
+      now + (this->route->objective_ms > 0 ? std::chrono::milliseconds(this->route->objective_ms)
+                                           : timeout);
+  this->facts.max_attempts = std::max(this->route->max_attempts, 1U);
+  this->facts.idempotent = this->route->idempotent;
+  this->progress.emplace(this->facts);
+}
+
+Awaitable<void> CallerRequest::Run() {
+  const RequestScope scope(this->context.stage);
+  if (this->context.stage.IsStopping()) {
+    this->exchange.CloseAfter();
+  }
+  this->index = this->context.state.GetIndex();
+  if (this->index == nullptr) {
+    co_await this->SendRefusal(http::status::service_unavailable, "no_table", kNoTableReturn);
+    co_return;
+  }
+  if (!this->FindRoute()) {
+    co_await this->SendRefusal(http::status::not_found, "no_route", std::nullopt);
+    co_return;
+  }
+  const TimePoint now = GetNow();
+  this->SetFacts(now);
+  this->service = this->context.state.PickDestination(*this->route, this->shard.GetRandom());
+  this->context.state.RecordRequest(now, this->service);
+  this->exchange.SetGoneListener([this] {
+    if (this->hop != nullptr) {
+      this->hop->Cancel();
+    }
+  });
+  ProgressDecision decision;
+  while (decision.action == ProgressAction::kPlace && !this->exchange.IsCallerGone()) {
+    decision = co_await this->PlaceOnce();
+  }
+  if (!this->exchange.IsCallerGone()) {
+    co_await this->Finish(decision);
+  }
+  if (this->hop != nullptr) {
+    this->hop->Finish();
+  }
+  this->exchange.SetGoneListener(nullptr);
+}
+
+HopNeed CallerRequest::MakeNeed(TimePoint now) {
+  return {this->facts.objective_at - now, this->facts.GetEnd() - now,
+          this->context.state.GetAnswerBytes(this->route->name)};
+}
+
+Awaitable<ProgressDecision> CallerRequest::PlaceOnce() {
+  const TimePoint now = GetNow();
+  if (now >= this->facts.GetEnd()) {
+    co_return this->progress->NoteTimeOver();
+  }
+  const std::optional<HopChoice> choice =
+      this->context.state.ChooseHop(now, this->service, this->MakeNeed(now), this->refused_by,
+                                    this->shard.GetRandom());
+  if (!choice.has_value()) {
+    co_return this->progress->NoteNoCandidate(now);
+  }
+  const HopEnd end = co_await this->SendHop(*choice);
+  ProgressDecision decision =
+      this->context.state.DecideNext(GetNow(), this->service, end, *this->progress);
+  if (decision.action == ProgressAction::kPlace) {
+    this->refused_by.push_back(choice->peer_address);
+    if (this->body_spent) {
+      // The body was longer than what is held, so the request cannot be sent again.
+      decision.action = this->progress->MayHaveRun() ? ProgressAction::kFailUnknown
+                                                     : ProgressAction::kRefuse;
+    }
+  }
+  co_return decision;
+}
+
+OutboundExchange::Request CallerRequest::MakeHopRequest(TimePoint now,
+                                                        const HopChoice& choice) const {
+  OutboundExchange::Request request;
+  request.method_string(this->exchange.GetHead().method_string());
+  request.target(this->exchange.GetHead().target());
+  request.version(11);
+  CopyEndToEndHeaders(this->exchange.GetHead(), request);
+  HopRequest hop_request;
+  hop_request.service = this->service;
+  hop_request.target_id = choice.target_id;
+  hop_request.caller_service = this->context.state.GetIdentity().service;
+  hop_request.time_left_ms = CountPositive(this->facts.GetEnd() - now);
+  hop_request.objective_left_ms = CountPositive(this->facts.objective_at - now);
+  hop_request.priority = this->route->priority;
+  hop_request.idempotent = this->route->idempotent;
+  hop_request.repeated = this->progress->IsRepeat();
+  hop_request.table_version = this->index->GetTable().version;
+  hop_request.sender = this->context.state.GetIdentity().peer_address;
+  SetHopRequest(request, hop_request);
+  if (this->exchange.IsBodyComplete()) {
+    request.body() = this->exchange.GetBody();
+    // A method that usually has no body states a length only if it has one.
+    if (!request.body().empty() || this->exchange.GetLength().has_value()) {
+      request.content_length(request.body().size());
+    }
+  } else if (this->exchange.GetLength().has_value()) {
+    request.content_length(*this->exchange.GetLength());
+  } else {
+    request.chunked(true);
+  }
+  return request;
+}
+
+Awaitable<HopEnd> CallerRequest::SendHop(const HopChoice& choice) {
+  const TimePoint now = GetNow();
+  const OutboundExchange::Request request = this->MakeHopRequest(now, choice);
+  if (this->hop != nullptr) {
+    this->hop->Finish();
+  }
+  this->hop = std::make_unique<OutboundExchange>(this->shard, choice.peer_address);
+  this->context.state.RecordHopStart(this->service, choice.peer_address);
+  const OutboundExchange::BodyWriter rest = [this](TcpSocket& to) {
+    return RelayRequestBody(this->exchange, !this->exchange.GetLength().has_value(), to);
+  };
+  const bool whole = this->exchange.IsBodyComplete();
+  const OutboundOptions options{kConnectLimit, kPeerIdleLimit, kPeerIdleLimit};
+  const ExchangeStatus status = co_await this->hop->Start(
+      request, whole ? nullptr : &rest, this->facts.GetEnd() - now, options);
+  this->body_spent = !whole && status != ExchangeStatus::kNotConnected;
+  co_return co_await this->ReadHopAnswer(choice, status);
+}
+
+Awaitable<HopEnd> CallerRequest::ReadHopAnswer(const HopChoice& choice, ExchangeStatus status) {
+  std::optional<HopReport> report;
+  if (status == ExchangeStatus::kOk) {
+    report = GetHopReport(this->hop->GetHead());
+    this->hop->LimitSilence(kAnswerSilence);
+    this->held = HeldAnswer();
+    co_await HoldAnswer(*this->hop, this->held);
+  }
+  const bool failed = status == ExchangeStatus::kNotConnected || status == ExchangeStatus::kLost;
+  this->context.state.RecordHopEnd(GetNow(), this->service, choice.peer_address,
+                                   report.has_value() ? &*report : nullptr, failed);
+  if (report.has_value() && report->table_version > this->context.state.GetTableVersion()) {
+    this->context.note_newer_table(choice.peer_address);
+  }
+  HopEnd end;
+  if (status == ExchangeStatus::kNotConnected) {
+    end.outcome = HopOutcome::kRefused;
+    this->last_reason = "peer_unreachable";
+  } else if (!report.has_value() || this->held.status == BodyStatus::kBroken) {
+    end.outcome = HopOutcome::kUnknown;
+    this->last_reason = status == ExchangeStatus::kTimedOut ? "timed_out" : "connection_lost";
+  } else {
+    end.outcome = report->outcome;
+    end.status = this->held.head.result_int();
+    this->last_reason = report->reason;
+  }
+  EventLog::Write(Event::kHopEnded, "request={} service={} peer={} target={} outcome={} reason={} status={} wait_ms={} after_ms={}",
+                  this->head.request_id, this->service, choice.peer_address, choice.target_id,
+                  GetName(end.outcome), this->last_reason, end.status,
+                  report.has_value() ? report->expected_wait_ms : 0,
+                  CountMilliseconds(GetNow() - this->facts.arrived_at));
+  co_return end;
+}
+
+std::optional<Duration> CallerRequest::ComputeReturn(TimePoint now) {
+  const std::optional<Duration> wait = this->context.state.EstimateReturn(now, this->service);
+  if (!wait.has_value()) {
+    return std::nullopt;
+  }
+  const Duration objective = this->facts.objective_at - this->facts.arrived_at;
+  return ComputeReturnInterval(*wait, this->facts.deadline - now, objective / 2,
+                               this->shard.GetRandom());
+}
+
+Awaitable<void> CallerRequest::Finish(const ProgressDecision& decision) {
+  const TimePoint now = GetNow();
+  switch (decision.action) {
+    case ProgressAction::kPlace:
+    case ProgressAction::kDeliver: {
+      this->LogEnd(decision, this->held.head.result_int());
+      const std::uint64_t bytes = co_await RelayAnswer(*this->hop, this->held, this->exchange);
+      this->context.state.RecordAnswerBytes(this->route->name, bytes);
+      break;
+    }
+    case ProgressAction::kRefuse:
+      this->LogEnd(decision, 503);
+      co_await this->SendRefusal(http::status::service_unavailable,
+                                 DescribeProgressReason(decision.reason),
+                                 decision.reason == ProgressReason::kQuarantined
+                                     ? std::nullopt
+                                     : this->ComputeReturn(now));
+      break;
+    case ProgressAction::kFailUnknown:
+      this->LogEnd(decision, 502);
+      co_await this->SendRefusal(http::status::bad_gateway, "outcome_unknown", std::nullopt);
+      break;
+    case ProgressAction::kTimeout:
+      this->LogEnd(decision, 504);
+      co_await this->SendRefusal(http::status::gateway_timeout, "timeout", std::nullopt);
+      break;
+  }
+  this->context.metrics.AddLatency("request_seconds",
+                                   fmt::format("route=\"{}\"", this->route->name),
+                                   GetNow() - this->facts.arrived_at);
+}
+
+Awaitable<void> CallerRequest::SendRefusal(http::status status, std::string_view reason,
+                                           std::optional<Duration> return_after) {
+  this->context.metrics.AddCount("refusals",
+                                 fmt::format("status=\"{}\",reason=\"{}\"",
+                                             static_cast<unsigned>(status), reason));
+  ServerExchange::Answer answer(status, 11);
+  if (return_after.has_value()) {
+    answer.set(http::field::retry_after,
+               fmt::format("{:.3f}", std::chrono::duration<double>(*return_after).count()));
+  }
+  answer.set(http::field::content_type, "text/plain");
+  answer.body() = fmt::format("{}\n", reason);
+  co_await this->exchange.Send(std::move(answer));
+}
+
+void CallerRequest::LogEnd(const ProgressDecision& decision, unsigned status) const {
+  this->context.metrics.AddCount("requests", fmt::format("status=\"{}\"", status));
+  EventLog::Write(Event::kRequestEnded,
+                  "request={} route={} version={} service={} status={} reason={} last={} refused={} "
+                  "time_left_ms={} after_ms={}",
+                  this->head.request_id, this->route->name, this->index->GetTable().version,
+                  this->service, status, DescribeProgressReason(decision.reason),
+                  this->last_reason, this->refused_by.size(),
+                  CountMilliseconds(this->facts.deadline - GetNow()),
+                  CountMilliseconds(GetNow() - this->facts.arrived_at));
+}
+
+}  // namespace lacewingbridge
--- /dev/null
+++ b/Source/Proxy/caller_request.h
@@ -0,0 +1,66 @@
+#ifndef LACEWINGBRIDGE_SOURCE_PROXY_CALLER_REQUEST_H_
+#define LACEWINGBRIDGE_SOURCE_PROXY_CALLER_REQUEST_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Core/time_point.h"
+#include "Http/outbound_exchange.h"
+#include "Http/server_exchange.h"
+#include "Proxy/answer_relay.h"
+#include "Proxy/proxy_context.h"
+#include "Proxy/proxy_wire.h"
+#include "Proxy/request_facts.h"
+#include "Proxy/request_progress.h"
+#include "Routing/hop_placement.h"
+#include "Routing/route_index.h"
+
+namespace lacewingbridge {
+
+class IoShard;
+
+// A request of a caller at the daemon of the caller's host: finds its route, places it and
+// answers it. RequestProgress decides; this class carries the decisions out.
+class CallerRequest {
+ public:
+  CallerRequest(const ProxyContext& proxy_context, IoShard& io_shard,
+                ServerExchange& server_exchange, const CallerHead& caller_head);
+
+  Awaitable<void> Run();
+
+ private:
+  // Callers that state no time wait for the timeout of the route.
+  bool FindRoute();
+  void SetFacts(TimePoint now);
+  Awaitable<ProgressDecision> PlaceOnce();
+  Awaitable<HopEnd> SendHop(const HopChoice& choice);
+  Awaitable<HopEnd> ReadHopAnswer(const HopChoice& choice, ExchangeStatus status);
+  OutboundExchange::Request MakeHopRequest(TimePoint now, const HopChoice& choice) const;
+  HopNeed MakeNeed(TimePoint now);
+  Awaitable<void> Finish(const ProgressDecision& decision);
+  Awaitable<void> SendRefusal(http::status status, std::string_view reason,
+                              std::optional<Duration> return_after);
+  std::optional<Duration> ComputeReturn(TimePoint now);
+  void LogEnd(const ProgressDecision& decision, unsigned status) const;
+
+  const ProxyContext& context;
+  IoShard& shard;
+  ServerExchange& exchange;
+  const CallerHead head;
+  std::shared_ptr<const RouteIndex> index;
+  const HostRoute* route = nullptr;
+  std::string service;
+  RequestFacts facts;
+  std::optional<RequestProgress> progress;
+  std::vector<std::string> refused_by;
+  std::string last_reason;
+  std::unique_ptr<OutboundExchange> hop;
+  HeldAnswer held;
+  bool body_spent = false;
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_SOURCE_PROXY_CALLER_REQUEST_H_
--- /dev/null
+++ b/Source/Proxy/daemon_stage.h
@@ -0,0 +1,45 @@
+#ifndef LACEWINGBRIDGE_SOURCE_PROXY_DAEMON_STAGE_H_
+#define LACEWINGBRIDGE_SOURCE_PROXY_DAEMON_STAGE_H_
+
+#include <atomic>
+#include <cstddef>
+
+namespace lacewingbridge {
+
+// Whether the daemon takes new connections, and how much of its work is under way.
+class DaemonStage {
+ public:
+  void BeginStop() { this->stopping.store(true); }
+  bool IsStopping() const { return this->stopping.load(); }
+
+  void NoteRequestBegun() { ++this->requests; }
+  void NoteRequestEnded() { --this->requests; }
+  std::size_t GetRequestCount() const { return this->requests.load(); }
+
+  void NoteConnectionOpened() { ++this->connections; }
+  void NoteConnectionClosed() { --this->connections; }
+  std::size_t GetConnectionCount() const { return this->connections.load(); }
+
+ private:
+  std::atomic<bool> stopping{false};
+  std::atomic<std::size_t> requests{0};
+  std::atomic<std::size_t> connections{0};
+};
+
+// Counts a request from its head to the end of its answer.
+class RequestScope {
+ public:
+  explicit RequestScope(DaemonStage& daemon_stage) : stage(daemon_stage) {
+    this->stage.NoteRequestBegun();
+  }
+  RequestScope(const RequestScope&) = delete;
+  RequestScope& operator=(const RequestScope&) = delete;
+  ~RequestScope() { this->stage.NoteRequestEnded(); }
+
+ private:
+  DaemonStage& stage;
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_SOURCE_PROXY_DAEMON_STAGE_H_
--- /dev/null
+++ b/Source/Proxy/mesh_state.cc
@@ -0,0 +1,179 @@
+#include "Proxy/mesh_state.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "Core/hash.h"
+
+namespace lacewingbridge {
+
+MeshState::MeshState(const MeshIdentity& daemon_identity)
+    : identity(daemon_identity),
+      services(kShardCount, [] { return ServiceShard(); }),
+      routes(kShardCount, [] { return RouteShard(); }) {}
+
+template <typename Action>
+decltype(auto) MeshState::WithService(std::string_view service, Action&& action) {
+  return this->services.WithShard(HashBytes(service), [&](ServiceShard& shard) {
+    auto found = shard.services.find(service);
+    if (found == shard.services.end()) {
+      const MeshIdentity& self = this->identity;
+      ServiceState state{HopPlacement(self.host, self.data_centre, self.region), {}};
+      state.budget.SetBound(self.retry_bound);
+      found = shard.services.emplace(std::string(service), std::move(state)).first;
+    }
+    return std::forward<Action>(action)(found->second);
+  });
+}
+
+std::shared_ptr<const RouteIndex> MeshState::GetIndex() const {
+  const std::lock_guard guard(this->index_mutex);
+  return this->index;
+}
+
+std::uint64_t MeshState::GetTableVersion() const {
+  const std::shared_ptr<const RouteIndex> current = this->GetIndex();
+  return current == nullptr ? 0 : current->GetTable().version;
+}
+
+Result<TableOffer> MeshState::OfferTable(RouteTable table) {
+  if (table.version <= this->GetTableVersion()) {
+    return TableOffer::kOlder;
+  }
+  Result<RouteIndex> created = RouteIndex::Create(std::move(table));
+  if (!IsOk(created)) {
+    return GetError(created);
+  }
+  auto next = std::make_shared<const RouteIndex>(std::move(GetValue(created)));
+  const std::lock_guard guard(this->index_mutex);
+  if (this->index != nullptr && next->GetTable().version <= this->index->GetTable().version) {
+    return TableOffer::kOlder;
+  }
+  this->index = std::move(next);
+  return TableOffer::kApplied;
+}
+
+void MeshState::MergeHost(TimePoint now, const HostRecord& record) {
+  const std::lock_guard guard(this->hosts_mutex);
+  this->directory.DropRemoved(now);
+  if (this->directory.Merge(record)) {
+    this->PublishHosts();
+  }
+}
+
+void MeshState::RemoveHost(TimePoint now, std::string_view host) {
+  const std::lock_guard guard(this->hosts_mutex);
+  this->directory.Remove(now, host);
+}
+
+void MeshState::ReplaceHosts(TimePoint now, std::span<const HostRecord> records) {
+  const std::lock_guard guard(this->hosts_mutex);
+  if (this->directory.ReplaceAll(now, records)) {
+    this->PublishHosts();
+  }
+}
+
+void MeshState::DropRemovedHosts(TimePoint now) {
+  const std::lock_guard guard(this->hosts_mutex);
+  if (this->directory.DropRemoved(now)) {
+    this->PublishHosts();
+  }
+}
+
+std::vector<HostRecord> MeshState::GetHosts() const {
+  const std::lock_guard guard(this->hosts_mutex);
+  return this->directory.GetHosts();
+}
+
+// The caller holds the lock of the hosts; the locks of the shards are taken one by one.
+void MeshState::PublishHosts() {
+  const std::vector<HostRecord> hosts = this->directory.GetHosts();
+  std::map<std::string, std::vector<HostRecord>, std::less<>> by_service;
+  for (const HostRecord& record : hosts) {
+    if (record.target.has_value()) {
+      by_service[record.target->service].push_back(record);
+    }
+  }
+  for (const auto& [service, records] : by_service) {
+    this->WithService(service, [](ServiceState&) {});
+  }
+  this->services.ForEachShard([&](ServiceShard& shard) {
+    for (auto& [name, state] : shard.services) {
+      state.placement.UpdateHosts(by_service[name]);
+      RetryBound bound = this->identity.retry_bound;
+      bound.daemons = std::max<std::size_t>(hosts.size(), 1);
+      state.budget.SetBound(bound);
+    }
+  });
+}
+
+std::string MeshState::PickDestination(const HostRoute& route, std::mt19937_64& random) {
+  return this->routes.WithShard(HashBytes(route.name), [&](RouteShard& shard) {
+    return route.destinations[shard.rotation.Pick(route.name, route.destinations, random)].service;
+  });
+}
+
+double MeshState::GetAnswerBytes(std::string_view route) {
+  return this->routes.WithShard(HashBytes(route), [&](RouteShard& shard) {
+    const auto found = shard.answer_bytes.find(route);
+    return found == shard.answer_bytes.end() ? 0.0 : found->second;
+  });
+}
+
+void MeshState::RecordAnswerBytes(std::string_view route, std::uint64_t bytes) {
+  this->routes.WithShard(HashBytes(route), [&](RouteShard& shard) {
+    const auto value = static_cast<double>(bytes);
+    auto [found, added] = shard.answer_bytes.try_emplace(std::string(route), value);
+    found->second += (value - found->second) * kAnswerBytesWeight;
+  });
+}
+
+void MeshState::RecordRequest(TimePoint now, std::string_view service) {
+  this->WithService(service, [&](ServiceState& state) { state.budget.RecordRequest(now); });
+}
+
+std::optional<HopChoice> MeshState::ChooseHop(TimePoint now, std::string_view service,
+                                              const HopNeed& need,
+                                              std::span<const std::string> excluded,
+                                              std::mt19937_64& random) {
+  return this->WithService(service, [&](ServiceState& state) {
+    return state.placement.Choose(now, need, excluded, random);
+  });
+}
+
+void MeshState::RecordHopStart(std::string_view service, std::string_view peer_address) {
+  this->WithService(service,
+                    [&](ServiceState& state) { state.placement.RecordStart(peer_address); });
+}
+
+void MeshState::RecordHopEnd(TimePoint now, std::string_view service, std::string_view peer_address,
+                             const HopReport* report, bool failed) {
+  if (report != nullptr) {
+    const std::lock_guard guard(this->hosts_mutex);
+    this->directory.NoteHeard(now, peer_address);
+  }
+  this->WithService(service, [&](ServiceState& state) {
+    state.placement.RecordEnd(peer_address);
+    if (report != nullptr) {
+      state.placement.RecordReport(now, peer_address, *report);
+    } else if (failed) {
+      state.placement.RecordFailure(now, peer_address);
+    }
+  });
+}
+
+ProgressDecision MeshState::DecideNext(TimePoint now, std::string_view service, const HopEnd& end,
+                                       RequestProgress& progress) {
+  return this->WithService(service, [&](ServiceState& state) {
+    return progress.NoteHopEnd(now, end, state.budget);
+  });
+}
+
+std::optional<Duration> MeshState::EstimateReturn(TimePoint now, std::string_view service) {
+  return this->WithService(
+      service, [now](ServiceState& state) { return state.placement.EstimateReturn(now); });
+}
+
+}  // namespace lacewingbridge
--- /dev/null
+++ b/Source/Proxy/peer_handler.h
@@ -0,0 +1,76 @@
+#ifndef LACEWINGBRIDGE_SOURCE_PROXY_PEER_HANDLER_H_
+#define LACEWINGBRIDGE_SOURCE_PROXY_PEER_HANDLER_H_
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "Http/server_connection.h"
+#include "Http/server_limits.h"
+#include "Proxy/daemon_stage.h"
+#include "Proxy/header_fields.h"
+#include "Proxy/mesh_state.h"
+#include "Proxy/peer_request.h"
+#include "Proxy/proxy_context.h"
+#include "Proxy/proxy_wire.h"
+#include "mesh_codec.h"
+
+namespace lacewingbridge {
+
+// Path on which a daemon gives its version and hosts to another one.
+inline constexpr char kSnapshotPath[] = "/lacewingbridge/snapshot";
+
+// Requests of other daemons: for the local target, and for what this daemon knows.
+template <ProxyWire Wire>
+class PeerHandler {
+ public:
+  explicit PeerHandler(const ProxyContext& proxy_context) : context(proxy_context) {}
+
+  Awaitable<void> Handle(IoShard& shard, ServerExchange& exchange) {
+    const RequestScope scope(this->context.stage);
+    if (this->context.stage.IsStopping()) {
+      exchange.CloseAfter();
+    }
+    std::optional<HopRequest> hop = GetHopRequest(exchange.GetHead());
+    if (!hop.has_value()) {
+      co_await this->AnswerDaemon(exchange);
+      co_return;
+    }
+    if (hop->table_version > this->context.state.GetTableVersion()) {
+      this->context.note_newer_table(hop->sender);
+    }
+    PeerRequest request(this->context, shard, exchange, std::move(*hop));
+    co_await request.template Run<Wire>();
+  }
+
+  ServerLimits GetLimits() const {
+    ServerLimits limits;
+    // Longer than the idle limit on the other side of a connection between daemons.
+    limits.idle_timeout = std::chrono::seconds(40);
+    return limits;
+  }
+  void NoteOpened() {}
+  void NoteClosed() {}
+
+ private:
+  Awaitable<void> AnswerDaemon(ServerExchange& exchange) {
+    ServerExchange::Answer answer(http::status::bad_request, 11);
+    const std::shared_ptr<const RouteIndex> index = this->context.state.GetIndex();
+    if (exchange.GetTarget() == kSnapshotPath && index != nullptr) {
+      PeerSnapshot snapshot;
+      snapshot.table = index->GetTable();
+      snapshot.hosts = this->context.state.GetHosts();
+      answer.result(http::status::ok);
+      answer.body() = Encode(snapshot);
+    }
+    co_await exchange.Send(std::move(answer));
+  }
+
+  ProxyContext context;
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_SOURCE_PROXY_PEER_HANDLER_H_
--- /dev/null
+++ b/Source/Proxy/peer_request.cc
@@ -0,0 +1,221 @@
+#include "Proxy/peer_request.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "Observe/event_log.h"
+#include "Proxy/daemon_stage.h"
+
+namespace lacewingbridge {
+
+namespace {
+
+// The target is on the same host.
+constexpr Duration kConnectLimit = std::chrono::milliseconds(250);
+// Targets state their limit as a rule; this is for those that do not.
+constexpr Duration kAssumedIdleLimit = std::chrono::seconds(4);
+// A request that must not run twice takes no connection that has been idle for longer: a
+// target may forget idle connections, and the request would be lost with an unknown outcome.
+constexpr Duration kMaxIdleForUnsafe = std::chrono::milliseconds(1500);
+// Longest silence within an answer that has begun.
+constexpr Duration kAnswerSilence = std::chrono::seconds(5);
+// Interval at which waiting requests look for the end of their time.
+constexpr Duration kExpiryInterval = std::chrono::milliseconds(25);
+
+}  // namespace
+
+struct PeerRequest::SlotWait {
+  explicit SlotWait(asio::io_context& io_context) : signal(io_context) {}
+  AsyncSignal signal;
+  std::optional<bool> admitted;
+};
+
+PeerRequest::PeerRequest(const ProxyContext& proxy_context, IoShard& io_shard,
+                         ServerExchange& server_exchange, HopRequest hop_request)
+    : context(proxy_context),
+      shard(io_shard),
+      exchange(server_exchange),
+      hop(std::move(hop_request)),
+      arrived_at(GetNow()) {
+  this->offer.priority = this->hop.priority;
+  this->offer.deadline = this->arrived_at + std::chrono::milliseconds(this->hop.time_left_ms);
+  this->offer.objective_at =
+      this->arrived_at + std::chrono::milliseconds(this->hop.objective_left_ms);
+}
+
+Awaitable<bool> PeerRequest::WaitForSlot() {
+  auto wait = std::make_shared<SlotWait>(this->shard.GetContext());
+  const GateVerdict verdict = this->context.gate.Offer(
+      this->arrived_at, this->hop, this->offer, [wait, &io = this->shard.GetContext()](bool admitted) {
+        asio::post(io, [wait, admitted] {
+          wait->admitted = admitted;
+          wait->signal.Notify();
+        });
+      });
+  if (verdict == GateVerdict::kAdmitted) {
+    co_return true;
+  }
+  if (verdict != GateVerdict::kQueued) {
+    co_await this->SendRefused(DescribeGateVerdict(verdict));
+    co_return false;
+  }
+  const bool admitted = co_await this->WaitForTurn(wait);
+  if (!admitted) {
+    if (!this->exchange.IsCallerGone()) {
+      co_await this->SendRefused(DescribeGateVerdict(GateVerdict::kNoRoom));
+    }
+    co_return false;
+  }
+  co_return true;
+}
+
+Awaitable<bool> PeerRequest::WaitForTurn(const std::shared_ptr<SlotWait>& wait) {
+  this->exchange.SetGoneListener([wait] { wait->signal.Notify(); });
+  while (!wait->admitted.has_value() && !this->exchange.IsCallerGone()) {
+    co_await wait->signal.WaitFor(kExpiryInterval);
+    if (!wait->admitted.has_value()) {
+      this->context.gate.Expire(GetNow());
+    }
+  }
+  this->exchange.SetGoneListener(nullptr);
+  if (this->exchange.IsCallerGone()) {
+    const bool refused = wait->admitted.has_value() && !*wait->admitted;
+    if (!refused && this->context.gate.Cancel(GetNow(), this->offer.id)) {
+      this->context.gate.Finish(GetNow(), this->offer.id);
+    }
+    co_return false;
+  }
+  co_return *wait->admitted;
+}
+
+OutboundExchange::Request PeerRequest::MakeTargetRequest() const {
+  OutboundExchange::Request request;
+  request.method_string(this->exchange.GetHead().method_string());
+  request.target(this->exchange.GetHead().target());
+  request.version(11);
+  CopyEndToEndHeaders(this->exchange.GetHead(), request);
+  if (this->exchange.IsBodyComplete()) {
+    request.body() = this->exchange.GetBody();
+    if (!request.body().empty() || this->exchange.GetLength().has_value()) {
+      request.content_length(request.body().size());
+    }
+  } else if (this->exchange.GetLength().has_value()) {
+    request.content_length(*this->exchange.GetLength());
+  } else {
+    request.chunked(true);
+  }
+  return request;
+}
+
+TargetHead PeerRequest::MakeTargetHead() const {
+  TargetHead head;
+  head.time_left = std::max(this->offer.deadline - GetNow(), Duration{0});
+  head.target_id = this->hop.target_id;
+  head.caller_service = this->hop.caller_service;
+  return head;
+}
+
+Awaitable<ExchangeStatus> PeerRequest::SendToTarget(const OutboundExchange::Request& request) {
+  this->started_at = GetNow();
+  this->to_target = std::make_unique<OutboundExchange>(
+      this->shard, this->context.state.GetIdentity().target_address);
+  this->exchange.SetGoneListener([this] { this->to_target->Cancel(); });
+  const OutboundExchange::BodyWriter rest = [this](TcpSocket& to) {
+    return RelayRequestBody(this->exchange, !this->exchange.GetLength().has_value(), to);
+  };
+  const OutboundOptions options{kConnectLimit,
+                                this->hop.idempotent ? kAssumedIdleLimit * 10 : kMaxIdleForUnsafe,
+                                kAssumedIdleLimit};
+  const ExchangeStatus status = co_await this->to_target->Start(
+      request, this->exchange.IsBodyComplete() ? nullptr : &rest,
+      this->offer.deadline - this->started_at, options);
+  this->to_target->LimitSilence(kAnswerSilence);
+  co_return status;
+}
+
+void PeerRequest::Judge(const TargetAnswerHead& head) {
+  const bool success =
+      http::to_status_class(this->held.head.result()) == http::status_class::successful;
+  if (head.not_run || this->held.head.result() == http::status::misdirected_request) {
+    this->outcome = HopOutcome::kNotRun;
+    this->reason = "target_refused";
+  } else if (this->held.status == BodyStatus::kBroken) {
+    this->reason = "answer_broke_off";
+  } else if (head.is_encoded || (success && !head.has_signature)) {
+    this->reason = "answer_not_of_target";
+  } else {
+    this->outcome = HopOutcome::kAnswered;
+  }
+}
+
+HopReport PeerRequest::MakeReport() {
+  HopReport report = this->context.gate.MakeReport(GetNow(), this->hop.priority);
+  report.outcome = this->outcome;
+  report.reason = this->reason;
+  report.table_version = this->context.state.GetTableVersion();
+  return report;
+}
+
+Awaitable<void> PeerRequest::FinishHop(ExchangeStatus status) {
+  const TimePoint now = GetNow();
+  if (status == ExchangeStatus::kNotConnected) {
+    this->context.gate.NoteConnectionRefused(now);
+    this->outcome = HopOutcome::kRefused;
+    this->reason = "target_unreachable";
+  } else if (status != ExchangeStatus::kOk) {
+    this->reason = status == ExchangeStatus::kTimedOut ? "target_timed_out" : "target_lost";
+  }
+  const bool streaming =
+      this->outcome == HopOutcome::kAnswered && this->held.status == BodyStatus::kMore;
+  if (!streaming) {
+    this->to_target->Finish();
+    this->context.gate.Finish(now, this->offer.id);
+  }
+  if (!this->exchange.IsCallerGone()) {
+    HopReport report = this->MakeReport();
+    if (this->outcome != HopOutcome::kAnswered) {
+      this->held = HeldAnswer();
+      this->held.head.result(http::status::service_unavailable);
+      this->held.status = BodyStatus::kComplete;
+    }
+    this->Log(report, this->held.head.result_int());
+    http::response_header<> head;
+    head.result(this->held.head.result());
+    head.reason(this->held.head.reason());
+    CopyEndToEndHeaders(this->held.head, head);
+    SetHopReport(head, report);
+    this->held.head = std::move(head);
+    co_await RelayAnswer(*this->to_target, this->held, this->exchange);
+  }
+  if (streaming) {
+    this->to_target->Finish();
+    this->context.gate.Finish(GetNow(), this->offer.id);
+  }
+  this->exchange.SetGoneListener(nullptr);
+}
+
+Awaitable<void> PeerRequest::SendRefused(std::string_view why) {
+  this->outcome = HopOutcome::kRefused;
+  this->reason = std::string(why);
+  const HopReport report = this->MakeReport();
+  this->Log(report, static_cast<unsigned>(http::status::service_unavailable));
+  ServerExchange::Answer answer(http::status::service_unavailable, 11);
+  SetHopReport(answer, report);
+  co_await this->exchange.Send(std::move(answer));
+}
+
+void PeerRequest::Log(const HopReport& report, unsigned status) const {
+  EventLog::Write(Event::kTargetHopEnded,
+                  "sender={} target={} outcome={} reason={} status={} priority={} running={} "
+                  "waiting={} slots={} waited_ms={} after_ms={}",
+                  this->hop.sender, report.target_id, GetName(report.outcome), report.reason,
+                  status, this->hop.priority, report.running, report.waiting, report.slots,
+                  this->started_at == TimePoint()
+                      ? 0
+                      : CountMilliseconds(this->started_at - this->arrived_at),
+                  CountMilliseconds(GetNow() - this->arrived_at));
+}
+
+}  // namespace lacewingbridge
--- /dev/null
+++ b/Source/Proxy/peer_request.h
@@ -0,0 +1,91 @@
+#ifndef LACEWINGBRIDGE_SOURCE_PROXY_PEER_REQUEST_H_
+#define LACEWINGBRIDGE_SOURCE_PROXY_PEER_REQUEST_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "Admission/target_admission.h"
+#include "Http/async_signal.h"
+#include "Http/boot_clock.h"
+#include "Http/io_shard.h"
+#include "Http/outbound_exchange.h"
+#include "Http/server_exchange.h"
+#include "Proxy/answer_relay.h"
+#include "Proxy/header_fields.h"
+#include "Proxy/mesh_state.h"
+#include "Proxy/proxy_context.h"
+#include "Proxy/proxy_wire.h"
+#include "Proxy/target_gate.h"
+
+namespace lacewingbridge {
+
+// A request from another daemon at the daemon beside the target: waits for a slot, passes
+// it on and says on the way back what became of it.
+class PeerRequest {
+ public:
+  PeerRequest(const ProxyContext& proxy_context, IoShard& io_shard,
+              ServerExchange& server_exchange, HopRequest hop_request);
+
+  template <ProxyWire Wire>
+  Awaitable<void> Run() {
+    const bool admitted = co_await this->WaitForSlot();
+    if (!admitted) {
+      co_return;
+    }
+    OutboundExchange::Request request = this->MakeTargetRequest();
+    Wire::WriteTargetHead(request, this->MakeTargetHead());
+    const std::string request_id = Wire::ReadCallerHead(request).request_id;
+    ExchangeStatus status = co_await this->SendToTarget(request);
+    for (int skipped = 0; status == ExchangeStatus::kOk; ++skipped) {
+      const TargetAnswerHead head = Wire::ReadAnswerHead(this->to_target->GetHead());
+      co_await HoldAnswer(*this->to_target, this->held);
+      if (head.request_id == request_id) {
+        this->Judge(head);
+        break;
+      }
+      // A surplus answer to an earlier request comes before the present one.
+      if (skipped >= kMaxSurplusAnswers) {
+        status = ExchangeStatus::kLost;
+        break;
+      }
+      this->held = HeldAnswer();
+      status = co_await this->to_target->ReadNextHead();
+    }
+    co_await this->FinishHop(status);
+  }
+
+ private:
+  static constexpr int kMaxSurplusAnswers = 2;
+
+  struct SlotWait;
+
+  Awaitable<bool> WaitForSlot();
+  Awaitable<bool> WaitForTurn(const std::shared_ptr<SlotWait>& wait);
+  OutboundExchange::Request MakeTargetRequest() const;
+  TargetHead MakeTargetHead() const;
+  Awaitable<ExchangeStatus> SendToTarget(const OutboundExchange::Request& request);
+  // Decides from the head of the answer and the begin of its body what became of it.
+  void Judge(const TargetAnswerHead& head);
+  Awaitable<void> FinishHop(ExchangeStatus status);
+  Awaitable<void> SendRefused(std::string_view why);
+  HopReport MakeReport();
+  void Log(const HopReport& report, unsigned status) const;
+
+  const ProxyContext& context;
+  IoShard& shard;
+  ServerExchange& exchange;
+  const HopRequest hop;
+  const TimePoint arrived_at;
+  TimePoint started_at;
+  WorkOffer offer;
+  std::unique_ptr<OutboundExchange> to_target;
+  HeldAnswer held;
+  HopOutcome outcome = HopOutcome::kUnknown;
+  std::string reason;
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_SOURCE_PROXY_PEER_REQUEST_H_
--- /dev/null
+++ b/Source/Proxy/proxy_context.h
@@ -0,0 +1,26 @@
+#ifndef LACEWINGBRIDGE_SOURCE_PROXY_PROXY_CONTEXT_H_
+#define LACEWINGBRIDGE_SOURCE_PROXY_PROXY_CONTEXT_H_
+
+#include <functional>
+#include <string>
+
+namespace lacewingbridge {
+
+class DaemonStage;
+class MeshState;
+class MetricsRegistry;
+class TargetGate;
+
+// The shared parts that requests use. All outlive every request.
+struct ProxyContext {
+  MeshState& state;
+  TargetGate& gate;
+  DaemonStage& stage;
+  MetricsRegistry& metrics;
+  // Called with the peer address of a daemon that holds a newer version.
+  std::function<void(const std::string&)> note_newer_table;
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_SOURCE_PROXY_PROXY_CONTEXT_H_
--- /dev/null
+++ b/Source/Proxy/request_progress.cc
@@ -0,0 +1,116 @@
+#include "Proxy/request_progress.h"
+
+#include "Retry/fleet_retry_budget.h"
+
+namespace lacewingbridge {
+
+namespace {
+
+// Answers of a target that could not do its work; another target may be able to.
+constexpr unsigned kFirstServerError = 500;
+
+}  // namespace
+
+std::string_view DescribeProgressReason(ProgressReason reason) {
+  switch (reason) {
+    case ProgressReason::kFirst:
+      return "first";
+    case ProgressReason::kAnswered:
+      return "answered";
+    case ProgressReason::kNoRoom:
+      return "no_room";
+    case ProgressReason::kTargetRefused:
+      return "target_refused";
+    case ProgressReason::kMayRunAgain:
+      return "may_run_again";
+    case ProgressReason::kNotRepeatable:
+      return "not_repeatable";
+    case ProgressReason::kAttemptsUsedUp:
+      return "attempts_used_up";
+    case ProgressReason::kHopsUsedUp:
+      return "hops_used_up";
+    case ProgressReason::kBudgetUsedUp:
+      return "budget_used_up";
+    case ProgressReason::kTimeOver:
+      return "time_over";
+    case ProgressReason::kNoTarget:
+      return "no_target";
+    case ProgressReason::kQuarantined:
+      return "quarantined";
+  }
+  return "invalid";
+}
+
+ProgressDecision RequestProgress::End(ProgressReason reason) const {
+  return {this->may_have_run ? ProgressAction::kFailUnknown : ProgressAction::kRefuse, reason};
+}
+
+ProgressDecision RequestProgress::NoteNoCandidate(TimePoint now) const {
+  if (now >= this->facts.GetEnd()) {
+    return this->NoteTimeOver();
+  }
+  return this->End(this->refused_hops > 0 ? ProgressReason::kNoRoom : ProgressReason::kNoTarget);
+}
+
+ProgressDecision RequestProgress::NoteTimeOver() const {
+  return {this->may_have_run ? ProgressAction::kTimeout : ProgressAction::kRefuse,
+          ProgressReason::kTimeOver};
+}
+
+ProgressDecision RequestProgress::DecideRepeat(TimePoint now, ProgressReason cause,
+                                               FleetRetryBudget& budget) {
+  if (now >= this->facts.GetEnd()) {
+    return this->NoteTimeOver();
+  }
+  if (this->passed_on >= this->facts.max_attempts) {
+    return this->End(ProgressReason::kAttemptsUsedUp);
+  }
+  if (!budget.TryTake(now)) {
+    return this->End(ProgressReason::kBudgetUsedUp);
+  }
+  return {ProgressAction::kPlace, cause};
+}
+
+ProgressDecision RequestProgress::NoteHopEnd(TimePoint now, const HopEnd& end,
+                                             FleetRetryBudget& budget) {
+  switch (end.outcome) {
+    case HopOutcome::kRefused:
+      if (now >= this->facts.GetEnd()) {
+        return this->NoteTimeOver();
+      }
+      if (++this->refused_hops >= kMaxRefusedHops) {
+        return this->End(ProgressReason::kHopsUsedUp);
+      }
+      return {ProgressAction::kPlace, ProgressReason::kNoRoom};
+    case HopOutcome::kQuarantined:
+      return this->End(ProgressReason::kQuarantined);
+    case HopOutcome::kNotRun:
+      ++this->passed_on;
+      return this->DecideRepeat(now, ProgressReason::kTargetRefused, budget);
+    case HopOutcome::kAnswered: {
+      ++this->passed_on;
+      this->may_have_run = true;
+      if (end.status < kFirstServerError || !this->facts.idempotent) {
+        return {ProgressAction::kDeliver, ProgressReason::kAnswered};
+      }
+      const ProgressDecision repeat =
+          this->DecideRepeat(now, ProgressReason::kMayRunAgain, budget);
+      // The target's own failure is a better answer than one made up here.
+      return repeat.action == ProgressAction::kPlace
+                 ? repeat
+                 : ProgressDecision{ProgressAction::kDeliver, repeat.reason};
+    }
+    case HopOutcome::kNone:
+    case HopOutcome::kUnknown:
+      break;
+  }
+  ++this->passed_on;
+  this->may_have_run = true;
+  if (!this->facts.idempotent) {
+    return now >= this->facts.GetEnd() ? this->NoteTimeOver()
+                                       : this->End(ProgressReason::kNotRepeatable);
+  }
+  return this->DecideRepeat(now, ProgressReason::kMayRunAgain, budget);
+}
+
+}  // namespace lacewingbridge
--- /dev/null
+++ b/Source/Proxy/target_gate.cc
@@ -0,0 +1,194 @@
+#include "Proxy/target_gate.h"
+
+#include <utility>
+#include <vector>
+
+namespace lacewingbridge {
+
+std::string_view DescribeGateVerdict(GateVerdict verdict) {
+  switch (verdict) {
+    case GateVerdict::kAdmitted:
+      return "admitted";
+    case GateVerdict::kQueued:
+      return "queued";
+    case GateVerdict::kWrongTarget:
+      return "wrong_target";
+    case GateVerdict::kNotAccepting:
+      return "not_accepting";
+    case GateVerdict::kNoRoom:
+      return "no_room";
+    case GateVerdict::kTimeOver:
+      return "time_over";
+  }
+  return "invalid";
+}
+
+// Listeners are called after the lock is released, so that they may call the gate again.
+template <typename Action>
+auto TargetGate::Change(TimePoint now, Action&& action) {
+  std::vector<Notification> notifications;
+  std::unique_lock lock(this->mutex);
+  auto result = std::forward<Action>(action)(notifications);
+  this->RefreshSlots(now, notifications);
+  lock.unlock();
+  Notify(notifications);
+  return result;
+}
+
+void TargetGate::RefreshSlots(TimePoint now, std::vector<Notification>& notifications) {
+  const std::uint32_t slots = this->target.IsAccepting(now) ? this->target.GetSlots() : 0;
+  if (slots != this->admission.GetSlots()) {
+    this->Collect(this->admission.SetSlots(now, slots), notifications);
+  }
+}
+
+void TargetGate::Collect(const AdmissionRelease& release,
+                         std::vector<Notification>& notifications) {
+  const auto take = [&](RequestId id, bool admitted) {
+    const auto found = this->listeners.find(id);
+    if (found != this->listeners.end()) {
+      notifications.push_back({std::move(found->second), admitted});
+      this->listeners.erase(found);
+    }
+  };
+  for (const RequestId id : release.admitted) {
+    take(id, true);
+  }
+  for (const RequestId id : release.refused) {
+    take(id, false);
+  }
+}
+
+void TargetGate::Notify(const std::vector<Notification>& notifications) {
+  for (const Notification& notification : notifications) {
+    notification.listener(notification.admitted);
+  }
+}
+
+GateVerdict TargetGate::Offer(TimePoint now, const HopRequest& hop, WorkOffer& offer,
+                              Listener listener) {
+  return this->Change(now, [&](std::vector<Notification>& notifications) {
+    this->RefreshSlots(now, notifications);
+    if (!hop.target_id.empty() && hop.target_id != this->target.GetId()) {
+      return GateVerdict::kWrongTarget;
+    }
+    if (hop.service != this->target.MakeRecord().service) {
+      return GateVerdict::kWrongTarget;
+    }
+    if (!this->target.IsAccepting(now)) {
+      return GateVerdict::kNotAccepting;
+    }
+    offer.id = ++this->last_id;
+    switch (this->admission.Offer(now, offer)) {
+      case AdmissionVerdict::kAdmitted:
+        return GateVerdict::kAdmitted;
+      case AdmissionVerdict::kQueued:
+        this->listeners.emplace(offer.id, std::move(listener));
+        return GateVerdict::kQueued;
+      case AdmissionVerdict::kRefusedDeadline:
+        return GateVerdict::kTimeOver;
+      case AdmissionVerdict::kRefusedNoSlots:
+        return GateVerdict::kNotAccepting;
+      case AdmissionVerdict::kRefusedQueueFull:
+      case AdmissionVerdict::kRefusedLowPriority:
+        break;
+    }
+    return GateVerdict::kNoRoom;
+  });
+}
+
+void TargetGate::Finish(TimePoint now, RequestId id) {
+  this->Change(now, [&](std::vector<Notification>& notifications) {
+    this->Collect(this->admission.Finish(now, id), notifications);
+    return true;
+  });
+}
+
+bool TargetGate::Cancel(TimePoint now, RequestId id) {
+  return this->Change(now, [&](std::vector<Notification>&) {
+    this->admission.Cancel(id);
+    return this->listeners.erase(id) == 0;
+  });
+}
+
+void TargetGate::Expire(TimePoint now) {
+  this->Change(now, [&](std::vector<Notification>& notifications) {
+    this->Collect(this->admission.Expire(now), notifications);
+    return true;
+  });
+}
+
+AnnouncementVerdict TargetGate::NoteAnnouncement(TimePoint now,
+                                                 const TargetAnnouncement& announcement) {
+  return this->Change(now, [&](std::vector<Notification>&) {
+    return this->target.NoteAnnouncement(announcement);
+  });
+}
+
+void TargetGate::NoteLeft(TimePoint now, std::string_view id, std::uint64_t born_unix_ms) {
+  this->Change(now, [&](std::vector<Notification>&) {
+    this->target.NoteLeft(id, born_unix_ms);
+    return true;
+  });
+}
+
+void TargetGate::NoteRecord(TimePoint now, const LocalTargetRecord& record) {
+  this->Change(now, [&](std::vector<Notification>&) {
+    this->target.NoteRecord(record);
+    return true;
+  });
+}
+
+void TargetGate::NoteHealth(TimePoint now, bool healthy, std::string_view id,
+                            std::uint32_t slots) {
+  this->Change(now, [&](std::vector<Notification>&) {
+    this->target.NoteHealth(healthy, id, slots);
+    return true;
+  });
+}
+
+void TargetGate::NoteConnectionRefused(TimePoint now) {
+  this->Change(now, [&](std::vector<Notification>&) {
+    this->target.NoteConnectionRefused(now);
+    return true;
+  });
+}
+
+bool TargetGate::TakeProofTurn(TimePoint now) {
+  return this->Change(
+      now, [&](std::vector<Notification>&) { return this->target.TakeProofTurn(now); });
+}
+
+HopReport TargetGate::MakeReport(TimePoint now, std::uint32_t priority) {
+  const std::lock_guard guard(this->mutex);
+  HopReport report;
+  report.running = static_cast<std::uint32_t>(this->admission.GetRunningCount());
+  report.waiting = static_cast<std::uint32_t>(this->admission.GetWaitingCount());
+  report.slots = this->target.GetSlots();
+  report.expected_wait_ms =
+      static_cast<std::uint32_t>(CountMilliseconds(this->admission.EstimateWait(priority)));
+  report.service_time_ms =
+      static_cast<std::uint32_t>(CountMilliseconds(this->admission.GetServiceTime()));
+  report.accepting = this->target.IsAccepting(now) && !this->leaving;
+  report.target_id = this->target.GetId();
+  return report;
+}
+
+LocalTargetRecord TargetGate::MakeRecord() {
+  const std::lock_guard guard(this->mutex);
+  LocalTargetRecord record = this->target.MakeRecord();
+  record.accepting = record.accepting && !this->leaving;
+  return record;
+}
+
+std::string TargetGate::GetTargetId() {
+  const std::lock_guard guard(this->mutex);
+  return this->target.GetId();
+}
+
+void TargetGate::SetLeaving() {
+  const std::lock_guard guard(this->mutex);
+  this->leaving = true;
+}
+
+}  // namespace lacewingbridge
--- /dev/null
+++ b/Source/Routing/hop_placement.cc
@@ -0,0 +1,177 @@
+#include "Routing/hop_placement.h"
+
+#include <algorithm>
+
+namespace lacewingbridge {
+
+namespace {
+
+Duration FromMilliseconds(std::uint32_t milliseconds) {
+  return std::chrono::milliseconds(milliseconds);
+}
+
+Duration Scale(Duration duration, double factor) {
+  return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
+}
+
+}  // namespace
+
+HopPlacement::Distance HopPlacement::GetDistance(const HostRecord& record) const {
+  if (record.host == this->host) {
+    return Distance::kSameHost;
+  }
+  if (record.data_centre == this->data_centre) {
+    return Distance::kSameDataCentre;
+  }
+  return record.region == this->region ? Distance::kSameRegion : Distance::kElsewhere;
+}
+
+void HopPlacement::UpdateHosts(std::span<const HostRecord> hosts) {
+  std::vector<Candidate> updated;
+  for (const HostRecord& record : hosts) {
+    Candidate candidate;
+    if (const Candidate* known = this->Find(record.peer_address); known != nullptr) {
+      candidate = *known;
+    }
+    if (candidate.target_id != record.target->id) {
+      candidate.has_report = false;
+      candidate.failures = 0;
+      candidate.paused_until = TimePoint();
+    }
+    candidate.peer_address = record.peer_address;
+    candidate.target_id = record.target->id;
+    candidate.slots = record.target->slots;
+    candidate.accepting = record.target->accepting;
+    candidate.distance = this->GetDistance(record);
+    updated.push_back(std::move(candidate));
+  }
+  this->candidates = std::move(updated);
+}
+
+HopPlacement::Candidate* HopPlacement::Find(std::string_view peer_address) {
+  const auto found = std::find_if(
+      this->candidates.begin(), this->candidates.end(),
+      [peer_address](const Candidate& entry) { return entry.peer_address == peer_address; });
+  return found == this->candidates.end() ? nullptr : &*found;
+}
+
+void HopPlacement::RecordStart(std::string_view peer_address) {
+  if (Candidate* candidate = this->Find(peer_address); candidate != nullptr) {
+    ++candidate->in_flight;
+  }
+}
+
+void HopPlacement::RecordEnd(std::string_view peer_address) {
+  Candidate* candidate = this->Find(peer_address);
+  if (candidate != nullptr && candidate->in_flight > 0) {
+    --candidate->in_flight;
+  }
+}
+
+void HopPlacement::RecordReport(TimePoint now, std::string_view peer_address,
+                                const HopReport& report) {
+  Candidate* candidate = this->Find(peer_address);
+  if (candidate == nullptr) {
+    return;
+  }
+  candidate->report = report;
+  candidate->report_at = now;
+  candidate->has_report = true;
+  candidate->in_flight_at_report = candidate->in_flight;
+  candidate->failures = 0;
+  candidate->paused_until = TimePoint();
+}
+
+void HopPlacement::RecordFailure(TimePoint now, std::string_view peer_address) {
+  Candidate* candidate = this->Find(peer_address);
+  if (candidate == nullptr) {
+    return;
+  }
+  const Duration pause = kFirstPause * (1U << std::min(candidate->failures, 8U));
+  candidate->paused_until = now + std::min(pause, kMaxPause);
+  ++candidate->failures;
+}
+
+Duration HopPlacement::EstimateWait(TimePoint now, const Candidate& candidate) const {
+  const bool fresh = candidate.has_report && now - candidate.report_at < kReportLifetime;
+  const std::uint32_t slots = std::max(fresh ? candidate.report.slots : candidate.slots, 1U);
+  Duration service_time = kInitialServiceTime;
+  if (candidate.has_report && candidate.report.service_time_ms > 0) {
+    service_time = FromMilliseconds(candidate.report.service_time_ms);
+  }
+  std::int64_t occupied = candidate.in_flight;
+  if (fresh) {
+    const std::int64_t since = static_cast<std::int64_t>(candidate.in_flight) -
+                               static_cast<std::int64_t>(candidate.in_flight_at_report);
+    occupied = std::max<std::int64_t>(
+        occupied, static_cast<std::int64_t>(candidate.report.running) +
+                      static_cast<std::int64_t>(candidate.report.waiting) + since);
+  }
+  const std::int64_t excess = std::max<std::int64_t>(occupied - slots + 1, 0);
+  Duration wait = service_time * excess / slots;
+  if (fresh) {
+    const Duration told =
+        FromMilliseconds(candidate.report.expected_wait_ms) - (now - candidate.report_at);
+    wait = std::max(wait, told);
+  }
+  return wait;
+}
+
+Duration HopPlacement::ComputeCost(TimePoint now, const HopNeed& need, const Candidate& candidate,
+                                   double jitter) const {
+  const auto distance = static_cast<std::size_t>(candidate.distance);
+  const Duration service_time = candidate.has_report
+                                    ? FromMilliseconds(candidate.report.service_time_ms)
+                                    : kInitialServiceTime;
+  const Duration finish =
+      Scale(this->EstimateWait(now, candidate) + service_time, jitter) + kRoundTrips[distance];
+  const double kilobytes = need.answer_bytes / 1024 + kHeadKilobytes;
+  Duration cost = finish + Scale(kPricePerKilobyte[distance], kilobytes);
+  if (finish > need.objective_left) {
+    // An answer after the objective loses most of its worth.
+    cost += std::max(need.objective_left, need.time_left / 2);
+  }
+  return cost;
+}
+
+std::optional<HopChoice> HopPlacement::ChooseFor(TimePoint now, const HopNeed& need,
+                                                 std::span<const std::string> excluded,
+                                                 std::span<const double> jitters) const {
+  const Candidate* best = nullptr;
+  Duration best_cost{0};
+  for (std::size_t i = 0; i < this->candidates.size(); ++i) {
+    const Candidate& candidate = this->candidates[i];
+    const bool refusing = candidate.has_report && !candidate.report.accepting &&
+                          now - candidate.report_at < kReportLifetime;
+    if (!candidate.accepting || refusing || now < candidate.paused_until ||
+        std::find(excluded.begin(), excluded.end(), candidate.peer_address) != excluded.end()) {
+      continue;
+    }
+    const Duration cost = this->ComputeCost(now, need, candidate, jitters[i]);
+    if (best == nullptr || cost < best_cost) {
+      best = &candidate;
+      best_cost = cost;
+    }
+  }
+  if (best == nullptr) {
+    return std::nullopt;
+  }
+  return HopChoice{best->peer_address, best->target_id};
+}
+
+std::optional<Duration> HopPlacement::EstimateReturn(TimePoint now) const {
+  std::optional<Duration> least;
+  for (const Candidate& candidate : this->candidates) {
+    if (!candidate.accepting) {
+      continue;
+    }
+    const Duration pause = std::max(candidate.paused_until - now, Duration{0});
+    const Duration wait = std::max(this->EstimateWait(now, candidate), pause);
+    if (!least.has_value() || wait < *least) {
+      least = wait;
+    }
+  }
+  return least;
+}
+
+}  // namespace lacewingbridge
--- /dev/null
+++ b/Source/Routing/hop_placement.h
@@ -0,0 +1,131 @@
+#ifndef LACEWINGBRIDGE_SOURCE_ROUTING_HOP_PLACEMENT_H_
+#define LACEWINGBRIDGE_SOURCE_ROUTING_HOP_PLACEMENT_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "Core/time_point.h"
+#include "mesh.h"
+
+namespace lacewingbridge {
+
+// What a request needs from the daemon that is to run it.
+struct HopNeed {
+  Duration objective_left{0};
+  Duration time_left{0};
+  // Bytes of the answer that are expected on the way back.
+  double answer_bytes = 0;
+};
+
+struct HopChoice {
+  std::string peer_address;
+  std::string target_id;
+};
+
+// Chooses the daemon that is to run a request of one service. The load pattern it answers:
+// unequal targets, more load in some data centres than in others, and reports that age.
+//
+// Each candidate costs the time until its answer is expected, from its last report and this
+// daemon's own requests since then, plus the price of the distance: bytes between data
+// centres are billed, those between regions more, so a long answer stays near.
+class HopPlacement {
+ public:
+  // A report counts for nothing after this time: a queue of that length has turned over.
+  static constexpr Duration kReportLifetime = std::chrono::milliseconds(1000);
+
+  HopPlacement(std::string_view own_host, std::string_view own_data_centre,
+               std::string_view own_region)
+      : host(own_host), data_centre(own_data_centre), region(own_region) {}
+
+  // Replaces the list of hosts whose targets belong to the service; counts of a host that
+  // stays are kept.
+  void UpdateHosts(std::span<const HostRecord> hosts);
+
+  // Empty when there is no candidate besides the excluded peer addresses.
+  template <std::uniform_random_bit_generator Random>
+  std::optional<HopChoice> Choose(TimePoint now, const HopNeed& need,
+                                  std::span<const std::string> excluded, Random& random) {
+    std::uniform_real_distribution<double> jitter(1 - kJitter, 1 + kJitter);
+    std::vector<double> jitters(this->candidates.size());
+    for (double& entry : jitters) {
+      entry = jitter(random);
+    }
+    return this->ChooseFor(now, need, excluded, jitters);
+  }
+
+  // To be called once for every hop that is sent, and once when it has ended.
+  void RecordStart(std::string_view peer_address);
+  void RecordEnd(std::string_view peer_address);
+  void RecordReport(TimePoint now, std::string_view peer_address, const HopReport& report);
+  // No connection, or one that was lost without a report.
+  void RecordFailure(TimePoint now, std::string_view peer_address);
+
+  // Least time until a request that is refused now is likely to start somewhere; empty
+  // without any candidate.
+  std::optional<Duration> EstimateReturn(TimePoint now) const;
+
+  bool HasCandidates() const { return !this->candidates.empty(); }
+
+ private:
+  enum class Distance { kSameHost, kSameDataCentre, kSameRegion, kElsewhere };
+
+  // Spreads daemons that would otherwise all choose the same peer.
+  static constexpr double kJitter = 0.1;
+  // Round trip of a request by distance, in line with the links of today's deployments.
+  static constexpr std::array<Duration, 4> kRoundTrips = {
+      std::chrono::microseconds(200), std::chrono::microseconds(600),
+      std::chrono::microseconds(2500), std::chrono::microseconds(17000)};
+  // Waiting that a caller accepts to save a kilobyte on a billed link: bytes between
+  // regions are billed about four times as high as those between data centres.
+  static constexpr std::array<Duration, 4> kPricePerKilobyte = {
+      std::chrono::microseconds(0), std::chrono::microseconds(0), std::chrono::microseconds(4000),
+      std::chrono::microseconds(15000)};
+  // Head of a request and an answer, billed with every hop.
+  static constexpr double kHeadKilobytes = 0.8;
+  // Until a report tells better.
+  static constexpr Duration kInitialServiceTime = std::chrono::milliseconds(50);
+  // Pause of a peer that failed, doubled with each further failure.
+  static constexpr Duration kFirstPause = std::chrono::milliseconds(200);
+  static constexpr Duration kMaxPause = std::chrono::seconds(2);
+
+  struct Candidate {
+    std::string peer_address;
+    std::string target_id;
+    std::uint32_t slots = 0;
+    bool accepting = false;
+    Distance distance = Distance::kElsewhere;
+    HopReport report;
+    TimePoint report_at;
+    bool has_report = false;
+    std::uint32_t in_flight = 0;
+    // Own requests in flight when the report was made.
+    std::uint32_t in_flight_at_report = 0;
+    std::uint32_t failures = 0;
+    TimePoint paused_until;
+  };
+
+  std::optional<HopChoice> ChooseFor(TimePoint now, const HopNeed& need,
+                                     std::span<const std::string> excluded,
+                                     std::span<const double> jitters) const;
+  Candidate* Find(std::string_view peer_address);
+  Distance GetDistance(const HostRecord& record) const;
+  Duration EstimateWait(TimePoint now, const Candidate& candidate) const;
+  Duration ComputeCost(TimePoint now, const HopNeed& need, const Candidate& candidate,
+                       double jitter) const;
+
+  std::string host;
+  std::string data_centre;
+  std::string region;
+  std::vector<Candidate> candidates;
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_SOURCE_ROUTING_HOP_PLACEMENT_H_
--- /dev/null
+++ b/Source/Store/store_sync.h
@@ -0,0 +1,347 @@
+#ifndef LACEWINGBRIDGE_SOURCE_STORE_STORE_SYNC_H_
+#define LACEWINGBRIDGE_SOURCE_STORE_STORE_SYNC_H_
+
+#include <concepts>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "Core/result.h"
+#include "Http/async_signal.h"
+#include "Http/boot_clock.h"
+#include "Http/io_shard.h"
+#include "Observe/event_log.h"
+#include "Proxy/mesh_state.h"
+#include "Proxy/target_gate.h"
+#include "Store/lease_store.h"
+#include "Store/store_backoff.h"
+#include "Store/table_offer_log.h"
+#include "mesh_codec.h"
+
+namespace lacewingbridge {
+
+// Where the operators' configuration is in the store and how it is read.
+template <typename Source>
+concept TableSource = requires(std::string_view bytes) {
+  { Source::GetKey() } -> std::convertible_to<std::string_view>;
+  { Source::Decode(bytes) } -> std::same_as<Result<RouteTable>>;
+};
+
+// Keeps this daemon in step with the store: takes over the newest route table and the list
+// of hosts, and lists this host under a lease. Runs on one shard's thread.
+template <LeaseStore Client, TableSource Source>
+class StoreSync {
+ public:
+  StoreSync(IoShard& io_shard, MeshState& mesh_state, TargetGate& target_gate, Client& store_client,
+            Duration min_lease)
+      : shard(io_shard),
+        state(mesh_state),
+        gate(target_gate),
+        client(store_client),
+        lease_time(std::max(min_lease, kLeaseTime)),
+        record_changed(io_shard.GetContext()) {}
+
+  void Start() {
+    this->Spawn(&StoreSync::FollowTable);
+    this->Spawn(&StoreSync::FollowHosts);
+    this->Spawn(&StoreSync::KeepRecord);
+  }
+
+  // The local target or this daemon's willingness to take work has changed. To be called
+  // on the shard's thread.
+  void NoteRecordChanged() { this->record_changed.Notify(); }
+
+  // Takes this host off the list at the end of the process.
+  Awaitable<void> EndLease() {
+    this->ended = true;
+    if (this->lease != 0) {
+      const Status status = co_await this->client.EndLease(this->lease);
+      if (!IsOk(status)) {
+        EventLog::Write(Event::kStoreUnreachable, "call=end_lease reason=\"{}\"",
+                        GetError(status).detail);
+      }
+    }
+  }
+
+ private:
+  static constexpr std::string_view kHostPrefix = "lacewingbridge/hosts/";
+  // Time of a pending watch. Each watch is a call, and the store allows 30 s at most.
+  static constexpr Duration kWatchTime = std::chrono::seconds(29);
+  // After changes of the host list, so that those of a restart storm arrive together.
+  static constexpr Duration kHostsPause = std::chrono::milliseconds(150);
+  // Hosts that lose power disappear from the list after this time.
+  static constexpr Duration kLeaseTime = std::chrono::seconds(4);
+  // Renewals per lease time; two may fail before the lease ends.
+  static constexpr int kRenewalsPerLease = 3;
+
+  void Spawn(Awaitable<void> (StoreSync::*loop)()) {
+    asio::co_spawn(
+        this->shard.GetContext(), [this, loop]() -> Awaitable<void> { co_await (this->*loop)(); },
+        asio::detached);
+  }
+
+  Awaitable<void> Pause(Duration pause) {
+    asio::steady_timer timer(this->shard.GetContext(), pause);
+    ErrorCode code;
+    co_await timer.async_wait(AwaitInto(code));
+  }
+
+  // Logs the loss of the store once, and waits before the next call.
+  Awaitable<void> PauseAfter(const Error& error, std::string_view call, bool& reached,
+                             StoreBackoff& backoff) {
+    if (reached) {
+      EventLog::Write(Event::kStoreUnreachable, "call={} reason=\"{}\"", call, error.detail);
+      reached = false;
+    }
+    co_await this->Pause(backoff.GetNext(this->shard.GetRandom()));
+  }
+
+  void NoteReached(std::string_view call, bool& reached, StoreBackoff& backoff) {
+    if (!reached) {
+      EventLog::Write(Event::kStoreReached, "call={}", call);
+      reached = true;
+    }
+    backoff.Reset();
+  }
+
+  void TakeTable(const StoreItem& item) {
+    if (!item.value.has_value()) {
+      return;
+    }
+    Result<RouteTable> decoded = Source::Decode(*item.value);
+    if (!IsOk(decoded)) {
+      EventLog::Write(Event::kTableRejected, "revision={} reason=\"{}\"", item.revision,
+                      GetError(decoded).GetMessage());
+      return;
+    }
+    OfferAndLog(this->state, std::move(GetValue(decoded)), "store");
+  }
+
+  Awaitable<void> FollowTable() {
+    StoreBackoff backoff;
+    bool reached = true;
+    std::optional<std::uint64_t> known;
+    while (!this->ended) {
+      Result<StoreView> view = StoreView();
+      if (known.has_value()) {
+        view = co_await this->client.Watch(Source::GetKey(), *known, kWatchTime);
+      } else {
+        Result<StoreItem> item = co_await this->client.Get(Source::GetKey());
+        if (IsOk(item)) {
+          GetValue(view).revision = GetValue(item).revision;
+          GetValue(view).items.push_back(std::move(GetValue(item)));
+        } else {
+          view = GetError(item);
+        }
+      }
+      if (!IsOk(view)) {
+        // What was missed is found by reading the key.
+        known.reset();
+        if (GetError(view).kind != ErrorKind::kStoreHistoryGone) {
+          co_await this->PauseAfter(GetError(view), "follow_table", reached, backoff);
+        }
+        continue;
+      }
+      this->NoteReached("follow_table", reached, backoff);
+      for (const StoreItem& item : GetValue(view).items) {
+        if (item.key == Source::GetKey()) {
+          this->TakeTable(item);
+        }
+      }
+      known = std::max(known.value_or(0), GetValue(view).revision);
+    }
+  }
+
+  std::optional<HostRecord> DecodeRecord(const StoreItem& item) {
+    HostRecord record;
+    if (!Decode(*item.value, record) || record.host.empty() || record.peer_address.empty()) {
+      EventLog::Write(Event::kRecordUnreadable, "key={} revision={}", item.key, item.revision);
+      return std::nullopt;
+    }
+    record.revision = item.revision;
+    return record;
+  }
+
+  std::string GetOwnKey() const {
+    return std::string(kHostPrefix) + this->state.GetIdentity().host;
+  }
+
+  void TakeHostChanges(const StoreView& view) {
+    for (const StoreItem& item : view.items) {
+      if (item.value.has_value()) {
+        if (const std::optional<HostRecord> record = this->DecodeRecord(item)) {
+          this->state.MergeHost(GetNow(), *record);
+        }
+      } else {
+        this->state.RemoveHost(GetNow(), item.key.substr(kHostPrefix.size()));
+        this->NoteOwnRecord(item.key != this->GetOwnKey());
+      }
+    }
+  }
+
+  void TakeHostList(const StoreView& view) {
+    std::vector<HostRecord> records;
+    bool own_listed = false;
+    for (const StoreItem& item : view.items) {
+      own_listed = own_listed || item.key == this->GetOwnKey();
+      if (std::optional<HostRecord> record = this->DecodeRecord(item)) {
+        records.push_back(std::move(*record));
+      }
+    }
+    this->state.ReplaceHosts(GetNow(), records);
+    this->NoteOwnRecord(own_listed);
+  }
+
+  void NoteOwnRecord(bool listed) {
+    if (!listed && this->written.has_value()) {
+      EventLog::Write(Event::kLeaseLost, "lease={} cause=record_removed", this->lease);
+      this->written.reset();
+      this->record_changed.Notify();
+    }
+  }
+
+  Awaitable<void> FollowHosts() {
+    StoreBackoff backoff;
+    bool reached = true;
+    std::optional<std::uint64_t> known;
+    while (!this->ended) {
+      const bool listing = !known.has_value();
+      Result<StoreView> view = StoreView();
+      if (listing) {
+        view = co_await this->client.List(kHostPrefix);
+      } else {
+        view = co_await this->client.Watch(kHostPrefix, *known, kWatchTime);
+      }
+      if (!IsOk(view)) {
+        if (GetError(view).kind == ErrorKind::kStoreHistoryGone) {
+          EventLog::Write(Event::kStoreHistoryGone, "after={}", known.value_or(0));
+          known.reset();
+        } else {
+          co_await this->PauseAfter(GetError(view), "follow_hosts", reached, backoff);
+        }
+        continue;
+      }
+      this->NoteReached("follow_hosts", reached, backoff);
+      known = GetValue(view).revision;
+      if (listing) {
+        this->TakeHostList(GetValue(view));
+      } else {
+        this->TakeHostChanges(GetValue(view));
+      }
+      if (!GetValue(view).items.empty()) {
+        co_await this->Pause(kHostsPause);
+      }
+    }
+  }
+
+  HostRecord MakeRecord() {
+    const MeshIdentity& self = this->state.GetIdentity();
+    HostRecord record;
+    record.host = self.host;
+    record.data_centre = self.data_centre;
+    record.region = self.region;
+    record.peer_address = self.peer_address;
+    LocalTargetRecord target = this->gate.MakeRecord();
+    if (!target.id.empty()) {
+      record.target = std::move(target);
+    }
+    return record;
+  }
+
+  // An earlier process of this host may have acknowledged that the target leaves.
+  Awaitable<Status> ReadOwnRecord() {
+    const std::string key = this->GetOwnKey();
+    Result<StoreItem> item = co_await this->client.Get(key);
+    if (!IsOk(item)) {
+      co_return GetError(item);
+    }
+    if (GetValue(item).value.has_value()) {
+      const std::optional<HostRecord> record = this->DecodeRecord(GetValue(item));
+      if (record.has_value() && record->target.has_value()) {
+        this->gate.NoteRecord(GetNow(), *record->target);
+      }
+    }
+    co_return MakeOkStatus();
+  }
+
+  Awaitable<Status> EnsureLease() {
+    if (this->lease != 0) {
+      co_return MakeOkStatus();
+    }
+    const Result<std::uint64_t> granted = co_await this->client.GrantLease(this->lease_time);
+    if (!IsOk(granted)) {
+      co_return GetError(granted);
+    }
+    this->lease = GetValue(granted);
+    this->written.reset();
+    EventLog::Write(Event::kLeaseGranted, "lease={}", this->lease);
+    co_return MakeOkStatus();
+  }
+
+  // Renews the lease, or writes the record if it has changed.
+  Awaitable<Status> RenewOrWrite() {
+    Status status = co_await this->EnsureLease();
+    if (!IsOk(status)) {
+      co_return status;
+    }
+    HostRecord record = this->MakeRecord();
+    if (this->written == record) {
+      status = co_await this->client.KeepLease(this->lease);
+    } else {
+      const std::string key = this->GetOwnKey();
+      const std::string value = Encode(record);
+      status = co_await this->client.Write(key, value, this->lease);
+      if (IsOk(status)) {
+        this->written = std::move(record);
+      }
+    }
+    if (!IsOk(status) && GetError(status).kind == ErrorKind::kLeaseEnded) {
+      EventLog::Write(Event::kLeaseLost, "lease={} cause=lease_ended", this->lease);
+      this->lease = 0;
+      this->written.reset();
+    }
+    co_return status;
+  }
+
+  Awaitable<void> KeepRecord() {
+    StoreBackoff backoff;
+    bool reached = true;
+    bool own_read = false;
+    while (!this->ended) {
+      Status status = MakeOkStatus();
+      if (!own_read) {
+        status = co_await this->ReadOwnRecord();
+        own_read = IsOk(status);
+      }
+      if (IsOk(status)) {
+        status = co_await this->RenewOrWrite();
+      }
+      if (IsOk(status)) {
+        this->NoteReached("keep_record", reached, backoff);
+        if (this->written == this->MakeRecord()) {
+          co_await this->record_changed.WaitFor(this->lease_time / kRenewalsPerLease);
+        }
+      } else if (GetError(status).kind != ErrorKind::kLeaseEnded) {
+        co_await this->PauseAfter(GetError(status), "keep_record", reached, backoff);
+      }
+    }
+  }
+
+  IoShard& shard;
+  MeshState& state;
+  TargetGate& gate;
+  Client& client;
+  const Duration lease_time;
+  AsyncSignal record_changed;
+  std::uint64_t lease = 0;
+  // The record that the store holds under the lease.
+  std::optional<HostRecord> written;
+  bool ended = false;
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_SOURCE_STORE_STORE_SYNC_H_
--- a/Tests/Fuzz/version_world.h
+++ b/Tests/Fuzz/version_world.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "Core/digest.h"
-#include "Daemon/event_log.h"
+#include "Observe/event_log.h"
 #include "Fuzz/fuzz_step.h"
 #include "Fuzz/version_node.h"
 #include "Fuzz/version_submission.h"
--- a/Tests/test_daemon_admin.cc
+++ b/Tests/test_daemon_admin.cc
@@ -10,7 +10,7 @@
 #include "Daemon/admin_service.h"
 #include "Daemon/daemon.h"
 #include "Daemon/daemon_settings_loader.h"
-#include "Daemon/event_log.h"
+#include "Observe/event_log.h"
 #include "admin_codec.h"
 
 using namespace lacewingbridge;  // NOLINT(google-build-using-namespace)
--- a/Tests/test_daemon_metrics.cc
+++ b/Tests/test_daemon_metrics.cc
@@ -9,7 +9,7 @@
 #include <thread>
 #include <vector>
 
-#include "Daemon/metrics_registry.h"
+#include "Observe/metrics_registry.h"
 
 using namespace lacewingbridge;  // NOLINT(google-build-using-namespace)
 
