--- a/Source/Proxy/caller_request.cc
+++ b/Source/Proxy/caller_request.cc
@@ -12,7 +12,7 @@
 #include "Proxy/daemon_stage.h"
 #include "Proxy/header_fields.h"
 #include "Proxy/mesh_state.h"
-#include "Proxy/return_interval.h"
+#include "Retry/return_interval.h"
 
 namespace lacewingbridge {
 
--- a/Source/Proxy/caller_request.h
+++ b/Source/Proxy/caller_request.h
@@ -12,8 +12,8 @@
 #include "Proxy/answer_relay.h"
 #include "Proxy/proxy_context.h"
 #include "Proxy/proxy_wire.h"
-#include "Proxy/request_facts.h"
-#include "Proxy/request_progress.h"
+#include "Retry/request_facts.h"
+#include "Retry/request_progress.h"
 #include "Routing/hop_placement.h"
 #include "Routing/route_index.h"
 
--- a/Source/Proxy/mesh_state.h
+++ b/Source/Proxy/mesh_state.h
@@ -16,7 +16,7 @@
 #include "Core/time_point.h"
 #include "Membership/host_directory.h"
 #include "Proxy/mesh_identity.h"
-#include "Proxy/request_progress.h"
+#include "Retry/request_progress.h"
 #include "Routing/hop_placement.h"
 #include "Routing/route_index.h"
 #include "Routing/split_rotation.h"
--- a/Source/Proxy/request_progress.cc
+++ b/Source/Retry/request_progress.cc
@@ -1,4 +1,4 @@
-#include "Proxy/request_progress.h"
+#include "Retry/request_progress.h"
 
 #include "Retry/fleet_retry_budget.h"
 
--- a/Source/Proxy/request_progress.h
+++ b/Source/Retry/request_progress.h
@@ -1,12 +1,12 @@
-#ifndef LACEWINGBRIDGE_SOURCE_PROXY_REQUEST_PROGRESS_H_
-#define LACEWINGBRIDGE_SOURCE_PROXY_REQUEST_PROGRESS_H_
+#ifndef LACEWINGBRIDGE_SOURCE_RETRY_REQUEST_PROGRESS_H_
+#define LACEWINGBRIDGE_SOURCE_RETRY_REQUEST_PROGRESS_H_
 
 #include <cstdint>
 #include <optional>
 #include <string_view>
 
 #include "Core/time_point.h"
-#include "Proxy/request_facts.h"
+#include "Retry/request_facts.h"
 #include "mesh.h"
 
 namespace lacewingbridge {
@@ -83,4 +83,4 @@
 
 }  // namespace lacewingbridge
 
-#endif  // LACEWINGBRIDGE_SOURCE_PROXY_REQUEST_PROGRESS_H_
+#endif  // LACEWINGBRIDGE_SOURCE_RETRY_REQUEST_PROGRESS_H_
--- a/Source/Proxy/return_interval.h
+++ b/Source/Retry/return_interval.h
@@ -1,5 +1,5 @@
-#ifndef LACEWINGBRIDGE_SOURCE_PROXY_RETURN_INTERVAL_H_
-#define LACEWINGBRIDGE_SOURCE_PROXY_RETURN_INTERVAL_H_
+#ifndef LACEWINGBRIDGE_SOURCE_RETRY_RETURN_INTERVAL_H_
+#define LACEWINGBRIDGE_SOURCE_RETRY_RETURN_INTERVAL_H_
 
 #include <algorithm>
 #include <optional>
@@ -33,4 +33,4 @@
 
 }  // namespace lacewingbridge
 
-#endif  // LACEWINGBRIDGE_SOURCE_PROXY_RETURN_INTERVAL_H_
+#endif  // LACEWINGBRIDGE_SOURCE_RETRY_RETURN_INTERVAL_H_
--- /dev/null
+++ b/Tests/Fakes/http_loopback.h
@@ -0,0 +1,102 @@
+#ifndef LACEWINGBRIDGE_TESTS_FAKES_HTTP_LOOPBACK_H_
+#define LACEWINGBRIDGE_TESTS_FAKES_HTTP_LOOPBACK_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "Http/asio_types.h"
+#include "Http/io_shard.h"
+#include "Http/server_connection.h"
+
+namespace lacewingbridge {
+
+// Answers requests by a function of the test.
+class FunctionHandler {
+ public:
+  using Function = std::function<Awaitable<void>(ServerExchange&)>;
+
+  explicit FunctionHandler(Function answer_function) : answer(std::move(answer_function)) {}
+
+  Awaitable<void> Handle(IoShard&, ServerExchange& exchange) {
+    co_await this->answer(exchange);
+  }
+  ServerLimits GetLimits() const { return this->limits; }
+  void NoteOpened() { ++this->opened; }
+  void NoteClosed() { ++this->closed; }
+
+  ServerLimits limits;
+  int opened = 0;
+  int closed = 0;
+
+ private:
+  Function answer;
+};
+
+// A connection of a listener whose other end the test writes and reads byte by byte, all on
+// one thread.
+class HttpLoopback {
+ public:
+  explicit HttpLoopback(FunctionHandler& handler)
+      : shard(1), client(this->shard.GetContext()) {
+    asio::ip::tcp::acceptor acceptor(
+        this->shard.GetContext(), asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    this->client.connect(acceptor.local_endpoint());
+    TcpSocket accepted = acceptor.accept();
+    std::make_shared<ServerConnection<FunctionHandler>>(this->shard, std::move(accepted), handler)
+        ->Start();
+  }
+
+  void Write(std::string_view text) {
+    asio::write(this->client, asio::buffer(text.data(), text.size()));
+  }
+
+  // Runs the connection until it has nothing more to do for a moment, and returns what it
+  // has sent since the last call.
+  std::string Read() {
+    // Long enough for all events of a loopback connection; a test that needs more calls
+    // again.
+    constexpr auto kQuiet = std::chrono::milliseconds(20);
+    std::string received;
+    for (int quiet = 0; quiet < 3;) {
+      this->shard.GetContext().restart();
+      this->shard.GetContext().run_for(kQuiet);
+      const std::string part = this->ReadAvailable();
+      quiet = part.empty() ? quiet + 1 : 0;
+      received += part;
+    }
+    return received;
+  }
+
+  void Close() {
+    ErrorCode ignored;
+    this->client.close(ignored);
+  }
+
+  // Whether the other side has ended the connection.
+  bool IsEnded() const { return this->ended; }
+  IoShard& GetShard() { return this->shard; }
+
+ private:
+  std::string ReadAvailable() {
+    std::string part(64 * 1024, '\0');
+    ErrorCode code;
+    this->client.non_blocking(true, code);
+    const std::size_t count = this->client.read_some(asio::buffer(part), code);
+    this->ended = this->ended || (code && code != asio::error::would_block);
+    this->client.non_blocking(false, code);
+    part.resize(count);
+    return part;
+  }
+
+  IoShard shard;
+  TcpSocket client;
+  bool ended = false;
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_TESTS_FAKES_HTTP_LOOPBACK_H_
--- /dev/null
+++ b/Tests/Fakes/overload_replay.h
@@ -0,0 +1,141 @@
+#ifndef LACEWINGBRIDGE_TESTS_FAKES_OVERLOAD_REPLAY_H_
+#define LACEWINGBRIDGE_TESTS_FAKES_OVERLOAD_REPLAY_H_
+
+#include <cstdint>
+#include <map>
+#include <queue>
+#include <random>
+#include <utility>
+#include <vector>
+
+#include "Admission/target_admission.h"
+
+namespace lacewingbridge {
+
+// Requests of one priority that arrive at a target.
+struct ReplayLoad {
+  double per_second = 0;
+  std::uint32_t priority = 0;
+  Duration mean_work{0};
+  Duration objective{0};
+  Duration deadline{0};
+};
+
+struct ReplayResult {
+  std::uint32_t arrived = 0;
+  std::uint32_t on_time = 0;
+  std::uint32_t late = 0;
+  std::uint32_t refused = 0;
+
+  // A late answer is worth 0.3 of one on time.
+  double GetCredit() const {
+    return (this->on_time + 0.3 * this->late) / static_cast<double>(this->arrived);
+  }
+};
+
+// Replays Poisson arrivals and log-normal work against the admission in injected time.
+class OverloadReplay {
+ public:
+  OverloadReplay(std::uint32_t slots, std::uint64_t seed) : random(seed) {
+    this->admission.SetSlots(TimePoint(), slots);
+  }
+
+  std::vector<ReplayResult> Run(const std::vector<ReplayLoad>& loads, Duration length) {
+    this->results.assign(loads.size(), {});
+    for (std::size_t i = 0; i < loads.size(); ++i) {
+      this->AddArrivals(loads[i], i, length);
+    }
+    while (!this->events.empty()) {
+      const Event event = this->events.top();
+      this->events.pop();
+      if (event.ends) {
+        this->End(event, loads);
+      } else {
+        this->Arrive(event, loads[event.load]);
+      }
+      this->Take(event.at, this->admission.Expire(event.at));
+    }
+    return this->results;
+  }
+
+ private:
+  struct Event {
+    TimePoint at;
+    bool ends = false;
+    RequestId id = 0;
+    std::size_t load = 0;
+    bool operator<(const Event& other) const { return this->at > other.at; }
+  };
+  struct Request {
+    TimePoint arrived_at;
+    std::size_t load = 0;
+    Duration work{0};
+  };
+
+  static Duration FromSeconds(double seconds) {
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+  }
+
+  void AddArrivals(const ReplayLoad& load, std::size_t index, Duration length) {
+    std::exponential_distribution<double> gap(load.per_second);
+    std::lognormal_distribution<double> spread(-0.045, 0.3);
+    for (TimePoint at; at - TimePoint() < length; at += FromSeconds(gap(this->random))) {
+      const RequestId id = ++this->last_id;
+      const double work = std::chrono::duration<double>(load.mean_work).count();
+      this->requests[id] = {at, index, FromSeconds(work * spread(this->random))};
+      this->events.push({at, false, id, index});
+    }
+  }
+
+  void Arrive(const Event& event, const ReplayLoad& load) {
+    ++this->results[event.load].arrived;
+    const WorkOffer offer{event.id, load.priority, event.at + load.objective,
+                          event.at + load.deadline};
+    switch (this->admission.Offer(event.at, offer)) {
+      case AdmissionVerdict::kAdmitted:
+        this->Begin(event.at, event.id);
+        break;
+      case AdmissionVerdict::kQueued:
+        break;
+      default:
+        ++this->results[event.load].refused;
+    }
+  }
+
+  void Begin(TimePoint now, RequestId id) {
+    const Request& request = this->requests.at(id);
+    this->events.push({now + request.work, true, id, request.load});
+  }
+
+  void End(const Event& event, const std::vector<ReplayLoad>& loads) {
+    const Request& request = this->requests.at(event.id);
+    const Duration taken = event.at - request.arrived_at;
+    ReplayResult& result = this->results[event.load];
+    if (taken <= loads[event.load].objective) {
+      ++result.on_time;
+    } else if (taken <= loads[event.load].deadline) {
+      ++result.late;
+    }
+    this->Take(event.at, this->admission.Finish(event.at, event.id));
+  }
+
+  void Take(TimePoint now, const AdmissionRelease& release) {
+    for (const RequestId id : release.admitted) {
+      this->Begin(now, id);
+    }
+    for (const RequestId id : release.refused) {
+      ++this->results[this->requests.at(id).load].refused;
+    }
+  }
+
+  std::mt19937_64 random;
+  TargetAdmission admission;
+  std::priority_queue<Event> events;
+  std::map<RequestId, Request> requests;
+  std::vector<ReplayResult> results;
+  RequestId last_id = 0;
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_TESTS_FAKES_OVERLOAD_REPLAY_H_
--- /dev/null
+++ b/Tests/test_fleet_retry_budget.cc
@@ -0,0 +1,60 @@
+// Guards against daemons that together repeat more than the fleet's bound although none of
+// them knows what the others do.
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <deque>
+#include <vector>
+
+#include "Retry/fleet_retry_budget.h"
+
+using namespace lacewingbridge;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+Test(fleet_retry_budget, keeps_the_bound_over_all_daemons_in_every_window) {
+  cr_assert(rc::check([] {
+    const std::size_t daemons = *rc::gen::inRange<std::size_t>(1, 8);
+    const RetryBound bound{0.2, 40, seconds(10), daemons};
+    std::vector<FleetRetryBudget> budgets(daemons);
+    for (FleetRetryBudget& budget : budgets) {
+      budget.SetBound(bound);
+    }
+    std::deque<TimePoint> requests;
+    std::deque<TimePoint> repeats;
+    const auto steps = *rc::gen::container<std::vector<int>>(1500, rc::gen::inRange(0, 40));
+    TimePoint now(seconds(100));
+    for (std::size_t i = 0; i < steps.size(); ++i) {
+      now += milliseconds(steps[i]);
+      FleetRetryBudget& budget = budgets[i % daemons];
+      if (steps[i] % 2 == 0) {
+        budget.RecordRequest(now);
+        requests.push_back(now);
+      }
+      if (budget.TryTake(now)) {
+        repeats.push_back(now);
+      }
+      while (!repeats.empty() && now - repeats.front() > bound.window) {
+        repeats.pop_front();
+      }
+      while (!requests.empty() && now - requests.front() > bound.window) {
+        requests.pop_front();
+      }
+      RC_ASSERT(static_cast<double>(repeats.size()) <=
+                bound.ratio * static_cast<double>(requests.size()) + bound.slack);
+    }
+  }));
+}
+
+Test(fleet_retry_budget, gives_room_again_after_the_window) {
+  FleetRetryBudget budget;
+  budget.SetBound({0.2, 4, seconds(10), 1});
+  const TimePoint start(seconds(50));
+  int taken = 0;
+  while (budget.TryTake(start)) {
+    ++taken;
+  }
+  cr_assert_eq(taken, 2);
+  cr_assert(!budget.TryTake(start + seconds(9)));
+  cr_assert(budget.TryTake(start + seconds(11)));
+}
--- /dev/null
+++ b/Tests/test_host_directory.cc
@@ -0,0 +1,57 @@
+// Guards against a fleet that forgets its living hosts while the store is away, and against
+// one that keeps dead ones.
+#include <criterion/criterion.h>
+
+#include <string>
+#include <vector>
+
+#include "Membership/host_directory.h"
+
+using namespace lacewingbridge;  // NOLINT(google-build-using-namespace)
+using std::chrono::seconds;
+
+namespace {
+
+HostRecord MakeRecord(const std::string& host, std::uint64_t revision) {
+  HostRecord record;
+  record.host = host;
+  record.peer_address = host + ":1";
+  record.revision = revision;
+  return record;
+}
+
+TimePoint At(int second) { return TimePoint(seconds(second)); }
+
+}  // namespace
+
+Test(host_directory, keeps_a_host_whose_lease_lapsed_until_it_could_be_back) {
+  HostDirectory directory;
+  directory.Merge(MakeRecord("a", 1));
+  directory.Merge(MakeRecord("b", 2));
+  directory.Remove(At(10), "a");
+  cr_assert(!directory.DropRemoved(At(12)));
+  directory.Merge(MakeRecord("a", 7));
+  cr_assert(!directory.DropRemoved(At(20)));
+  directory.Remove(At(20), "b");
+  cr_assert(directory.DropRemoved(At(23)));
+  cr_assert_eq(directory.GetHosts().size(), 1);
+}
+
+Test(host_directory, keeps_a_host_that_answers_although_the_store_cannot_list_it) {
+  HostDirectory directory;
+  directory.Merge(MakeRecord("a", 1));
+  directory.ReplaceAll(At(10), {});
+  directory.NoteHeard(At(12), "a:1");
+  cr_assert(!directory.DropRemoved(At(14)));
+  cr_assert(directory.DropRemoved(At(15)));
+}
+
+Test(host_directory, takes_no_older_record_but_any_after_a_removal) {
+  HostDirectory directory;
+  directory.Merge(MakeRecord("a", 5));
+  cr_assert(!directory.Merge(MakeRecord("a", 4)));
+  directory.Remove(At(1), "a");
+  // A store that was restored counts its revisions from an earlier one.
+  cr_assert(directory.Merge(MakeRecord("a", 2)));
+  cr_assert_eq(directory.GetHosts()[0].revision, 2);
+}
--- /dev/null
+++ b/Tests/test_local_target.cc
@@ -0,0 +1,108 @@
+// Guards against new work for a target that drains or has left, also when announcements
+// arrive late or this daemon has restarted.
+#include <criterion/criterion.h>
+
+#include "Membership/local_target.h"
+
+using namespace lacewingbridge;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr TimePoint kNow{seconds(10)};
+
+TargetAnnouncement MakeAnnouncement(const char* id, std::uint64_t born, std::uint64_t sequence,
+                                    bool draining = false) {
+  return {id, "desk", 9, draining, sequence, born};
+}
+
+LocalTarget MakeProved(const char* id, std::uint64_t born) {
+  LocalTarget target("desk");
+  target.NoteAnnouncement(MakeAnnouncement(id, born, 3));
+  target.NoteHealth(true, id, 9);
+  return target;
+}
+
+}  // namespace
+
+Test(local_target, needs_its_own_health_answer_before_work) {
+  LocalTarget target("desk");
+  cr_assert(target.NoteAnnouncement(MakeAnnouncement("i-1", 5, 1)) ==
+            AnnouncementVerdict::kCurrent);
+  cr_assert(!target.IsAccepting(kNow));
+  cr_assert(target.TakeProofTurn(kNow));
+  cr_assert(!target.TakeProofTurn(kNow + milliseconds(1)));
+  target.NoteHealth(false, "i-1", 9);
+  cr_assert(!target.IsAccepting(kNow));
+  target.NoteHealth(true, "i-2", 9);
+  cr_assert(!target.IsAccepting(kNow));
+  target.NoteHealth(true, "i-1", 9);
+  cr_assert(target.IsAccepting(kNow));
+}
+
+Test(local_target, never_takes_work_again_after_it_drained) {
+  LocalTarget target = MakeProved("i-1", 5);
+  target.NoteAnnouncement(MakeAnnouncement("i-1", 5, 4, true));
+  cr_assert(!target.IsAccepting(kNow));
+  cr_assert(target.NoteAnnouncement(MakeAnnouncement("i-1", 5, 3)) == AnnouncementVerdict::kStale);
+  target.NoteAnnouncement(MakeAnnouncement("i-1", 5, 6));
+  cr_assert(!target.IsAccepting(kNow));
+}
+
+Test(local_target, ignores_announcements_of_a_start_that_has_left) {
+  LocalTarget target = MakeProved("i-1", 5);
+  target.NoteLeft("i-1", 0);
+  cr_assert(!target.IsAccepting(kNow));
+  cr_assert(target.NoteAnnouncement(MakeAnnouncement("i-1", 5, 9)) == AnnouncementVerdict::kStale);
+  // The same id may start again later; it knows nothing of before.
+  cr_assert(target.NoteAnnouncement(MakeAnnouncement("i-1", 8, 1)) ==
+            AnnouncementVerdict::kCurrent);
+  target.NoteHealth(true, "i-1", 9);
+  cr_assert(target.IsAccepting(kNow));
+}
+
+Test(local_target, ignores_late_words_of_an_earlier_start_at_the_same_address) {
+  LocalTarget target = MakeProved("i-2", 9);
+  cr_assert(target.NoteAnnouncement(MakeAnnouncement("i-1", 5, 70, true)) ==
+            AnnouncementVerdict::kStale);
+  target.NoteLeft("i-1", 5);
+  cr_assert(target.IsAccepting(kNow));
+  cr_assert(target.GetId() == "i-2");
+}
+
+Test(local_target, remembers_through_the_store_what_an_earlier_process_acknowledged) {
+  LocalTargetRecord record = MakeProved("i-1", 5).MakeRecord();
+  record.accepting = false;
+  LocalTarget restarted("desk");
+  restarted.NoteRecord(record);
+  cr_assert(restarted.NoteAnnouncement(MakeAnnouncement("i-1", 5, 9)) ==
+            AnnouncementVerdict::kStale);
+  restarted.NoteHealth(true, "i-1", 9);
+  cr_assert(!restarted.IsAccepting(kNow));
+}
+
+Test(local_target, is_known_from_its_health_answer_after_a_restart_of_the_daemon) {
+  LocalTarget restarted("desk");
+  cr_assert(restarted.TakeProofTurn(kNow));
+  restarted.NoteHealth(true, "i-1", 9);
+  cr_assert(restarted.IsAccepting(kNow));
+  cr_assert(restarted.NoteAnnouncement(MakeAnnouncement("i-1", 5, 30)) ==
+            AnnouncementVerdict::kCurrent);
+  cr_assert(restarted.IsAccepting(kNow));
+}
+
+Test(local_target, rests_after_a_refused_connection) {
+  LocalTarget target = MakeProved("i-1", 5);
+  target.NoteConnectionRefused(kNow);
+  cr_assert(!target.IsAccepting(kNow));
+  cr_assert(target.IsAccepting(kNow + LocalTarget::kRefusedPause));
+}
+
+Test(local_target, names_no_target_of_another_service) {
+  LocalTarget target("desk");
+  TargetAnnouncement foreign = MakeAnnouncement("i-1", 5, 1);
+  foreign.service = "book";
+  cr_assert(target.NoteAnnouncement(foreign) == AnnouncementVerdict::kWrongService);
+  cr_assert(target.GetId().empty());
+}
--- /dev/null
+++ b/Tests/test_platform_decoding.cc
@@ -0,0 +1,161 @@
+// Guards against settings, configurations and announcements of the platform that are read
+// wrongly or in part.
+
+#include <string>
+
+#include "control_handler.h"
+#include "duration_text.h"
+#include "platform_wire.h"
+#include "settings_reader.h"
+#include "table_decoder.h"
+
+// Criterion defines macros that break headers of Boost.Intrusive, so it comes last.
+#include <criterion/criterion.h>
+
+using namespace lacewingbridge;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr char kSettings[] = R"(
+[self]
+node_name = "h1"
+zone = "a1"
+region = "a"
+ip = "10.0.0.1"
+app_addr = "10.0.0.1:8628"
+service = "book"
+unknown = 5
+[self.limits]
+cores = 1
+[network.listen]
+inbound = "10.0.0.1:8624"
+outbound = "10.0.0.1:8629"
+ready = "10.0.0.1:8625"
+control = "10.0.0.1:8620"
+[platform.platform]
+address = "10.0.0.9:8627"
+ttl_min = "1000ms"
+[terms.bounds]
+grace = "6s"
+retry_budget_ratio = 0.2
+budget_window = "10s"
+budget_slack = 60
+)";
+
+constexpr char kTable[] = R"({"version":7,"new_field":1,"resources":[
+ {"resource_kind":"routes","metadata":{"name":"r1"},"spec":{"host":"A.example","prefix":"/x/",
+  "kind":"safe","timeout":"1000ms","target_latency":"0.3s","priority":2,
+  "traffic_split":[{"service":"book","weight":90},{"service":"desk","weight":10}],
+  "max_attempts":2}},
+ {"resource_kind":"routes","metadata":{"name":"r2"},"spec":{"host":"b.example","prefix":"/y/",
+  "kind":"unsafe","timeout":"1200ms","priority":1,"service":"desk","max_attempts":3}},
+ {"resource_kind":"services","metadata":{"name":"book"},"spec":{"health_check_path":"/healthz",
+  "max_connections":120}},
+ {"resource_kind":"surprises","metadata":{"name":"x"},"spec":{}},
+ {"resource_kind":"limits","metadata":{},"spec":{"max_header_bytes":16384,
+  "max_body_bytes":67108864,"header_timeout":"3000ms","idle_timeout":"15s"}}]})";
+
+std::string Replace(std::string text, const std::string& from, const std::string& to) {
+  return text.replace(text.find(from), from.size(), to);
+}
+
+}  // namespace
+
+Test(platform_decoding, reads_times_with_their_units) {
+  cr_assert(ParseDuration("1500ms") == milliseconds(1500));
+  cr_assert(ParseDuration("2.5s") == milliseconds(2500));
+  for (const char* wrong : {"", "5", "ms", "-1s", "1 s", "1m", "nan s", "1e300s", "5msx"}) {
+    cr_assert(!ParseDuration(wrong).has_value(), "%s", wrong);
+  }
+}
+
+Test(platform_decoding, reads_the_settings_and_ignores_unknown_fields) {
+  const Result<MeshSettings> settings = ParseMeshSettings(kSettings, "test");
+  cr_assert(IsOk(settings));
+  cr_assert_eq(GetValue(settings).host, "h1");
+  cr_assert_eq(GetValue(settings).caller_address, "10.0.0.1:8629");
+  cr_assert_eq(GetValue(settings).peer_address, "10.0.0.1:8624");
+  cr_assert_eq(GetValue(settings).stop_limit_ms, 6000);
+  cr_assert_eq(GetValue(settings).retry_slack, 60);
+}
+
+Test(platform_decoding, names_every_wrong_field_of_the_settings) {
+  std::string text = Replace(kSettings, "\"6s\"", "6");
+  text = Replace(text, "inbound = \"10.0.0.1:8624\"", "");
+  text = Replace(text, "cores = 1", "cores = 0");
+  const Result<MeshSettings> settings = ParseMeshSettings(text, "test");
+  cr_assert(!IsOk(settings));
+  const std::string message = GetError(settings).GetMessage();
+  for (const char* field : {"terms.bounds.grace", "network.listen.inbound", "self.limits.cores",
+                            "\"1500ms\"", "1 to 256", "Remedy"}) {
+    cr_assert(message.find(field) != std::string::npos, "%s lacks %s", message.c_str(), field);
+  }
+  cr_assert(!IsOk(ParseMeshSettings("[self", "test")));
+}
+
+Test(platform_decoding, reads_a_configuration) {
+  const Result<RouteTable> decoded = TableDecoder::Decode(kTable);
+  cr_assert(IsOk(decoded));
+  const RouteTable& table = GetValue(decoded);
+  cr_assert_eq(table.version, 7);
+  cr_assert_eq(table.routes.size(), 2);
+  cr_assert_eq(table.routes[0].host, "a.example");
+  cr_assert_eq(table.routes[0].destinations.size(), 2);
+  cr_assert_eq(table.routes[0].destinations[0].weight, 90);
+  cr_assert_eq(table.routes[0].objective_ms, 300);
+  cr_assert(table.routes[0].idempotent);
+  cr_assert(!table.routes[1].idempotent);
+  cr_assert_eq(table.routes[1].destinations[0].service, "desk");
+  cr_assert_eq(table.limits.idle_timeout_ms, 15000);
+}
+
+Test(platform_decoding, refuses_a_configuration_as_a_whole) {
+  cr_assert(!IsOk(TableDecoder::Decode("{\"version\":7")));
+  cr_assert(!IsOk(TableDecoder::Decode("[]")));
+  cr_assert(!IsOk(TableDecoder::Decode(Replace(kTable, "\"1200ms\"", "1200"))));
+  cr_assert(!IsOk(TableDecoder::Decode(Replace(kTable, "\"weight\":90", "\"weight\":\"90\""))));
+}
+
+Test(platform_decoding, reads_announcements_and_refuses_unreadable_ones) {
+  const std::string text =
+      R"({"address":"10.0.0.1:1","info":{"service":"book","slots":9},)"
+      R"("status":{"state":"draining","sequence":4},"born":1780000000123})";
+  const Result<TargetAnnouncement> announcement = DecodeAnnouncement("i-1", text);
+  cr_assert(IsOk(announcement));
+  cr_assert(GetValue(announcement).draining);
+  cr_assert_eq(GetValue(announcement).born_unix_ms, 1780000000123U);
+  cr_assert_eq(GetValue(announcement).slots, 9);
+  for (const std::string& wrong :
+       {Replace(text, "draining", "dancing"), Replace(text, "\"slots\":9", "\"slots\":\"9\""),
+        Replace(text, "\"sequence\":4", "\"s\":4"), std::string("null"), std::string("\xff\xfe")}) {
+    cr_assert(!IsOk(DecodeAnnouncement("i-1", wrong)), "%s", wrong.c_str());
+  }
+}
+
+Test(platform_decoding, translates_headers) {
+  http::fields fields;
+  fields.set("Lacewingbridge-Deadline-Ms", "1500");
+  fields.set("Lacewingbridge-Request-Id", "abc");
+  cr_assert(PlatformWire::ReadCallerHead(fields).time_left == milliseconds(1500));
+  fields.set("Lacewingbridge-Deadline-Ms", "soon");
+  cr_assert(!PlatformWire::ReadCallerHead(fields).time_left.has_value());
+  http::fields answer;
+  answer.set("Lacewingbridge-Server-Load", "3,1,8");
+  answer.set("Lacewingbridge-Not-Executed", "1");
+  const TargetAnswerHead head = PlatformWire::ReadAnswerHead(answer);
+  cr_assert(head.not_run);
+  cr_assert(!head.has_signature);
+  cr_assert_eq(head.load->slots, 8);
+  for (const char* wrong : {"3,1", "3,1,8,9", "a,b,c", "3,,8"}) {
+    answer.set("Lacewingbridge-Server-Load", wrong);
+    cr_assert(!PlatformWire::ReadAnswerHead(answer).load.has_value(), "%s", wrong);
+  }
+  http::fields request;
+  request.set("Lacewingbridge-Expected-Instance", "forged");
+  request.set("Lacewingbridge-Caller-Service", "forged");
+  PlatformWire::WriteTargetHead(request, {milliseconds(700), "", "book"});
+  cr_assert(request["Lacewingbridge-Expected-Instance"].empty());
+  cr_assert(request["Lacewingbridge-Caller-Service"] == "book");
+  cr_assert(request["Lacewingbridge-Deadline-Ms"] == "700");
+}
--- /dev/null
+++ b/Tests/test_request_progress.cc
@@ -0,0 +1,119 @@
+// Guards against a false "not run", a second run of a request that is not idempotent, and
+// more targets than the route allows.
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <array>
+#include <random>
+#include <vector>
+
+#include "Retry/request_progress.h"
+#include "Retry/return_interval.h"
+#include "Retry/fleet_retry_budget.h"
+
+using namespace lacewingbridge;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr TimePoint kStart{seconds(10)};
+
+RequestFacts MakeFacts(bool idempotent, std::uint32_t max_attempts) {
+  RequestFacts facts;
+  facts.arrived_at = kStart;
+  facts.deadline = kStart + seconds(2);
+  facts.timeout_at = kStart + seconds(1);
+  facts.objective_at = kStart + milliseconds(300);
+  facts.max_attempts = max_attempts;
+  facts.idempotent = idempotent;
+  return facts;
+}
+
+FleetRetryBudget MakeBudget(double slack) {
+  FleetRetryBudget budget;
+  budget.SetBound({0, slack, seconds(10), 1});
+  return budget;
+}
+
+}  // namespace
+
+Test(request_progress, keeps_its_promises_for_every_sequence_of_hops) {
+  constexpr std::array<HopOutcome, 6> kOutcomes = {
+      HopOutcome::kRefused, HopOutcome::kNotRun,      HopOutcome::kUnknown,
+      HopOutcome::kAnswered, HopOutcome::kQuarantined, HopOutcome::kNone};
+  cr_assert(rc::check([&] {
+    const bool idempotent = *rc::gen::arbitrary<bool>();
+    const std::uint32_t attempts = *rc::gen::inRange(1U, 4U);
+    FleetRetryBudget budget = MakeBudget(*rc::gen::inRange(0, 8));
+    RequestProgress progress(MakeFacts(idempotent, attempts));
+    TimePoint now = kStart;
+    bool may_have_run = false;
+    std::uint32_t passed_on = 0;
+    ProgressDecision decision;
+    for (int hop = 0; decision.action == ProgressAction::kPlace; ++hop) {
+      RC_ASSERT(hop < 10);
+      RC_ASSERT(idempotent || !may_have_run);
+      const HopOutcome outcome = kOutcomes[*rc::gen::inRange<std::size_t>(0, kOutcomes.size())];
+      const unsigned status = *rc::gen::element(200U, 404U, 500U);
+      now += milliseconds(*rc::gen::inRange(0, 400));
+      if (outcome != HopOutcome::kRefused && outcome != HopOutcome::kQuarantined) {
+        ++passed_on;
+        may_have_run = may_have_run || outcome != HopOutcome::kNotRun;
+      }
+      RC_ASSERT(passed_on <= attempts);
+      decision = progress.NoteHopEnd(now, {outcome, status}, budget);
+    }
+    if (decision.action == ProgressAction::kRefuse) {
+      RC_ASSERT(!may_have_run);
+    }
+    if (decision.action == ProgressAction::kFailUnknown ||
+        decision.action == ProgressAction::kTimeout) {
+      RC_ASSERT(may_have_run);
+    }
+  }));
+}
+
+Test(request_progress, asks_a_few_daemons_for_room_and_then_refuses) {
+  FleetRetryBudget budget = MakeBudget(0);
+  RequestProgress progress(MakeFacts(false, 2));
+  for (std::uint32_t hop = 1; hop < RequestProgress::kMaxRefusedHops; ++hop) {
+    cr_assert(progress.NoteHopEnd(kStart, {HopOutcome::kRefused, 0}, budget).action ==
+              ProgressAction::kPlace);
+  }
+  cr_assert(progress.NoteHopEnd(kStart, {HopOutcome::kRefused, 0}, budget).action ==
+            ProgressAction::kRefuse);
+}
+
+Test(request_progress, ends_at_the_timeout_with_the_truth) {
+  FleetRetryBudget budget = MakeBudget(100);
+  RequestProgress unsent(MakeFacts(true, 3));
+  cr_assert(unsent.NoteTimeOver().action == ProgressAction::kRefuse);
+  RequestProgress sent(MakeFacts(true, 3));
+  cr_assert(sent.NoteHopEnd(kStart + seconds(1), {HopOutcome::kUnknown, 0}, budget).action ==
+            ProgressAction::kTimeout);
+}
+
+Test(return_interval, invites_only_where_a_return_can_succeed) {
+  std::mt19937_64 random(1);
+  cr_assert(!ComputeReturnInterval(seconds(1), seconds(2), milliseconds(100), random).has_value());
+  cr_assert(
+      !ComputeReturnInterval(milliseconds(50), milliseconds(120), milliseconds(100), random)
+           .has_value());
+}
+
+Test(return_interval, spreads_the_returns_of_a_burst) {
+  std::mt19937_64 random(1);
+  Duration least = seconds(9);
+  Duration most{0};
+  for (int i = 0; i < 200; ++i) {
+    const auto interval =
+        ComputeReturnInterval(milliseconds(200), seconds(2), milliseconds(100), random);
+    cr_assert(interval.has_value());
+    least = std::min(least, *interval);
+    most = std::max(most, *interval);
+  }
+  cr_assert_geq(least.count(), Duration(milliseconds(200)).count());
+  cr_assert_leq(most.count(), Duration(seconds(2)).count() / 3);
+  cr_assert_gt((most - least).count(), Duration(milliseconds(50)).count());
+}
--- /dev/null
+++ b/Tests/test_target_admission.cc
@@ -0,0 +1,134 @@
+// Guards against a queue that makes every request late under overload, lets less urgent
+// work go first, or loses a request without a verdict.
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <map>
+#include <vector>
+
+#include "Admission/target_admission.h"
+#include "Fakes/overload_replay.h"
+
+using namespace lacewingbridge;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+TimePoint At(int ms) { return TimePoint(milliseconds(ms)); }
+
+WorkOffer MakeOffer(RequestId id, std::uint32_t priority, int objective_ms, int deadline_ms) {
+  return {id, priority, At(objective_ms), At(deadline_ms)};
+}
+
+}  // namespace
+
+// The pattern of a busy day: 5% more arrives than nine slots can do, for half a minute. In
+// order of objectives, nearly every answer was late. The bound is the users' target for the
+// mean worth of a day, 0.78.
+Test(target_admission, keeps_most_answers_on_time_slightly_above_capacity) {
+  const ReplayLoad lookups{94.5, 2, milliseconds(100), milliseconds(300), milliseconds(2000)};
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    const ReplayResult result = OverloadReplay(9, seed).Run({lookups}, seconds(30))[0];
+    cr_assert_geq(result.GetCredit(), 0.78, "seed %d: credit %f", static_cast<int>(seed),
+                  result.GetCredit());
+  }
+}
+
+// The pattern of a burst: twice what the slots can do. Whoever is served is on time, and
+// the others are refused instead of waiting.
+Test(target_admission, serves_on_time_or_refuses_in_a_burst) {
+  const ReplayLoad lookups{180, 2, milliseconds(100), milliseconds(300), milliseconds(2000)};
+  const ReplayResult result = OverloadReplay(9, 7).Run({lookups}, seconds(10))[0];
+  // Nine slots finish 90 a second; four in five of them have to be on time.
+  cr_assert_geq(result.on_time, 0.8 * 90 * 10);
+  cr_assert_eq(result.arrived, result.on_time + result.late + result.refused);
+}
+
+// Internal checks arrive beside more orders than fit. The checks' callers hold slots of
+// other targets meanwhile.
+Test(target_admission, serves_urgent_checks_on_time_beside_an_overload) {
+  const ReplayLoad checks{60, 0, milliseconds(22), milliseconds(100), milliseconds(250)};
+  const ReplayLoad orders{90, 1, milliseconds(120), milliseconds(400), milliseconds(2500)};
+  const std::vector<ReplayResult> results =
+      OverloadReplay(9, 3).Run({checks, orders}, seconds(20));
+  cr_assert_geq(results[0].on_time, 0.95 * results[0].arrived);
+}
+
+Test(target_admission, starts_the_newest_that_can_be_on_time_and_late_ones_last) {
+  TargetAdmission admission;
+  admission.SetSlots(At(0), 1);
+  cr_assert(admission.Offer(At(0), MakeOffer(1, 1, 300, 2000)) == AdmissionVerdict::kAdmitted);
+  cr_assert(admission.Offer(At(1), MakeOffer(2, 1, 10, 900)) == AdmissionVerdict::kQueued);
+  cr_assert(admission.Offer(At(2), MakeOffer(3, 1, 302, 2000)) == AdmissionVerdict::kQueued);
+  cr_assert(admission.Offer(At(3), MakeOffer(4, 1, 303, 2000)) == AdmissionVerdict::kQueued);
+  cr_assert(admission.Offer(At(4), MakeOffer(5, 0, 104, 250)) == AdmissionVerdict::kQueued);
+  std::vector<RequestId> order;
+  for (RequestId done = 1; order.size() < 4; done = order.back()) {
+    const AdmissionRelease release = admission.Finish(At(5), done);
+    cr_assert_eq(release.admitted.size(), 1);
+    order.push_back(release.admitted[0]);
+  }
+  cr_assert(order == std::vector<RequestId>({5, 4, 3, 2}));
+}
+
+Test(target_admission, refuses_everything_that_waits_when_the_target_leaves) {
+  TargetAdmission admission;
+  admission.SetSlots(At(0), 1);
+  admission.Offer(At(0), MakeOffer(1, 1, 300, 2000));
+  admission.Offer(At(0), MakeOffer(2, 1, 300, 2000));
+  cr_assert(admission.SetSlots(At(1), 0).refused == std::vector<RequestId>({2}));
+  cr_assert(admission.Offer(At(2), MakeOffer(3, 1, 300, 2000)) ==
+            AdmissionVerdict::kRefusedNoSlots);
+  cr_assert(admission.Finish(At(3), 1).admitted.empty());
+}
+
+Test(target_admission, gives_every_request_exactly_one_verdict_and_never_exceeds_the_slots) {
+  cr_assert(rc::check([] {
+    TargetAdmission admission;
+    std::map<RequestId, int> verdicts;
+    std::vector<RequestId> running;
+    TimePoint now;
+    const auto take = [&](const AdmissionRelease& release) {
+      for (const RequestId id : release.admitted) {
+        ++verdicts[id];
+        running.push_back(id);
+      }
+      for (const RequestId id : release.refused) {
+        ++verdicts[id];
+      }
+    };
+    std::uint32_t slots = 3;
+    take(admission.SetSlots(now, slots));
+    const auto steps = *rc::gen::container<std::vector<int>>(200, rc::gen::inRange(0, 100));
+    for (std::size_t i = 0; i < steps.size(); ++i) {
+      now += milliseconds(steps[i] / 4);
+      if (steps[i] < 60) {
+        const RequestId id = i + 1;
+        const WorkOffer offer{id, static_cast<std::uint32_t>(steps[i] % 3),
+                              now + milliseconds(steps[i] * 5), now + milliseconds(steps[i] * 20)};
+        const AdmissionVerdict verdict = admission.Offer(now, offer);
+        if (verdict == AdmissionVerdict::kAdmitted) {
+          take({{id}, {}});
+        } else if (verdict != AdmissionVerdict::kQueued) {
+          take({{}, {id}});
+        }
+      } else if (steps[i] < 90 && !running.empty()) {
+        const RequestId id = running.front();
+        running.erase(running.begin());
+        take(admission.Finish(now, id));
+      } else {
+        slots = static_cast<std::uint32_t>(steps[i] % 4);
+        take(admission.SetSlots(now, slots));
+      }
+      if (slots > 0) {
+        RC_ASSERT(admission.GetRunningCount() == running.size());
+      }
+    }
+    take(admission.Expire(now + seconds(100)));
+    for (const auto& [id, count] : verdicts) {
+      RC_ASSERT(count == 1);
+    }
+    RC_ASSERT(admission.GetWaitingCount() == 0U);
+  }));
+}
