--- a/Source/Admission/target_admission.cc
+++ b/Source/Admission/target_admission.cc
@@ -40,7 +40,9 @@
   const Duration time_left = offer.deadline - now;
   TimePoint hold_until = now + time_left / kLateWaitDivisor;
   if (this->IsOnTime(start, offer)) {
-    hold_until = std::max(hold_until, offer.objective_at - this->GetSafeServiceTime(offer.priority));
+    const Duration most = (offer.objective_at - now) / kOnTimeWaitDivisor;
+    hold_until = std::min(offer.objective_at - this->GetSafeServiceTime(offer.priority),
+                          now + std::max(most, this->service_time));
   } else if (start > hold_until) {
     return AdmissionVerdict::kRefusedQueueFull;
   }
@@ -91,9 +93,8 @@
     return Duration{0};
   }
   const auto ahead =
-      std::count_if(this->waiting.begin(), this->waiting.end(), [priority](const Waiting& entry) {
-        return entry.offer.priority <= priority;
-      });
+      std::count_if(this->waiting.begin(), this->waiting.end(),
+                    [priority](const Waiting& entry) { return entry.offer.priority <= priority; });
   return this->service_time * (ahead + 1) / this->slots;
 }
 
--- a/Source/Admission/target_admission.h
+++ b/Source/Admission/target_admission.h
@@ -36,6 +36,10 @@
   // until its deadline. Callers give up a third of their time to a retry interval at most,
   // so a longer wait would cost them more than being told to return.
   static constexpr int kLateWaitDivisor = 4;
+  // Most waiting time of a request that can meet its objective, as a divisor of the time
+  // until then: the newest goes first, so one that waits longer is better placed elsewhere.
+  // A service time is always granted: short urgent requests wait for a slot of longer ones.
+  static constexpr int kOnTimeWaitDivisor = 4;
   // A request counts as on time if this multiple of the mean service time fits, in tenths;
   // it covers about nine in ten requests of today's targets.
   static constexpr int kServiceMarginTenths = 15;
--- a/Source/Daemon/claim_service.cc
+++ b/Source/Daemon/claim_service.cc
@@ -7,9 +7,9 @@
 
 #include "Core/hash.h"
 #include "Daemon/daemon_clock.h"
-#include "Observe/event_log.h"
 #include "Daemon/peer_client.h"
 #include "Daemon/work_queue.h"
+#include "Observe/event_log.h"
 
 namespace lacewingbridge {
 
--- a/Source/Daemon/daemon.cc
+++ b/Source/Daemon/daemon.cc
@@ -10,9 +10,9 @@
 
 #include "Daemon/control_handlers.h"
 #include "Daemon/daemon_clock.h"
-#include "Observe/event_log.h"
 #include "Daemon/proxy_exchange.h"
 #include "Daemon/store_records.h"
+#include "Observe/event_log.h"
 #include "Rules/rules_document.h"
 #include "Version/route_snapshot.h"
 #include "membership_codec.h"
--- a/Source/Daemon/daemon.h
+++ b/Source/Daemon/daemon.h
@@ -16,7 +16,6 @@
 #include "Daemon/gossip_socket.h"
 #include "Daemon/http_connection_pool.h"
 #include "Daemon/http_listener.h"
-#include "Observe/metrics_registry.h"
 #include "Daemon/peer_client.h"
 #include "Daemon/proxy_handler.h"
 #include "Daemon/rules_state.h"
@@ -24,6 +23,7 @@
 #include "Daemon/store_http_client.h"
 #include "Daemon/store_watcher.h"
 #include "Daemon/work_queue.h"
+#include "Observe/metrics_registry.h"
 #include "dump.h"
 #include "settings.h"
 
--- a/Source/Daemon/daemon_main.cc
+++ b/Source/Daemon/daemon_main.cc
@@ -7,8 +7,8 @@
 
 #include "Daemon/daemon.h"
 #include "Daemon/daemon_settings_loader.h"
-#include "Observe/event_log.h"
 #include "Daemon/signal_waiter.h"
+#include "Observe/event_log.h"
 
 namespace lacewingbridge {
 namespace {
@@ -19,7 +19,7 @@
 
 constexpr char kUsage[] =
     "usage: lacewingbridged --settings FILE [--check]\n"
-    "  -s, --settings FILE  settings in TOML; docs/operations.md lists every key\n"
+    "  -s, --settings FILE  settings in TOML; docs/OPERATIONS.md lists every key\n"
     "  -c, --check          validate the settings and exit\n"
     "  -h, --help           show this text\n"
     "Exit codes: 0 ended as asked, 1 failed, 2 wrong use.\n";
--- a/Source/Daemon/proxy_handler.cc
+++ b/Source/Daemon/proxy_handler.cc
@@ -11,13 +11,13 @@
 #include <string_view>
 
 #include "Daemon/daemon_clock.h"
-#include "Observe/metrics_registry.h"
 #include "Daemon/proxy_exchange.h"
 #include "Daemon/proxy_refusal.h"
 #include "Daemon/proxy_request.h"
 #include "Daemon/request_path.h"
 #include "Daemon/rules_state.h"
 #include "Daemon/service_table.h"
+#include "Observe/metrics_registry.h"
 #include "Rules/limit_rule.h"
 #include "Rules/rules_document.h"
 #include "Version/route_snapshot.h"
--- a/Source/Daemon/proxy_request.cc
+++ b/Source/Daemon/proxy_request.cc
@@ -12,9 +12,9 @@
 #include "Daemon/claim_service.h"
 #include "Daemon/connection_probe.h"
 #include "Daemon/daemon_clock.h"
-#include "Observe/event_log.h"
 #include "Daemon/request_waiter.h"
 #include "Daemon/service_table.h"
+#include "Observe/event_log.h"
 #include "Retry/retry_policy.h"
 #include "settings.h"
 
--- a/Source/Daemon/store_watcher.cc
+++ b/Source/Daemon/store_watcher.cc
@@ -6,9 +6,9 @@
 
 #include "Daemon/claim_service.h"
 #include "Daemon/daemon_clock.h"
-#include "Observe/event_log.h"
 #include "Daemon/rules_state.h"
 #include "Daemon/store_records.h"
+#include "Observe/event_log.h"
 #include "Version/version_order.h"
 #include "peer_codec.h"
 #include "store_codec.h"
--- a/Source/Http/asio_types.h
+++ b/Source/Http/asio_types.h
@@ -2,7 +2,9 @@
 #define LACEWINGBRIDGE_SOURCE_HTTP_ASIO_TYPES_H_
 
 // Boost 1.74 uses std::exchange in its coroutine headers without including <utility>.
+// clang-format off
 #include <utility>
+// clang-format on
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/buffer.hpp>
--- a/Source/Http/connection_pool.cc
+++ b/Source/Http/connection_pool.cc
@@ -50,8 +50,9 @@
   connection->idle_since = now;
   auto found = this->idle.find(address);
   if (found == this->idle.end()) {
-    found = this->idle.emplace(std::string(address),
-                               std::vector<std::unique_ptr<OutboundConnection>>()).first;
+    found =
+        this->idle.emplace(std::string(address), std::vector<std::unique_ptr<OutboundConnection>>())
+            .first;
   }
   found->second.push_back(std::move(connection));
 }
--- a/Source/Http/inbound_bytes.cc
+++ b/Source/Http/inbound_bytes.cc
@@ -1,5 +1,7 @@
 #include "Http/inbound_bytes.h"
 
+#include <utility>
+
 #include "Http/boot_clock.h"
 
 namespace lacewingbridge {
@@ -34,9 +36,38 @@
   this->ended = true;
   this->pumping = false;
   this->arrived.Notify();
-  if (this->end_listener) {
-    this->end_listener();
+  // A listener may remove itself or others.
+  const auto listeners = this->end_listeners;
+  for (const auto& [owner, listener] : listeners) {
+    if (this->end_listeners.count(owner) > 0) {
+      listener();
+    }
+  }
+}
+
+void InboundBytes::SetEndListener(const void* owner, std::function<void()> listener) {
+  if (listener) {
+    this->end_listeners[owner] = std::move(listener);
+  } else {
+    this->end_listeners.erase(owner);
+  }
+}
+
+Awaitable<bool> InboundBytes::WaitForRequest(Duration limit) {
+  const TimePoint until = GetNow() + limit;
+  while (this->buffer.size() == 0 && !this->ended && !this->stopped) {
+    const Duration left = until - GetNow();
+    if (left <= Duration{0}) {
+      break;
+    }
+    co_await this->arrived.WaitFor(left);
   }
+  co_return this->buffer.size() > 0 && !this->stopped;
+}
+
+void InboundBytes::StopReading() {
+  this->stopped = true;
+  this->arrived.Notify();
 }
 
 void InboundBytes::Consume(std::size_t count) {
--- a/Source/Http/inbound_bytes.h
+++ b/Source/Http/inbound_bytes.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <map>
 
 #include "Core/time_point.h"
 #include "Http/asio_types.h"
@@ -33,10 +34,15 @@
   bool HasEnded() const { return this->ended; }
   bool IsPumping() const { return this->pumping; }
 
-  // Called when the connection ends; empty for none.
-  void SetEndListener(std::function<void()> new_listener) {
-    this->end_listener = std::move(new_listener);
-  }
+  // Called when the connection ends; each owner has one listener, an empty one removes it.
+  void SetEndListener(const void* owner, std::function<void()> listener);
+
+  // Waits for the first byte of a request; false when there is none, because the time is
+  // over, the connection has ended or reading was stopped.
+  Awaitable<bool> WaitForRequest(Duration limit);
+
+  // Ends the reading of requests; what is under way goes on.
+  void StopReading();
 
  private:
   // Requests of today have heads of about 300 bytes; thousands of connections may be open.
@@ -46,9 +52,10 @@
   boost::beast::flat_buffer buffer;
   AsyncSignal arrived;
   AsyncSignal consumed;
-  std::function<void()> end_listener;
+  std::map<const void*, std::function<void()>> end_listeners;
   bool pumping = false;
   bool ended = false;
+  bool stopped = false;
 };
 
 }  // namespace lacewingbridge
--- a/Source/Http/outbound_exchange.cc
+++ b/Source/Http/outbound_exchange.cc
@@ -89,8 +89,7 @@
 }
 
 Awaitable<ExchangeStatus> OutboundExchange::Start(const Request& request, const BodyWriter* rest,
-                                                  Duration limit,
-                                                  const OutboundOptions& options) {
+                                                  Duration limit, const OutboundOptions& options) {
   const ExchangeStatus connected = co_await this->Connect(options);
   if (connected != ExchangeStatus::kOk) {
     co_return connected;
--- a/Source/Http/server_connection.h
+++ b/Source/Http/server_connection.h
@@ -2,12 +2,15 @@
 #define LACEWINGBRIDGE_SOURCE_HTTP_SERVER_CONNECTION_H_
 
 #include <concepts>
+#include <cstddef>
 #include <memory>
 #include <utility>
 
+#include "Http/answer_order.h"
 #include "Http/asio_types.h"
-#include "Http/inbound_bytes.h"
+#include "Http/async_signal.h"
 #include "Http/boot_clock.h"
+#include "Http/inbound_bytes.h"
 #include "Http/io_shard.h"
 #include "Http/server_exchange.h"
 #include "Http/server_limits.h"
@@ -24,8 +27,8 @@
   handler.NoteClosed();
 };
 
-// One connection of a listener. Requests are handled one after the other, so pipelined
-// ones are answered in order.
+// One connection of a listener. Pipelined requests are handled side by side, so that a
+// quick one does not wait for the work of a slow one, and are answered in order.
 template <ExchangeHandler Handler>
 class ServerConnection : public std::enable_shared_from_this<ServerConnection<Handler>> {
  public:
@@ -33,48 +36,95 @@
       : shard(io_shard),
         socket(std::move(accepted)),
         handler(exchange_handler),
-        bytes(io_shard.GetContext(), this->socket) {}
+        bytes(io_shard.GetContext(), this->socket),
+        order(io_shard.GetContext()),
+        run_ended(io_shard.GetContext()) {}
 
   void Start() {
     SetConnectionOptions(this->socket);
     auto self = this->shared_from_this();
     asio::co_spawn(
-        this->shard.GetContext(),
-        [self]() -> Awaitable<void> { co_await self->bytes.Pump(); }, asio::detached);
+        this->shard.GetContext(), [self]() -> Awaitable<void> { co_await self->bytes.Pump(); },
+        asio::detached);
     asio::co_spawn(
         this->shard.GetContext(), [self]() -> Awaitable<void> { co_await self->Run(); },
         asio::detached);
   }
 
  private:
+  // Requests of one connection that are handled at the same time.
+  static constexpr std::size_t kMaxRunning = 16;
+  // Each wait ends by a notification; this only bounds the life of a timer.
+  static constexpr Duration kRecheckInterval = std::chrono::minutes(1);
   // Time for the client to read the last answer before the connection is closed.
   static constexpr Duration kCloseLimit = std::chrono::seconds(1);
 
   Awaitable<void> Run() {
     this->handler.NoteOpened();
     for (bool more = true; more;) {
-      more = co_await this->ServeOne();
+      more = co_await this->ReadOne();
     }
+    co_await this->WaitForRunning(0);
     co_await this->Close();
     this->handler.NoteClosed();
   }
 
-  Awaitable<bool> ServeOne() {
-    ServerExchange exchange(this->shard.GetContext(), this->socket, this->bytes,
-                            this->handler.GetLimits());
-    const ReadProblem problem = co_await exchange.ReadRequest();
+  // Reads one request and begins to handle it. A request that may change something waits
+  // until those before it have been answered: if one of their answers closes the
+  // connection, its caller sends it again.
+  Awaitable<bool> ReadOne() {
+    auto exchange =
+        std::make_shared<ServerExchange>(this->shard.GetContext(), this->socket, this->bytes,
+                                         this->order, this->handler.GetLimits());
+    const ReadProblem problem = co_await exchange->ReadRequest();
     if (problem == ReadProblem::kEnded) {
       co_return false;
     }
     if (problem != ReadProblem::kNone) {
-      exchange.CloseAfter();
+      exchange->CloseAfter();
       ServerExchange::Answer answer = MakeProblemAnswer(problem);
-      co_await exchange.Send(std::move(answer));
+      co_await exchange->Send(std::move(answer));
       co_return false;
     }
-    co_await this->handler.Handle(this->shard, exchange);
-    exchange.SetGoneListener(nullptr);
-    co_return exchange.IsReusable() && this->socket.is_open();
+    if (exchange->MayRunBeside()) {
+      this->Spawn(exchange);
+      co_await this->WaitForRunning(kMaxRunning - 1);
+    } else {
+      co_await this->WaitForRunning(0);
+      if (!this->order.IsClosed()) {
+        co_await this->HandleOne(exchange);
+      }
+    }
+    co_return !this->order.IsClosed() && this->socket.is_open();
+  }
+
+  void Spawn(const std::shared_ptr<ServerExchange>& exchange) {
+    ++this->running;
+    auto self = this->shared_from_this();
+    asio::co_spawn(
+        this->shard.GetContext(),
+        [self, exchange]() -> Awaitable<void> { co_await self->RunOne(exchange); }, asio::detached);
+  }
+
+  Awaitable<void> RunOne(std::shared_ptr<ServerExchange> exchange) {
+    co_await this->HandleOne(exchange);
+    --this->running;
+    this->run_ended.Notify();
+  }
+
+  Awaitable<void> HandleOne(const std::shared_ptr<ServerExchange>& exchange) {
+    co_await this->handler.Handle(this->shard, *exchange);
+    exchange->SetGoneListener(nullptr);
+    if (!exchange->IsReusable()) {
+      this->order.Close();
+      this->bytes.StopReading();
+    }
+  }
+
+  Awaitable<void> WaitForRunning(std::size_t most) {
+    while (this->running > most) {
+      co_await this->run_ended.WaitFor(kRecheckInterval);
+    }
   }
 
   static ServerExchange::Answer MakeProblemAnswer(ReadProblem problem) {
@@ -105,6 +155,9 @@
   TcpSocket socket;
   Handler& handler;
   InboundBytes bytes;
+  AnswerOrder order;
+  AsyncSignal run_ended;
+  std::size_t running = 0;
 };
 
 }  // namespace lacewingbridge
--- a/Source/Http/server_exchange.cc
+++ b/Source/Http/server_exchange.cc
@@ -8,13 +8,30 @@
 namespace lacewingbridge {
 
 ServerExchange::ServerExchange(asio::io_context& context, TcpSocket& to, InboundBytes& from,
-                               const ServerLimits& server_limits)
-    : socket(to), bytes(from), limits(server_limits), write_timer(context) {
+                               AnswerOrder& answer_order, const ServerLimits& server_limits)
+    : socket(to), bytes(from), order(answer_order), limits(server_limits), write_timer(context) {
   this->parser.header_limit(this->limits.max_header_bytes);
   this->parser.body_limit(this->limits.max_body_bytes);
   this->parser.eager(false);
 }
 
+ServerExchange::~ServerExchange() { this->bytes.SetEndListener(this, nullptr); }
+
+bool ServerExchange::MayRunBeside() const {
+  const http::verb method = this->GetHead().method();
+  return (method == http::verb::get || method == http::verb::head) && this->parser.is_done();
+}
+
+bool ServerExchange::EndAnswer(bool sound) {
+  this->complete = sound;
+  if (this->IsReusable()) {
+    this->order.Advance();
+  } else {
+    this->order.Close();
+  }
+  return sound;
+}
+
 ReadProblem ServerExchange::GetProblem(const ErrorCode& code) const {
   if (code == http::error::header_limit) {
     return ReadProblem::kHeadTooLong;
@@ -23,12 +40,11 @@
 }
 
 Awaitable<ReadProblem> ServerExchange::ReadHead() {
-  if (this->bytes.GetBytes().size() == 0) {
-    const bool arrived = co_await this->bytes.WaitForMore(this->limits.idle_timeout);
-    if (!arrived) {
-      co_return ReadProblem::kEnded;
-    }
+  const bool begun = co_await this->bytes.WaitForRequest(this->limits.idle_timeout);
+  if (!begun) {
+    co_return ReadProblem::kEnded;
   }
+  this->ticket = this->order.TakeTicket();
   const TimePoint until = GetNow() + this->limits.header_timeout;
   while (!this->parser.is_header_done()) {
     if (this->bytes.GetBytes().size() > 0) {
@@ -132,6 +148,10 @@
 }
 
 Awaitable<bool> ServerExchange::Send(Answer answer) {
+  const bool has_turn = co_await this->order.WaitForTurn(this->ticket);
+  if (!has_turn) {
+    co_return false;
+  }
   this->answered = true;
   this->Finalize(answer);
   if (this->GetHead().method() == http::verb::head) {
@@ -141,20 +161,22 @@
     http::response_serializer<http::empty_body> serializer(head);
     co_await http::async_write_header(this->socket, serializer, AwaitInto(code));
     this->write_timer.Stop();
-    this->complete = !code;
-    co_return this->complete;
+    co_return this->EndAnswer(!code);
   }
   answer.prepare_payload();
   this->write_timer.Start(this->socket, this->limits.idle_timeout);
   ErrorCode code;
   co_await http::async_write(this->socket, answer, AwaitInto(code));
   this->write_timer.Stop();
-  this->complete = !code;
-  co_return this->complete;
+  co_return this->EndAnswer(!code);
 }
 
 Awaitable<bool> ServerExchange::SendHead(http::response_header<> head,
                                          std::optional<std::uint64_t> length) {
+  const bool has_turn = co_await this->order.WaitForTurn(this->ticket);
+  if (!has_turn) {
+    co_return false;
+  }
   this->answered = true;
   http::response<http::empty_body> answer(std::move(head));
   if (!length.has_value() && this->GetHead().version() < 11) {
@@ -200,20 +222,18 @@
 }
 
 Awaitable<bool> ServerExchange::SendEnd() {
-  this->complete = true;
+  ErrorCode code;
   if (this->chunked) {
-    ErrorCode code;
     const auto last = http::make_chunk_last();
     co_await asio::async_write(this->socket, last, AwaitInto(code));
-    this->complete = !code;
   }
-  co_return this->complete;
+  co_return this->EndAnswer(!code);
 }
 
 void ServerExchange::Abort() {
   this->answered = true;
-  this->complete = false;
   this->close_after = true;
+  this->EndAnswer(false);
   // A reset cannot be taken for the end of an answer without a length.
   ErrorCode ignored;
   this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
--- a/Source/Http/server_exchange.h
+++ b/Source/Http/server_exchange.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "Core/time_point.h"
+#include "Http/answer_order.h"
 #include "Http/asio_types.h"
 #include "Http/inbound_bytes.h"
 #include "Http/server_limits.h"
@@ -28,7 +29,10 @@
   static constexpr std::size_t kMaxHeldBody = 64 * 1024;
 
   ServerExchange(asio::io_context& context, TcpSocket& to, InboundBytes& from,
-                 const ServerLimits& server_limits);
+                 AnswerOrder& answer_order, const ServerLimits& server_limits);
+  ~ServerExchange();
+  ServerExchange(const ServerExchange&) = delete;
+  ServerExchange& operator=(const ServerExchange&) = delete;
 
   // Reads the head and the begin of the body. The connection may be idle for long before.
   Awaitable<ReadProblem> ReadRequest();
@@ -43,6 +47,10 @@
   // Replaces the contents by the next part of a long body; false if it cannot be read.
   Awaitable<bool> ReadBodyPart(std::string& part);
 
+  // Whether the next request of the connection may be handled beside this one: its method
+  // promises that it changes nothing, and nothing of it is left to read.
+  bool MayRunBeside() const;
+
   // The connection ends with this answer.
   void CloseAfter() { this->close_after = true; }
   Awaitable<bool> Send(Answer answer);
@@ -57,9 +65,9 @@
   // Whether a further request may follow on the connection.
   bool IsReusable() const;
 
-  bool IsCallerGone() const { return this->bytes.HasEnded(); }
+  bool IsCallerGone() const { return this->bytes.HasEnded() || this->order.IsClosed(); }
   void SetGoneListener(std::function<void()> listener) {
-    this->bytes.SetEndListener(std::move(listener));
+    this->bytes.SetEndListener(this, std::move(listener));
   }
 
  private:
@@ -70,9 +78,13 @@
   template <typename Message>
   void Finalize(Message& answer);
   Awaitable<bool> Write(asio::const_buffer data);
+  // The answer has been sent whole, or cannot be.
+  bool EndAnswer(bool sound);
 
   TcpSocket& socket;
   InboundBytes& bytes;
+  AnswerOrder& order;
+  std::uint64_t ticket = 0;
   ServerLimits limits;
   SocketTimer write_timer;
   http::request_parser<http::buffer_body> parser;
--- a/Source/Http/stream_listener.h
+++ b/Source/Http/stream_listener.h
@@ -31,8 +31,8 @@
     }
     std::unique_ptr<StreamListener> listener(new StreamListener(io_shards, exchange_handler));
     ErrorCode code;
-    const asio::ip::tcp::endpoint endpoint(
-        asio::ip::make_address(GetValue(parsed).GetIp(), code), GetValue(parsed).GetPort());
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(GetValue(parsed).GetIp(), code),
+                                           GetValue(parsed).GetPort());
     listener->Open(endpoint, code);
     if (code) {
       return Error{ErrorKind::kListenFailed, std::string(address) + ": " + code.message()};
--- a/Source/Membership/host_directory.cc
+++ b/Source/Membership/host_directory.cc
@@ -29,8 +29,9 @@
     changed = this->Merge(record) || changed;
   }
   for (const auto& [host, entry] : this->entries) {
-    const bool listed = std::any_of(records.begin(), records.end(),
-                                    [&host](const HostRecord& record) { return record.host == host; });
+    const bool listed =
+        std::any_of(records.begin(), records.end(),
+                    [&host](const HostRecord& record) { return record.host == host; });
     if (!listed) {
       this->Remove(now, host);
     }
--- a/Source/Membership/local_target.cc
+++ b/Source/Membership/local_target.cc
@@ -50,7 +50,8 @@
   if (current) {
     this->leaving = true;
   }
-  this->departed.push_back({std::string(left_id), born == 0 && current ? this->born_unix_ms : born});
+  this->departed.push_back(
+      {std::string(left_id), born == 0 && current ? this->born_unix_ms : born});
   if (this->departed.size() > kMaxDeparted) {
     this->departed.pop_front();
   }
--- a/Source/Membership/local_target.h
+++ b/Source/Membership/local_target.h
@@ -13,8 +13,8 @@
 namespace lacewingbridge {
 
 enum class AnnouncementVerdict {
-  kCurrent,     // the newest word of the present start of the target
-  kStale,       // of an earlier start, overtaken by a newer one, or of a target that left
+  kCurrent,  // the newest word of the present start of the target
+  kStale,    // of an earlier start, overtaken by a newer one, or of a target that left
   kWrongService,
 };
 
--- a/Source/Node/metrics_handler.cc
+++ b/Source/Node/metrics_handler.cc
@@ -20,8 +20,8 @@
       "lacewingbridge_target_slots {}\nlacewingbridge_target_accepting {}\n"
       "lacewingbridge_requests_open {}\nlacewingbridge_connections_open {}\n",
       this->context.state.GetTableVersion(), this->context.state.GetHosts().size(), report.running,
-      report.waiting, report.slots, report.accepting ? 1 : 0,
-      this->context.stage.GetRequestCount(), this->context.stage.GetConnectionCount());
+      report.waiting, report.slots, report.accepting ? 1 : 0, this->context.stage.GetRequestCount(),
+      this->context.stage.GetConnectionCount());
   ServerExchange::Answer answer(http::status::ok, 11);
   answer.set(http::field::content_type, "text/plain; version=0.0.4");
   answer.body() = this->context.metrics.Format(gauges);
--- a/Source/Node/snapshot_fetcher.cc
+++ b/Source/Node/snapshot_fetcher.cc
@@ -40,8 +40,7 @@
   OutboundExchange::Request request(http::verb::get, kSnapshotPath, 11);
   request.set(http::field::host, peer_address);
   const OutboundOptions options{kConnectLimit, Duration{0}, Duration{0}};
-  const ExchangeStatus status =
-      co_await exchange.Start(request, nullptr, kAnswerLimit, options);
+  const ExchangeStatus status = co_await exchange.Start(request, nullptr, kAnswerLimit, options);
   if (status == ExchangeStatus::kOk && exchange.GetHead().result() == http::status::ok) {
     std::string body;
     PeerSnapshot snapshot;
--- a/Source/Node/snapshot_fetcher.h
+++ b/Source/Node/snapshot_fetcher.h
@@ -15,8 +15,7 @@
 // daemon that the store does not serve. Runs on its shard's thread.
 class SnapshotFetcher {
  public:
-  SnapshotFetcher(IoShard& io_shard, MeshState& mesh_state)
-      : shard(io_shard), state(mesh_state) {}
+  SnapshotFetcher(IoShard& io_shard, MeshState& mesh_state) : shard(io_shard), state(mesh_state) {}
 
   // Starts a fetch unless one is under way.
   void Request(const std::string& peer_address);
--- a/Source/Node/target_prober.h
+++ b/Source/Node/target_prober.h
@@ -32,8 +32,7 @@
     OutboundExchange::Request request(http::verb::get, service->health_path, 11);
     request.set(http::field::host, self.target_address);
     const OutboundOptions options{kConnectLimit, Duration{0}, Duration{0}};
-    const ExchangeStatus status =
-        co_await exchange.Start(request, nullptr, kAnswerLimit, options);
+    const ExchangeStatus status = co_await exchange.Start(request, nullptr, kAnswerLimit, options);
     if (status == ExchangeStatus::kOk) {
       std::string body;
       co_await exchange.ReadBody(body, kMaxBodyBytes);
--- a/Source/Observe/event_log.cc
+++ b/Source/Observe/event_log.cc
@@ -86,15 +86,15 @@
 void EventLog::WriteLine(Event event, std::string_view particulars) {
   const EventDescription& description = FindDescription(event);
   const auto position = static_cast<std::uint64_t>(&description - kEventCatalogue.data());
-  const LineVerdict verdict = GetBudgets().WithShard(
-      position, [](LineBudget& budget) { return budget.Take(GetNow()); });
+  const LineVerdict verdict =
+      GetBudgets().WithShard(position, [](LineBudget& budget) { return budget.Take(GetNow()); });
   if (!verdict.write) {
     return;
   }
   if (verdict.dropped_before > 0) {
-    WriteFields(FindDescription(Event::kLinesDropped),
-                fmt::format("of=LW{:04} count={}", static_cast<int>(event),
-                            verdict.dropped_before));
+    WriteFields(
+        FindDescription(Event::kLinesDropped),
+        fmt::format("of=LW{:04} count={}", static_cast<int>(event), verdict.dropped_before));
   }
   WriteFields(description, particulars);
 }
--- a/Source/Proxy/caller_request.cc
+++ b/Source/Proxy/caller_request.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "Core/hash.h"
 #include "Http/boot_clock.h"
 #include "Http/io_shard.h"
 #include "Observe/event_log.h"
@@ -49,11 +50,14 @@
   this->facts.arrived_at = now;
   this->facts.timeout_at = now + timeout;
   this->facts.deadline = now + this->head.time_left.value_or(timeout);
-  const Duration objective =
-      this->route->objective_ms > 0 ? std::chrono::milliseconds(this->route->objective_ms) : timeout;
-  const Duration age =
-      this->context.state.EstimateAge(this->route->name, this->facts.deadline - now);
-  this->facts.objective_at = now + objective - age;
+  const Duration objective = this->route->objective_ms > 0
+                                 ? std::chrono::milliseconds(this->route->objective_ms)
+                                 : timeout;
+  this->fingerprint =
+      CombineHashes(HashBytes(this->exchange.GetTarget()), HashBytes(this->exchange.GetBody()));
+  this->first_arrival =
+      this->context.state.FindFirstArrival(now, this->route->name, this->fingerprint);
+  this->facts.objective_at = this->first_arrival + objective;
   this->facts.max_attempts = std::max(this->route->max_attempts, 1U);
   this->facts.idempotent = this->route->idempotent;
   this->progress.emplace(this->facts);
@@ -109,9 +113,8 @@
   if (now >= this->facts.GetEnd()) {
     co_return this->progress->NoteTimeOver();
   }
-  const std::optional<HopChoice> choice =
-      this->context.state.ChooseHop(now, this->service, this->MakeNeed(now), this->refused_by,
-                                    this->shard.GetRandom());
+  const std::optional<HopChoice> choice = this->context.state.ChooseHop(
+      now, this->service, this->MakeNeed(now), this->refused_by, this->shard.GetRandom());
   if (!choice.has_value()) {
     co_return this->progress->NoteNoCandidate(now);
   }
@@ -122,8 +125,8 @@
     this->refused_by.push_back(choice->peer_address);
     if (this->body_spent) {
       // The body was longer than what is held, so the request cannot be sent again.
-      decision.action = this->progress->MayHaveRun() ? ProgressAction::kFailUnknown
-                                                     : ProgressAction::kRefuse;
+      decision.action =
+          this->progress->MayHaveRun() ? ProgressAction::kFailUnknown : ProgressAction::kRefuse;
     }
   }
   co_return decision;
@@ -175,8 +178,8 @@
   };
   const bool whole = this->exchange.IsBodyComplete();
   const OutboundOptions options{kConnectLimit, kPeerIdleLimit, kPeerIdleLimit};
-  const ExchangeStatus status = co_await this->hop->Start(
-      request, whole ? nullptr : &rest, this->facts.GetEnd() - now, options);
+  const ExchangeStatus status = co_await this->hop->Start(request, whole ? nullptr : &rest,
+                                                          this->facts.GetEnd() - now, options);
   this->body_spent = !whole && status != ExchangeStatus::kNotConnected;
   co_return co_await this->ReadHopAnswer(choice, status);
 }
@@ -207,7 +210,9 @@
     end.status = this->held.head.result_int();
     this->last_reason = report->reason;
   }
-  EventLog::Write(Event::kHopEnded, "request={} service={} peer={} target={} outcome={} reason={} status={} wait_ms={} after_ms={}",
+  EventLog::Write(Event::kHopEnded,
+                  "request={} service={} peer={} target={} outcome={} reason={} status={} "
+                  "wait_ms={} after_ms={}",
                   this->head.request_id, this->service, choice.peer_address, choice.target_id,
                   GetName(end.outcome), this->last_reason, end.status,
                   report.has_value() ? report->expected_wait_ms : 0,
@@ -227,6 +232,9 @@
 
 Awaitable<void> CallerRequest::Finish(const ProgressDecision& decision) {
   const TimePoint now = GetNow();
+  if (decision.action != ProgressAction::kDeliver) {
+    this->context.state.NoteUnserved(this->first_arrival, this->route->name, this->fingerprint);
+  }
   switch (decision.action) {
     case ProgressAction::kPlace:
     case ProgressAction::kDeliver: {
@@ -237,11 +245,10 @@
     }
     case ProgressAction::kRefuse:
       this->LogEnd(decision, 503);
-      co_await this->SendRefusal(http::status::service_unavailable,
-                                 DescribeProgressReason(decision.reason),
-                                 decision.reason == ProgressReason::kQuarantined
-                                     ? std::nullopt
-                                     : this->ComputeReturn(now));
+      co_await this->SendRefusal(
+          http::status::service_unavailable, DescribeProgressReason(decision.reason),
+          decision.reason == ProgressReason::kQuarantined ? std::nullopt
+                                                          : this->ComputeReturn(now));
       break;
     case ProgressAction::kFailUnknown:
       this->LogEnd(decision, 502);
@@ -259,9 +266,8 @@
 
 Awaitable<void> CallerRequest::SendRefusal(http::status status, std::string_view reason,
                                            std::optional<Duration> return_after) {
-  this->context.metrics.AddCount("refusals",
-                                 fmt::format("status=\"{}\",reason=\"{}\"",
-                                             static_cast<unsigned>(status), reason));
+  this->context.metrics.AddCount("refusals", fmt::format("status=\"{}\",reason=\"{}\"",
+                                                         static_cast<unsigned>(status), reason));
   ServerExchange::Answer answer(status, 11);
   if (return_after.has_value()) {
     answer.set(http::field::retry_after,
@@ -274,14 +280,16 @@
 
 void CallerRequest::LogEnd(const ProgressDecision& decision, unsigned status) const {
   this->context.metrics.AddCount("requests", fmt::format("status=\"{}\"", status));
-  EventLog::Write(Event::kRequestEnded,
-                  "request={} route={} version={} service={} status={} reason={} last={} refused={} "
-                  "time_left_ms={} after_ms={}",
-                  this->head.request_id, this->route->name, this->index->GetTable().version,
-                  this->service, status, DescribeProgressReason(decision.reason),
-                  this->last_reason, this->refused_by.size(),
-                  CountMilliseconds(this->facts.deadline - GetNow()),
-                  CountMilliseconds(GetNow() - this->facts.arrived_at));
+  EventLog::Write(
+      Event::kRequestEnded,
+      "request={} path={} route={} version={} service={} status={} reason={} last={} refused={} "
+      "time_left_ms={} age_ms={} after_ms={}",
+      this->head.request_id, this->exchange.GetTarget(), this->route->name,
+      this->index->GetTable().version, this->service, status,
+      DescribeProgressReason(decision.reason), this->last_reason, this->refused_by.size(),
+      CountMilliseconds(this->facts.deadline - GetNow()),
+      CountMilliseconds(GetNow() - this->first_arrival),
+      CountMilliseconds(GetNow() - this->facts.arrived_at));
 }
 
 }  // namespace lacewingbridge
--- a/Source/Proxy/caller_request.h
+++ b/Source/Proxy/caller_request.h
@@ -1,6 +1,7 @@
 #ifndef LACEWINGBRIDGE_SOURCE_PROXY_CALLER_REQUEST_H_
 #define LACEWINGBRIDGE_SOURCE_PROXY_CALLER_REQUEST_H_
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -52,6 +53,9 @@
   std::shared_ptr<const RouteIndex> index;
   const HostRoute* route = nullptr;
   std::string service;
+  // Of target and body: the same request, sent again, has the same one.
+  std::uint64_t fingerprint = 0;
+  TimePoint first_arrival;
   RequestFacts facts;
   std::optional<RequestProgress> progress;
   std::vector<std::string> refused_by;
--- a/Source/Proxy/header_fields.cc
+++ b/Source/Proxy/header_fields.cc
@@ -60,10 +60,9 @@
   const std::vector<std::string> tokens = GetConnectionTokens(from);
   for (const auto& field : from) {
     const std::string name = ToLower({field.name_string().data(), field.name_string().size()});
-    const bool of_connection =
-        std::find(kConnectionHeaders.begin(), kConnectionHeaders.end(), name) !=
-            kConnectionHeaders.end() ||
-        std::find(tokens.begin(), tokens.end(), name) != tokens.end();
+    const bool of_connection = std::find(kConnectionHeaders.begin(), kConnectionHeaders.end(),
+                                         name) != kConnectionHeaders.end() ||
+                               std::find(tokens.begin(), tokens.end(), name) != tokens.end();
     if (!of_connection && name != ToLower(kHopRequestHeader) && name != ToLower(kHopReportHeader)) {
       to.insert(field.name_string(), field.value());
     }
--- a/Source/Proxy/mesh_state.cc
+++ b/Source/Proxy/mesh_state.cc
@@ -115,11 +115,17 @@
   });
 }
 
-Duration MeshState::EstimateAge(std::string_view route, Duration time_left) {
+TimePoint MeshState::FindFirstArrival(TimePoint now, std::string_view route,
+                                      std::uint64_t fingerprint) {
   return this->routes.WithShard(HashBytes(route), [&](RouteShard& shard) {
-    auto [found, added] = shard.longest_time_left.try_emplace(std::string(route), time_left);
-    found->second = std::max(found->second, time_left);
-    return found->second - time_left;
+    return shard.returning.FindFirstArrival(now, fingerprint);
+  });
+}
+
+void MeshState::NoteUnserved(TimePoint first_arrival, std::string_view route,
+                             std::uint64_t fingerprint) {
+  this->routes.WithShard(HashBytes(route), [&](RouteShard& shard) {
+    shard.returning.NoteUnserved(first_arrival, fingerprint);
   });
 }
 
@@ -174,9 +180,8 @@
 
 ProgressDecision MeshState::DecideNext(TimePoint now, std::string_view service, const HopEnd& end,
                                        RequestProgress& progress) {
-  return this->WithService(service, [&](ServiceState& state) {
-    return progress.NoteHopEnd(now, end, state.budget);
-  });
+  return this->WithService(
+      service, [&](ServiceState& state) { return progress.NoteHopEnd(now, end, state.budget); });
 }
 
 std::optional<Duration> MeshState::EstimateReturn(TimePoint now, std::string_view service) {
--- a/Source/Proxy/mesh_state.h
+++ b/Source/Proxy/mesh_state.h
@@ -17,6 +17,7 @@
 #include "Membership/host_directory.h"
 #include "Proxy/mesh_identity.h"
 #include "Retry/request_progress.h"
+#include "Retry/returning_requests.h"
 #include "Routing/hop_placement.h"
 #include "Routing/route_index.h"
 #include "Routing/split_rotation.h"
@@ -50,9 +51,9 @@
 
   // Service that runs the next request of the route.
   std::string PickDestination(const HostRoute& route, std::mt19937_64& random);
-  // How long ago the caller has sent the request for the first time, from the time that it
-  // still waits: callers of a route wait equally long, and a repeated request has less left.
-  Duration EstimateAge(std::string_view route, Duration time_left);
+  // When a caller of this host sent the request for the first time; see ReturningRequests.
+  TimePoint FindFirstArrival(TimePoint now, std::string_view route, std::uint64_t fingerprint);
+  void NoteUnserved(TimePoint first_arrival, std::string_view route, std::uint64_t fingerprint);
   double GetAnswerBytes(std::string_view route);
   void RecordAnswerBytes(std::string_view route, std::uint64_t bytes);
 
@@ -84,7 +85,7 @@
   struct RouteShard {
     SplitRotation rotation;
     std::map<std::string, double, std::less<>> answer_bytes;
-    std::map<std::string, Duration, std::less<>> longest_time_left;
+    ReturningRequests returning;
   };
 
   template <typename Action>
--- a/Source/Proxy/peer_request.cc
+++ b/Source/Proxy/peer_request.cc
@@ -51,13 +51,14 @@
     co_return false;
   }
   auto wait = std::make_shared<SlotWait>(this->shard.GetContext());
-  const GateVerdict verdict = this->context.gate.Offer(
-      this->arrived_at, this->hop, this->offer, [wait, &io = this->shard.GetContext()](bool admitted) {
-        asio::post(io, [wait, admitted] {
-          wait->admitted = admitted;
-          wait->signal.Notify();
-        });
-      });
+  const GateVerdict verdict =
+      this->context.gate.Offer(this->arrived_at, this->hop, this->offer,
+                               [wait, &io = this->shard.GetContext()](bool admitted) {
+                                 asio::post(io, [wait, admitted] {
+                                   wait->admitted = admitted;
+                                   wait->signal.Notify();
+                                 });
+                               });
   if (verdict == GateVerdict::kAdmitted) {
     co_return true;
   }
@@ -132,9 +133,9 @@
   const OutboundOptions options{kConnectLimit,
                                 this->hop.idempotent ? kAssumedIdleLimit * 10 : kMaxIdleForUnsafe,
                                 kAssumedIdleLimit};
-  const ExchangeStatus status = co_await this->to_target->Start(
-      request, this->exchange.IsBodyComplete() ? nullptr : &rest,
-      this->offer.deadline - this->started_at, options);
+  const ExchangeStatus status =
+      co_await this->to_target->Start(request, this->exchange.IsBodyComplete() ? nullptr : &rest,
+                                      this->offer.deadline - this->started_at, options);
   this->to_target->LimitSilence(kAnswerSilence);
   co_return status;
 }
@@ -211,15 +212,14 @@
 }
 
 void PeerRequest::Log(const HopReport& report, unsigned status) const {
-  EventLog::Write(Event::kTargetHopEnded,
-                  "sender={} target={} outcome={} reason={} status={} priority={} running={} "
-                  "waiting={} slots={} waited_ms={} after_ms={}",
-                  this->hop.sender, report.target_id, GetName(report.outcome), report.reason,
-                  status, this->hop.priority, report.running, report.waiting, report.slots,
-                  this->started_at == TimePoint()
-                      ? 0
-                      : CountMilliseconds(this->started_at - this->arrived_at),
-                  CountMilliseconds(GetNow() - this->arrived_at));
+  EventLog::Write(
+      Event::kTargetHopEnded,
+      "sender={} target={} outcome={} reason={} status={} priority={} running={} "
+      "waiting={} slots={} waited_ms={} after_ms={}",
+      this->hop.sender, report.target_id, GetName(report.outcome), report.reason, status,
+      this->hop.priority, report.running, report.waiting, report.slots,
+      this->started_at == TimePoint() ? 0 : CountMilliseconds(this->started_at - this->arrived_at),
+      CountMilliseconds(GetNow() - this->arrived_at));
 }
 
 }  // namespace lacewingbridge
--- a/Source/Proxy/peer_request.h
+++ b/Source/Proxy/peer_request.h
@@ -25,8 +25,8 @@
 // it on and says on the way back what became of it.
 class PeerRequest {
  public:
-  PeerRequest(const ProxyContext& proxy_context, IoShard& io_shard,
-              ServerExchange& server_exchange, HopRequest hop_request);
+  PeerRequest(const ProxyContext& proxy_context, IoShard& io_shard, ServerExchange& server_exchange,
+              HopRequest hop_request);
 
   template <ProxyWire Wire>
   Awaitable<void> Run() {
--- a/Source/Proxy/proxy_wire.h
+++ b/Source/Proxy/proxy_wire.h
@@ -47,12 +47,12 @@
 
 // Names of headers that callers and targets use.
 template <typename Wire>
-concept ProxyWire =
-    requires(const http::fields& read, http::fields& written, const TargetHead& head) {
-      { Wire::ReadCallerHead(read) } -> std::same_as<CallerHead>;
-      { Wire::ReadAnswerHead(read) } -> std::same_as<TargetAnswerHead>;
-      Wire::WriteTargetHead(written, head);
-    };
+concept ProxyWire = requires(const http::fields& read, http::fields& written,
+                             const TargetHead& head) {
+  { Wire::ReadCallerHead(read) } -> std::same_as<CallerHead>;
+  { Wire::ReadAnswerHead(read) } -> std::same_as<TargetAnswerHead>;
+  Wire::WriteTargetHead(written, head);
+};
 
 }  // namespace lacewingbridge
 
--- a/Source/Proxy/target_gate.cc
+++ b/Source/Proxy/target_gate.cc
@@ -120,9 +120,8 @@
 
 AnnouncementVerdict TargetGate::NoteAnnouncement(TimePoint now,
                                                  const TargetAnnouncement& announcement) {
-  return this->Change(now, [&](std::vector<Notification>&) {
-    return this->target.NoteAnnouncement(announcement);
-  });
+  return this->Change(
+      now, [&](std::vector<Notification>&) { return this->target.NoteAnnouncement(announcement); });
 }
 
 void TargetGate::NoteLeft(TimePoint now, std::string_view id, std::uint64_t born_unix_ms) {
@@ -139,8 +138,7 @@
   });
 }
 
-void TargetGate::NoteHealth(TimePoint now, bool healthy, std::string_view id,
-                            std::uint32_t slots) {
+void TargetGate::NoteHealth(TimePoint now, bool healthy, std::string_view id, std::uint32_t slots) {
   this->Change(now, [&](std::vector<Notification>&) {
     this->target.NoteHealth(healthy, id, slots);
     return true;
@@ -155,8 +153,8 @@
 }
 
 bool TargetGate::TakeProofTurn(TimePoint now) {
-  return this->Change(
-      now, [&](std::vector<Notification>&) { return this->target.TakeProofTurn(now); });
+  return this->Change(now,
+                      [&](std::vector<Notification>&) { return this->target.TakeProofTurn(now); });
 }
 
 HopReport TargetGate::MakeReport(TimePoint now, std::uint32_t priority) {
--- a/Source/Retry/fleet_retry_budget.h
+++ b/Source/Retry/fleet_retry_budget.h
@@ -11,10 +11,10 @@
 
 // Bound on the repeated arrivals at one service, over all daemons together.
 struct RetryBound {
-  double ratio = 0.2;        // of the requests for the service
-  double slack = 0;          // arrivals in addition to the ratio
-  Duration window{0};        // any span of this length counts
-  std::size_t daemons = 1;   // that share the slack
+  double ratio = 0.2;       // of the requests for the service
+  double slack = 0;         // arrivals in addition to the ratio
+  Duration window{0};       // any span of this length counts
+  std::size_t daemons = 1;  // that share the slack
 };
 
 // This daemon's share of a fleet-wide retry bound for one service. No daemon knows the
--- a/Source/Retry/request_progress.cc
+++ b/Source/Retry/request_progress.cc
@@ -93,8 +93,7 @@
       if (end.status < kFirstServerError || !this->facts.idempotent) {
         return {ProgressAction::kDeliver, ProgressReason::kAnswered};
       }
-      const ProgressDecision repeat =
-          this->DecideRepeat(now, ProgressReason::kMayRunAgain, budget);
+      const ProgressDecision repeat = this->DecideRepeat(now, ProgressReason::kMayRunAgain, budget);
       // The target's own failure is a better answer than one made up here.
       return repeat.action == ProgressAction::kPlace
                  ? repeat
--- a/Source/Retry/request_progress.h
+++ b/Source/Retry/request_progress.h
@@ -14,11 +14,11 @@
 class FleetRetryBudget;
 
 enum class ProgressAction {
-  kPlace,       // send it to a further daemon
-  kDeliver,     // pass the target's answer on
-  kRefuse,      // it has not run and never will: the caller may send it again
-  kFailUnknown, // it may have run, and no usable answer came
-  kTimeout,     // its time is over, and it may have run
+  kPlace,        // send it to a further daemon
+  kDeliver,      // pass the target's answer on
+  kRefuse,       // it has not run and never will: the caller may send it again
+  kFailUnknown,  // it may have run, and no usable answer came
+  kTimeout,      // its time is over, and it may have run
 };
 
 // One reason for each way a decision can come about, for logs and metrics.
--- a/Source/Retry/return_interval.h
+++ b/Source/Retry/return_interval.h
@@ -27,8 +27,8 @@
   }
   // Returns are spread over half of the wait, so that they do not arrive as a new burst.
   const Duration latest = std::min(earliest + earliest / 2, most);
-  return Duration(std::uniform_int_distribution<Duration::rep>(earliest.count(),
-                                                               latest.count())(random));
+  return Duration(
+      std::uniform_int_distribution<Duration::rep>(earliest.count(), latest.count())(random));
 }
 
 }  // namespace lacewingbridge
--- a/Source/Routing/hop_placement.cc
+++ b/Source/Routing/hop_placement.cc
@@ -1,6 +1,7 @@
 #include "Routing/hop_placement.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lacewingbridge {
 
@@ -14,6 +15,19 @@
   return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
 }
 
+// Part of the requests that need longer than the time left. The time of a request is spread
+// around its mean like a log-logistic distribution: one in two takes longer than the mean,
+// one in nine longer than 1.5 times, one in thirty longer than twice the mean.
+double EstimateLateness(Duration time_left, Duration mean) {
+  constexpr double kShape = 5;
+  if (time_left <= Duration{0}) {
+    return 1;
+  }
+  const double ratio = static_cast<double>(time_left.count()) /
+                       static_cast<double>(std::max(mean, Duration{1}).count());
+  return 1 / (1 + std::pow(ratio, kShape));
+}
+
 }  // namespace
 
 HopPlacement::Distance HopPlacement::GetDistance(const HostRecord& record) const {
@@ -123,15 +137,15 @@
   const Duration service_time = candidate.has_report
                                     ? FromMilliseconds(candidate.report.service_time_ms)
                                     : kInitialServiceTime;
-  const Duration finish =
-      Scale(this->EstimateWait(now, candidate) + service_time, jitter) + kRoundTrips[distance];
+  const Duration wait = Scale(this->EstimateWait(now, candidate), jitter) + kRoundTrips[distance];
+  const double late = EstimateLateness(need.objective_left - wait, service_time);
   const double kilobytes = need.answer_bytes / 1024 + kHeadKilobytes;
-  Duration cost = finish + Scale(kPricePerKilobyte[distance], kilobytes);
-  if (finish > need.objective_left) {
-    // An answer after the objective loses most of its worth.
-    cost += std::max(need.objective_left, need.time_left / 2);
+  // A target that has not reported yet gets one request, so that a new one is brought in.
+  if (!candidate.has_report && candidate.in_flight == 0 && kilobytes <= kMaxTrialKilobytes) {
+    return kRoundTrips[distance];
   }
-  return cost;
+  return wait + Scale(service_time, jitter) + Scale(need.time_left, late * kLatePrice) +
+         Scale(kPricePerKilobyte[distance], kilobytes);
 }
 
 std::optional<HopChoice> HopPlacement::ChooseFor(TimePoint now, const HopNeed& need,
--- a/Source/Routing/hop_placement.h
+++ b/Source/Routing/hop_placement.h
@@ -89,6 +89,11 @@
       std::chrono::microseconds(15000)};
   // Head of a request and an answer, billed with every hop.
   static constexpr double kHeadKilobytes = 0.8;
+  // Waiting that a late answer is worth, as a part of the caller's time: about seven tenths
+  // of an answer's worth are lost, in the same measure as the price of bytes.
+  static constexpr double kLatePrice = 0.25;
+  // A longer answer is not sent over a billed link to try a new target.
+  static constexpr double kMaxTrialKilobytes = 32;
   // Until a report tells better.
   static constexpr Duration kInitialServiceTime = std::chrono::milliseconds(50);
   // Pause of a peer that failed, doubled with each further failure.
--- a/Tests/Fakes/http_loopback.h
+++ b/Tests/Fakes/http_loopback.h
@@ -21,9 +21,7 @@
 
   explicit FunctionHandler(Function answer_function) : answer(std::move(answer_function)) {}
 
-  Awaitable<void> Handle(IoShard&, ServerExchange& exchange) {
-    co_await this->answer(exchange);
-  }
+  Awaitable<void> Handle(IoShard&, ServerExchange& exchange) { co_await this->answer(exchange); }
   ServerLimits GetLimits() const { return this->limits; }
   void NoteOpened() { ++this->opened; }
   void NoteClosed() { ++this->closed; }
@@ -40,10 +38,9 @@
 // one thread.
 class HttpLoopback {
  public:
-  explicit HttpLoopback(FunctionHandler& handler)
-      : shard(1), client(this->shard.GetContext()) {
-    asio::ip::tcp::acceptor acceptor(
-        this->shard.GetContext(), asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  explicit HttpLoopback(FunctionHandler& handler) : shard(1), client(this->shard.GetContext()) {
+    asio::ip::tcp::acceptor acceptor(this->shard.GetContext(),
+                                     asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
     this->client.connect(acceptor.local_endpoint());
     TcpSocket accepted = acceptor.accept();
     std::make_shared<ServerConnection<FunctionHandler>>(this->shard, std::move(accepted), handler)
--- a/Tests/Fakes/overload_replay.h
+++ b/Tests/Fakes/overload_replay.h
@@ -87,8 +87,7 @@
     for (TimePoint at; at - TimePoint() < length; at += FromSeconds(gap(this->random))) {
       const RequestId id = ++this->last_id;
       const double work = std::chrono::duration<double>(load.mean_work).count();
-      this->requests[id] = {at, index, FromSeconds(work * spread(this->random)),
-                            load.returns};
+      this->requests[id] = {at, index, FromSeconds(work * spread(this->random)), load.returns};
       this->events.push({at, false, id, index});
     }
   }
--- a/Tests/Fuzz/version_world.h
+++ b/Tests/Fuzz/version_world.h
@@ -11,10 +11,10 @@
 #include <vector>
 
 #include "Core/digest.h"
-#include "Observe/event_log.h"
 #include "Fuzz/fuzz_step.h"
 #include "Fuzz/version_node.h"
 #include "Fuzz/version_submission.h"
+#include "Observe/event_log.h"
 #include "Rules/rules_delta.h"
 
 namespace lacewingbridge {
--- a/Tests/test_node_http.cc
+++ b/Tests/test_node_http.cc
@@ -59,7 +59,16 @@
     this->running = false;
   }
 
+  Awaitable<void> RunThenAnswer(ServerExchange& exchange) {
+    AsyncSignal signal(*this->context);
+    this->finish = &signal;
+    co_await signal.WaitFor(seconds(60));
+    this->finish = nullptr;
+    co_await AnswerEcho(exchange);
+  }
+
   asio::io_context* context = nullptr;
+  AsyncSignal* finish = nullptr;
   bool running = false;
   bool left = false;
 };
@@ -90,8 +99,9 @@
       const std::string body(*rc::gen::inRange<std::size_t>(0, 30), 'x');
       const std::string target = "/r" + std::to_string(i);
       if (*rc::gen::arbitrary<bool>()) {
-        bytes += "POST " + target + " HTTP/1.1\r\nHost: a\r\nContent-Length: " +
-                 std::to_string(body.size()) + "\r\n\r\n" + body;
+        bytes += "POST " + target +
+                 " HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(body.size()) +
+                 "\r\n\r\n" + body;
       } else {
         bytes += "POST " + target + " HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
         if (!body.empty()) {
@@ -169,6 +179,45 @@
   cr_assert_eq(handler.closed, 1);
 }
 
+// The pattern of callers that pipeline: a slow request first, a quick one behind it.
+Test(node_http, handles_pipelined_requests_side_by_side_and_answers_in_order) {
+  WaitingAnswer waiting;
+  std::vector<std::string> handled;
+  FunctionHandler handler([&](ServerExchange& exchange) {
+    handled.emplace_back(exchange.GetTarget());
+    return exchange.GetTarget() == "/slow" ? waiting.RunThenAnswer(exchange) : AnswerEcho(exchange);
+  });
+  HttpLoopback loopback(handler);
+  waiting.context = &loopback.GetShard().GetContext();
+  loopback.Write(
+      "GET /slow HTTP/1.1\r\nHost: a\r\n\r\nGET /quick HTTP/1.1\r\nHost: a\r\n\r\n"
+      "POST /change HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+  cr_assert(loopback.Read().empty());
+  cr_assert(handled == std::vector<std::string>({"/slow", "/quick"}));
+  waiting.finish->Notify();
+  const std::string received = loopback.Read();
+  const std::vector<std::string> lines = GetLines(received, "|");
+  cr_assert(lines == std::vector<std::string>({"/slow|", "/quick|", "/change|"}), "%s",
+            received.c_str());
+}
+
+// A connection whose last answer closed it once kept its thread busy until its client left.
+Test(node_http, rests_while_a_closed_connection_waits_for_its_client) {
+  FunctionHandler handler([](ServerExchange& exchange) {
+    exchange.CloseAfter();
+    return AnswerEcho(exchange);
+  });
+  HttpLoopback loopback(handler);
+  loopback.Write("GET /last HTTP/1.1\r\nHost: a\r\n\r\nGET /un");
+  loopback.Read();
+  loopback.GetShard().GetContext().restart();
+  // Each wake-up runs a handler; a connection at rest has a few timers at most.
+  cr_assert_leq(loopback.GetShard().GetContext().poll(), 10);
+  loopback.Close();
+  loopback.Read();
+  cr_assert_eq(handler.closed, 1);
+}
+
 Test(node_http, an_answer_that_breaks_off_does_not_look_complete) {
   FunctionHandler handler(BreakOff);
   HttpLoopback loopback(handler);
--- a/Tests/test_platform_decoding.cc
+++ b/Tests/test_platform_decoding.cc
@@ -118,9 +118,8 @@
 }
 
 Test(platform_decoding, reads_announcements_and_refuses_unreadable_ones) {
-  const std::string text =
-      R"({"address":"10.0.0.1:1","info":{"service":"book","slots":9},)"
-      R"("status":{"state":"draining","sequence":4},"born":1780000000123})";
+  const std::string text = R"({"address":"10.0.0.1:1","info":{"service":"book","slots":9},)"
+                           R"("status":{"state":"draining","sequence":4},"born":1780000000123})";
   const Result<TargetAnnouncement> announcement = DecodeAnnouncement("i-1", text);
   cr_assert(IsOk(announcement));
   cr_assert(GetValue(announcement).draining);
--- a/Tests/test_request_progress.cc
+++ b/Tests/test_request_progress.cc
@@ -7,9 +7,9 @@
 #include <random>
 #include <vector>
 
+#include "Retry/fleet_retry_budget.h"
 #include "Retry/request_progress.h"
 #include "Retry/return_interval.h"
-#include "Retry/fleet_retry_budget.h"
 
 using namespace lacewingbridge;  // NOLINT(google-build-using-namespace)
 using std::chrono::milliseconds;
@@ -39,9 +39,9 @@
 }  // namespace
 
 Test(request_progress, keeps_its_promises_for_every_sequence_of_hops) {
-  constexpr std::array<HopOutcome, 6> kOutcomes = {
-      HopOutcome::kRefused, HopOutcome::kNotRun,      HopOutcome::kUnknown,
-      HopOutcome::kAnswered, HopOutcome::kQuarantined, HopOutcome::kNone};
+  constexpr std::array<HopOutcome, 6> kOutcomes = {HopOutcome::kRefused,     HopOutcome::kNotRun,
+                                                   HopOutcome::kUnknown,     HopOutcome::kAnswered,
+                                                   HopOutcome::kQuarantined, HopOutcome::kNone};
   cr_assert(rc::check([&] {
     const bool idempotent = *rc::gen::arbitrary<bool>();
     const std::uint32_t attempts = *rc::gen::inRange(1U, 4U);
@@ -97,9 +97,8 @@
 Test(return_interval, invites_only_where_a_return_can_succeed) {
   std::mt19937_64 random(1);
   cr_assert(!ComputeReturnInterval(seconds(1), seconds(2), milliseconds(100), random).has_value());
-  cr_assert(
-      !ComputeReturnInterval(milliseconds(50), milliseconds(120), milliseconds(100), random)
-           .has_value());
+  cr_assert(!ComputeReturnInterval(milliseconds(50), milliseconds(120), milliseconds(100), random)
+                 .has_value());
 }
 
 Test(return_interval, spreads_the_returns_of_a_burst) {
--- /dev/null
+++ b/Tests/test_returning_requests.cc
@@ -0,0 +1,37 @@
+// Guards against a request that counts as new each time it comes back, and against one that
+// counts as old because its caller is less patient than others.
+#include <criterion/criterion.h>
+
+#include "Retry/returning_requests.h"
+
+using namespace lacewingbridge;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+TimePoint At(int ms) { return TimePoint(milliseconds(ms)); }
+
+}  // namespace
+
+Test(returning_requests, counts_from_the_first_arrival) {
+  ReturningRequests requests;
+  cr_assert(requests.FindFirstArrival(At(100), 7) == At(100));
+  requests.NoteUnserved(At(100), 7);
+  cr_assert(requests.FindFirstArrival(At(400), 7) == At(100));
+  requests.NoteUnserved(At(100), 7);
+  cr_assert(requests.FindFirstArrival(At(900), 7) == At(100));
+  cr_assert(requests.FindFirstArrival(At(900), 8) == At(900));
+}
+
+Test(returning_requests, forgets_after_a_while_and_stays_bounded) {
+  ReturningRequests requests;
+  requests.NoteUnserved(At(0), 7);
+  const TimePoint later = At(1) + ReturningRequests::kMemory;
+  cr_assert(requests.FindFirstArrival(later, 7) == later);
+  cr_assert_eq(requests.GetCount(), 0);
+  for (std::uint64_t i = 0; i < 3 * ReturningRequests::kMaxRemembered; ++i) {
+    requests.NoteUnserved(later, i);
+  }
+  cr_assert_eq(requests.GetCount(), ReturningRequests::kMaxRemembered);
+}
--- a/Tests/test_target_admission.cc
+++ b/Tests/test_target_admission.cc
@@ -49,8 +49,8 @@
 // late by then, and must not displace those that can still be on time. Nine slots finish
 // 90 a second; three quarters of them, near the users' target of 0.78, have to be on time.
 Test(target_admission, serves_new_requests_on_time_beside_callers_that_come_back) {
-  const ReplayLoad lookups{126, 2, milliseconds(100), milliseconds(300), milliseconds(2000),
-                           2,   milliseconds(200)};
+  const ReplayLoad lookups{
+      126, 2, milliseconds(100), milliseconds(300), milliseconds(2000), 2, milliseconds(200)};
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
     const ReplayResult result = OverloadReplay(9, seed).Run({lookups}, seconds(30))[0];
     cr_assert_geq(result.on_time, 0.75 * 90 * 30, "seed %d: %u on time, %u late, %u refused",
@@ -63,8 +63,7 @@
 Test(target_admission, serves_urgent_checks_on_time_beside_an_overload) {
   const ReplayLoad checks{60, 0, milliseconds(22), milliseconds(100), milliseconds(250)};
   const ReplayLoad orders{90, 1, milliseconds(120), milliseconds(400), milliseconds(2500)};
-  const std::vector<ReplayResult> results =
-      OverloadReplay(9, 3).Run({checks, orders}, seconds(20));
+  const std::vector<ReplayResult> results = OverloadReplay(9, 3).Run({checks, orders}, seconds(20));
   cr_assert_geq(results[0].on_time, 0.95 * results[0].arrived);
 }
 
--- a/Utilities/run_format.sh
+++ b/Utilities/run_format.sh
@@ -4,6 +4,6 @@
 cd "$(dirname "$0")/.."
 mode=(-i)
 if [[ "${1:-}" == "--check" ]]; then mode=(--dry-run --Werror); fi
-mapfile -t files < <(find . \( -path ./build -o -path ./Source/Generated \) -prune \
+mapfile -t files < <(find . \( -path ./build -o -path ./target -o -path ./Source/Generated \) -prune \
   -o \( -name '*.cc' -o -name '*.h' \) -print)
 clang-format "${mode[@]}" "${files[@]}"
--- a/Utilities/run_lint.sh
+++ b/Utilities/run_lint.sh
@@ -6,7 +6,7 @@
 if [[ $# -gt 0 ]]; then
   files=("$@")
 else
-  mapfile -t files < <(find Source Utilities -name '*.cc' |
+  mapfile -t files < <(find Source Utilities platform -name '*.cc' |
     grep -v -e '^Source/Generated/' -e '^Utilities/SchemaGenerator/')
 fi
 report=$(mktemp)
