--- a/Source/Http/inbound_bytes.h
+++ b/Source/Http/inbound_bytes.h
@@ -16,7 +16,7 @@
 class InboundBytes {
  public:
   // Room for a few pipelined requests, or for a chunk of a body.
-  static constexpr std::size_t kMaxHeldBytes = 64 * 1024;
+  static constexpr std::size_t kMaxHeldBytes = std::size_t{64} * 1024;
 
   InboundBytes(asio::io_context& context, TcpSocket& from);
 
@@ -46,7 +46,7 @@
 
  private:
   // Requests of today have heads of about 300 bytes; thousands of connections may be open.
-  static constexpr std::size_t kReadBytes = 2 * 1024;
+  static constexpr std::size_t kReadBytes = std::size_t{2} * 1024;
 
   TcpSocket& socket;
   boost::beast::flat_buffer buffer;
--- a/Source/Http/outbound_exchange.cc
+++ b/Source/Http/outbound_exchange.cc
@@ -147,7 +147,7 @@
 }
 
 Awaitable<BodyStatus> OutboundExchange::ReadBody(std::string& body, std::size_t max_bytes) {
-  constexpr std::size_t kChunkBytes = 16 * 1024;
+  constexpr std::size_t kChunkBytes = std::size_t{16} * 1024;
   std::size_t read = 0;
   while (!this->parser->is_done() && read < max_bytes) {
     const std::size_t old_size = body.size();
--- a/Source/Http/server_connection.h
+++ b/Source/Http/server_connection.h
@@ -121,8 +121,11 @@
     }
   }
 
+  // Requests that are handled beside the reading of the next one.
+  std::size_t GetRunningCount() const { return this->running; }
+
   Awaitable<void> WaitForRunning(std::size_t most) {
-    while (this->running > most) {
+    while (this->GetRunningCount() > most) {
       co_await this->run_ended.WaitFor(kRecheckInterval);
     }
   }
--- a/Source/Http/server_exchange.cc
+++ b/Source/Http/server_exchange.cc
@@ -83,7 +83,7 @@
 }
 
 Awaitable<ReadProblem> ServerExchange::ReadSome(std::string& into, std::size_t max_bytes) {
-  constexpr std::size_t kChunkBytes = 16 * 1024;
+  constexpr std::size_t kChunkBytes = std::size_t{16} * 1024;
   bool starved = false;
   while (!this->parser.is_done() && into.size() < max_bytes) {
     if (starved || this->bytes.GetBytes().size() == 0) {
--- a/Source/Http/server_exchange.h
+++ b/Source/Http/server_exchange.h
@@ -26,7 +26,7 @@
   using Answer = http::response<http::string_body>;
 
   // A body up to this size is held in memory, so that the request can be sent again.
-  static constexpr std::size_t kMaxHeldBody = 64 * 1024;
+  static constexpr std::size_t kMaxHeldBody = std::size_t{64} * 1024;
 
   ServerExchange(asio::io_context& context, TcpSocket& to, InboundBytes& from,
                  AnswerOrder& answer_order, const ServerLimits& server_limits);
--- a/Source/Http/server_limits.h
+++ b/Source/Http/server_limits.h
@@ -10,7 +10,7 @@
 // What a client of a listener may send and how long it may take.
 struct ServerLimits {
   std::uint32_t max_header_bytes = 64 * 1024;
-  std::uint64_t max_body_bytes = 64 * 1024 * 1024;
+  std::uint64_t max_body_bytes = std::uint64_t{64} * 1024 * 1024;
   // From the first byte of a request to the end of its head.
   Duration header_timeout = std::chrono::seconds(10);
   // Without any byte between requests, or on either side within one.
--- a/Source/Membership/host_directory.cc
+++ b/Source/Membership/host_directory.cc
@@ -28,12 +28,12 @@
   for (const HostRecord& record : records) {
     changed = this->Merge(record) || changed;
   }
-  for (const auto& [host, entry] : this->entries) {
+  for (const auto& item : this->entries) {
     const bool listed =
         std::any_of(records.begin(), records.end(),
-                    [&host](const HostRecord& record) { return record.host == host; });
+                    [&item](const HostRecord& record) { return record.host == item.first; });
     if (!listed) {
-      this->Remove(now, host);
+      this->Remove(now, item.first);
     }
   }
   return changed;
--- a/Source/Node/snapshot_fetcher.h
+++ b/Source/Node/snapshot_fetcher.h
@@ -27,7 +27,7 @@
   static constexpr Duration kConnectLimit = std::chrono::milliseconds(300);
   static constexpr Duration kAnswerLimit = std::chrono::seconds(1);
   // A table of 1 MB with a thousand hosts fits.
-  static constexpr std::size_t kMaxBytes = 4 * 1024 * 1024;
+  static constexpr std::size_t kMaxBytes = std::size_t{4} * 1024 * 1024;
 
   Awaitable<void> Fetch(std::string peer_address);
   Awaitable<void> FetchFrom(const std::string& peer_address);
--- a/Source/Proxy/answer_relay.cc
+++ b/Source/Proxy/answer_relay.cc
@@ -8,7 +8,7 @@
 namespace {
 
 // Held in memory between a fast sender and a slow reader.
-constexpr std::size_t kPartBytes = 32 * 1024;
+constexpr std::size_t kPartBytes = std::size_t{32} * 1024;
 
 Awaitable<bool> WritePart(TcpSocket& to, std::string_view part, bool chunked) {
   ErrorCode code;
--- a/Source/Proxy/answer_relay.h
+++ b/Source/Proxy/answer_relay.h
@@ -13,7 +13,7 @@
 // An answer with the begin of its body. Up to kMaxHeldAnswer bytes are read before any of
 // it is passed on, so that a request whose answer breaks off can still be sent again.
 struct HeldAnswer {
-  static constexpr std::size_t kMaxHeldAnswer = 64 * 1024;
+  static constexpr std::size_t kMaxHeldAnswer = std::size_t{64} * 1024;
 
   http::response_header<> head;
   std::string body;
--- a/Source/Routing/route_index.cc
+++ b/Source/Routing/route_index.cc
@@ -61,10 +61,11 @@
 const HostRoute* RouteIndex::Find(std::string_view host, std::string_view path) const {
   std::string_view prefix = path.substr(0, path.find('?'));
   const std::string key = MakeKey(host.substr(0, host.find(':')), prefix);
+  const std::string_view key_view = key;
   const std::size_t host_size = key.size() - prefix.size();
   // Every prefix ends with a slash, so only the path's own slashes have to be tried.
   for (std::size_t end = prefix.rfind('/'); end != std::string_view::npos;) {
-    const auto found = this->positions.find(std::string_view(key).substr(0, host_size + end + 1));
+    const auto found = this->positions.find(key_view.substr(0, host_size + end + 1));
     if (found != this->positions.end()) {
       return &this->table.routes[found->second];
     }
