proxy: Frame a forwarded request in one function

Cause: the caller's daemon and the daemon beside the target wrote the same framing twice. Change: MakeForwardedRequest serves both. Ruled out: nothing; behaviour stays as it is.

--- a/Source/Proxy/answer_relay.cc
+++ b/Source/Proxy/answer_relay.cc
@@ -3,6 +3,8 @@
 #include <string_view>
 #include <utility>
 
+#include "Proxy/header_fields.h"
+
 namespace lacewingbridge {
 
 namespace {
@@ -61,6 +63,26 @@
   co_return bytes;
 }
 
+OutboundExchange::Request MakeForwardedRequest(const ServerExchange& from) {
+  OutboundExchange::Request request;
+  request.method_string(from.GetHead().method_string());
+  request.target(from.GetHead().target());
+  request.version(11);
+  CopyEndToEndHeaders(from.GetHead(), request);
+  if (from.IsBodyComplete()) {
+    request.body() = from.GetBody();
+    // A method that usually has no body states a length only if it has one.
+    if (!request.body().empty() || from.GetLength().has_value()) {
+      request.content_length(request.body().size());
+    }
+  } else if (from.GetLength().has_value()) {
+    request.content_length(*from.GetLength());
+  } else {
+    request.chunked(true);
+  }
+  return request;
+}
+
 Awaitable<bool> RelayRequestBody(ServerExchange& from, bool chunked, TcpSocket& to) {
   bool sound = co_await WritePart(to, from.GetBody(), chunked);
   std::string part;
--- a/Source/Proxy/answer_relay.h
+++ b/Source/Proxy/answer_relay.h
@@ -28,6 +28,10 @@
 // Returns the number of bytes of the body.
 Awaitable<std::uint64_t> RelayAnswer(OutboundExchange& from, HeldAnswer& held, ServerExchange& to);
 
+// The request as it is passed on: method, target, end-to-end headers, and the body that is
+// held, in the framing of the one that was received.
+OutboundExchange::Request MakeForwardedRequest(const ServerExchange& from);
+
 // Writes the body of a request to another process: what was held, then the rest as it
 // arrives, in the framing of the request.
 Awaitable<bool> RelayRequestBody(ServerExchange& from, bool chunked, TcpSocket& to);
--- a/Source/Proxy/caller_request.cc
+++ b/Source/Proxy/caller_request.cc
@@ -134,11 +134,7 @@
 
 OutboundExchange::Request CallerRequest::MakeHopRequest(TimePoint now,
                                                         const HopChoice& choice) const {
-  OutboundExchange::Request request;
-  request.method_string(this->exchange.GetHead().method_string());
-  request.target(this->exchange.GetHead().target());
-  request.version(11);
-  CopyEndToEndHeaders(this->exchange.GetHead(), request);
+  OutboundExchange::Request request = MakeForwardedRequest(this->exchange);
   HopRequest hop_request;
   hop_request.service = this->service;
   hop_request.target_id = choice.target_id;
@@ -151,17 +147,6 @@
   hop_request.table_version = this->index->GetTable().version;
   hop_request.sender = this->context.state.GetIdentity().peer_address;
   SetHopRequest(request, hop_request);
-  if (this->exchange.IsBodyComplete()) {
-    request.body() = this->exchange.GetBody();
-    // A method that usually has no body states a length only if it has one.
-    if (!request.body().empty() || this->exchange.GetLength().has_value()) {
-      request.content_length(request.body().size());
-    }
-  } else if (this->exchange.GetLength().has_value()) {
-    request.content_length(*this->exchange.GetLength());
-  } else {
-    request.chunked(true);
-  }
   return request;
 }
 
--- a/Source/Proxy/peer_request.cc
+++ b/Source/Proxy/peer_request.cc
@@ -95,25 +95,6 @@
   co_return *wait->admitted;
 }
 
-OutboundExchange::Request PeerRequest::MakeTargetRequest() const {
-  OutboundExchange::Request request;
-  request.method_string(this->exchange.GetHead().method_string());
-  request.target(this->exchange.GetHead().target());
-  request.version(11);
-  CopyEndToEndHeaders(this->exchange.GetHead(), request);
-  if (this->exchange.IsBodyComplete()) {
-    request.body() = this->exchange.GetBody();
-    if (!request.body().empty() || this->exchange.GetLength().has_value()) {
-      request.content_length(request.body().size());
-    }
-  } else if (this->exchange.GetLength().has_value()) {
-    request.content_length(*this->exchange.GetLength());
-  } else {
-    request.chunked(true);
-  }
-  return request;
-}
-
 TargetHead PeerRequest::MakeTargetHead() const {
   TargetHead head;
   head.time_left = std::max(this->offer.deadline - GetNow(), Duration{0});
--- a/Source/Proxy/peer_request.h
+++ b/Source/Proxy/peer_request.h
@@ -34,7 +34,7 @@
     if (!admitted) {
       co_return;
     }
-    OutboundExchange::Request request = this->MakeTargetRequest();
+    OutboundExchange::Request request = MakeForwardedRequest(this->exchange);
     Wire::WriteTargetHead(request, this->MakeTargetHead());
     const std::string request_id = Wire::ReadCallerHead(request).request_id;
     ExchangeStatus status = co_await this->SendToTarget(request);
@@ -63,7 +63,6 @@
 
   Awaitable<bool> WaitForSlot();
   Awaitable<bool> WaitForTurn(const std::shared_ptr<SlotWait>& wait);
-  OutboundExchange::Request MakeTargetRequest() const;
   TargetHead MakeTargetHead() const;
   Awaitable<ExchangeStatus> SendToTarget(const OutboundExchange::Request& request);
   // Decides from the head of the answer and the begin of its body what became of it.
