proxy: Remove functions without a caller and a copy on the hot path

Cause: the read-through of the change found seven functions that nothing calls, and that each request beside the target built a whole record only to compare the service's name. Change: the functions are removed; LocalTarget::GetService serves the comparison. Behaviour stays as it is; no test or bound was touched.

--- a/Source/Http/connection_pool.cc
+++ b/Source/Http/connection_pool.cc
@@ -57,13 +57,6 @@
   found->second.push_back(std::move(connection));
 }
 
-void ConnectionPool::Drop(std::string_view address) {
-  const auto found = this->idle.find(address);
-  if (found != this->idle.end()) {
-    this->idle.erase(found);
-  }
-}
-
 void ConnectionPool::DropExpired(TimePoint now) {
   for (auto entry = this->idle.begin(); entry != this->idle.end();) {
     std::erase_if(entry->second, [now](const std::unique_ptr<OutboundConnection>& connection) {
@@ -73,12 +66,4 @@
   }
 }
 
-std::size_t ConnectionPool::GetIdleCount() const {
-  std::size_t count = 0;
-  for (const auto& [address, connections] : this->idle) {
-    count += connections.size();
-  }
-  return count;
-}
-
 }  // namespace lacewingbridge
--- a/Source/Http/connection_pool.h
+++ b/Source/Http/connection_pool.h
@@ -1,7 +1,6 @@
 #ifndef LACEWINGBRIDGE_SOURCE_HTTP_CONNECTION_POOL_H_
 #define LACEWINGBRIDGE_SOURCE_HTTP_CONNECTION_POOL_H_
 
-#include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
@@ -28,12 +27,8 @@
                                            Duration max_idle);
   void Return(TimePoint now, std::string_view address,
               std::unique_ptr<OutboundConnection> connection);
-  // The peer has restarted or gone.
-  void Drop(std::string_view address);
   void DropExpired(TimePoint now);
 
-  std::size_t GetIdleCount() const;
-
  private:
   std::map<std::string, std::vector<std::unique_ptr<OutboundConnection>>, std::less<>> idle;
 };
--- a/Source/Http/inbound_bytes.cc
+++ b/Source/Http/inbound_bytes.cc
@@ -10,7 +10,6 @@
     : socket(from), arrived(context), consumed(context) {}
 
 Awaitable<void> InboundBytes::Pump() {
-  this->pumping = true;
   ErrorCode code;
   this->socket.non_blocking(true, code);
   while (!code) {
@@ -34,7 +33,6 @@
     this->arrived.Notify();
   }
   this->ended = true;
-  this->pumping = false;
   this->arrived.Notify();
   // A listener may remove itself or others.
   const auto listeners = this->end_listeners;
--- a/Source/Http/inbound_bytes.h
+++ b/Source/Http/inbound_bytes.h
@@ -32,7 +32,6 @@
   Awaitable<bool> WaitForMore(Duration limit);
 
   bool HasEnded() const { return this->ended; }
-  bool IsPumping() const { return this->pumping; }
 
   // Called when the connection ends; each owner has one listener, an empty one removes it.
   void SetEndListener(const void* owner, std::function<void()> listener);
@@ -53,7 +52,6 @@
   AsyncSignal arrived;
   AsyncSignal consumed;
   std::map<const void*, std::function<void()>> end_listeners;
-  bool pumping = false;
   bool ended = false;
   bool stopped = false;
 };
--- a/Source/Http/server_exchange.h
+++ b/Source/Http/server_exchange.h
@@ -61,7 +61,6 @@
   // The answer ends early and must not look complete.
   void Abort();
 
-  bool HasAnswer() const { return this->answered; }
   // Whether a further request may follow on the connection.
   bool IsReusable() const;
 
--- a/Source/Membership/local_target.h
+++ b/Source/Membership/local_target.h
@@ -49,7 +49,7 @@
   bool IsAccepting(TimePoint now) const;
   // Empty until a target is known.
   const std::string& GetId() const { return this->id; }
-  std::uint64_t GetBorn() const { return this->born_unix_ms; }
+  const std::string& GetService() const { return this->service; }
   std::uint32_t GetSlots() const { return this->slots; }
   LocalTargetRecord MakeRecord() const;
 
--- a/Source/Proxy/target_gate.cc
+++ b/Source/Proxy/target_gate.cc
@@ -72,7 +72,7 @@
     if (!hop.target_id.empty() && hop.target_id != this->target.GetId()) {
       return GateVerdict::kWrongTarget;
     }
-    if (hop.service != this->target.MakeRecord().service) {
+    if (hop.service != this->target.GetService()) {
       return GateVerdict::kWrongTarget;
     }
     if (!this->target.IsAccepting(now)) {
@@ -179,11 +179,6 @@
   return record;
 }
 
-std::string TargetGate::GetTargetId() {
-  const std::lock_guard guard(this->mutex);
-  return this->target.GetId();
-}
-
 void TargetGate::SetLeaving() {
   const std::lock_guard guard(this->mutex);
   this->leaving = true;
--- a/Source/Proxy/target_gate.h
+++ b/Source/Proxy/target_gate.h
@@ -48,7 +48,6 @@
   // State of the target for the answer to a request of the priority.
   HopReport MakeReport(TimePoint now, std::uint32_t priority);
   LocalTargetRecord MakeRecord();
-  std::string GetTargetId();
   // This daemon is about to stop: requests are still served, but others are told to send
   // further ones elsewhere.
   void SetLeaving();
--- a/Source/Routing/hop_placement.h
+++ b/Source/Routing/hop_placement.h
@@ -71,8 +71,6 @@
   // without any candidate.
   std::optional<Duration> EstimateReturn(TimePoint now) const;
 
-  bool HasCandidates() const { return !this->candidates.empty(); }
-
  private:
   enum class Distance { kSameHost, kSameDataCentre, kSameRegion, kElsewhere };
 
