--- a/Source/Admission/target_admission.cc
+++ b/Source/Admission/target_admission.cc
@@ -22,7 +22,11 @@
 }
 
 bool TargetAdmission::IsOnTime(TimePoint start, const WorkOffer& offer) const {
-  return start + this->GetSafeServiceTime(offer.priority) <= offer.objective_at;
+  const TimePoint ready = start + this->GetSafeServiceTime(offer.priority);
+  if (offer.transfer == Duration{0}) {
+    return ready <= offer.objective_at;
+  }
+  return std::max(ready, offer.link_free_at) + offer.transfer <= offer.objective_at;
 }
 
 AdmissionVerdict TargetAdmission::Offer(TimePoint now, const WorkOffer& offer) {
@@ -32,17 +36,22 @@
   if (offer.deadline <= now) {
     return AdmissionVerdict::kRefusedDeadline;
   }
+  const TimePoint start = now + this->EstimateWait(offer.priority);
+  const Duration time_left = offer.deadline - now;
+  TimePoint hold_until = now + time_left / kLateWaitDivisor;
+  const bool on_time = this->IsOnTime(start, offer);
+  if (!on_time && !IsLinkFreeBy(hold_until, offer)) {
+    return AdmissionVerdict::kRefusedQueueFull;
+  }
   if (this->running.size() < this->slots && this->waiting.empty()) {
     this->Start(now, offer);
     return AdmissionVerdict::kAdmitted;
   }
-  const TimePoint start = now + this->EstimateWait(offer.priority);
-  const Duration time_left = offer.deadline - now;
-  TimePoint hold_until = now + time_left / kLateWaitDivisor;
-  if (this->IsOnTime(start, offer)) {
+  if (on_time) {
     const Duration most = (offer.objective_at - now) / kOnTimeWaitDivisor;
-    hold_until = std::min(offer.objective_at - this->GetSafeServiceTime(offer.priority),
-                          now + std::max(most, this->service_time));
+    hold_until = std::min(
+        offer.objective_at - offer.transfer - this->GetSafeServiceTime(offer.priority),
+        now + std::max(most, this->service_time));
   } else if (start > hold_until) {
     return AdmissionVerdict::kRefusedQueueFull;
   }
--- a/Source/Admission/target_admission.h
+++ b/Source/Admission/target_admission.h
@@ -19,6 +19,9 @@
   // An answer after this time is worth only a part of its credit.
   TimePoint objective_at;
   TimePoint deadline;
+  // When the host's link is free for the answer, and how long that takes; see LinkSchedule.
+  TimePoint link_free_at;
+  Duration transfer{0};
 };
 
 // Slots and waiting requests of the one target beside this daemon, which sees all of the
@@ -30,6 +33,9 @@
 // arrives than the target can do, the oldest first would make every request wait until its
 // objective has nearly passed and then miss it by the spread of the service time. What
 // waits without a prospect is refused early, so the caller's daemon can place it elsewhere.
+//
+// A request whose answer the link of this host cannot carry in time is refused although a
+// slot is free.
 class TargetAdmission {
  public:
   // Most waiting time of a request that misses its objective, as a divisor of the time
@@ -83,6 +89,9 @@
     TimePoint hold_until;
   };
 
+  static bool IsLinkFreeBy(TimePoint time, const WorkOffer& offer) {
+    return offer.transfer == Duration{0} || offer.link_free_at <= time;
+  }
   Duration GetServiceTimeOf(std::uint32_t priority) const;
   Duration GetSafeServiceTime(std::uint32_t priority) const;
   bool IsOnTime(TimePoint start, const WorkOffer& offer) const;
--- a/Source/Generated/mesh.h
+++ b/Source/Generated/mesh.h
@@ -127,6 +127,8 @@
   std::uint64_t table_version = 0;
   std::string sender;
   std::vector<QuarantineStrike> strikes;
+  std::uint64_t fingerprint = 0;
+  std::uint32_t answer_bytes = 0;
 
   bool operator==(const HopRequest&) const = default;
 };
@@ -143,10 +145,62 @@
   std::uint64_t table_version = 0;
   std::string reason;
   std::vector<QuarantineStrike> strikes;
+  std::uint32_t link_wait_ms = 0;
+  std::uint64_t link_bytes_per_second = 0;
 
   bool operator==(const HopReport&) const = default;
 };
 
+struct HopTrace {
+  std::string peer_address;
+  std::string target_id;
+  HopOutcome outcome = HopOutcome::kNone;
+  std::string reason;
+  std::uint32_t status = 0;
+  std::uint32_t expected_wait_ms = 0;
+  std::uint32_t ended_after_ms = 0;
+
+  bool operator==(const HopTrace&) const = default;
+};
+
+struct RequestTrace {
+  std::string request_id;
+  std::string path;
+  std::string route;
+  std::uint64_t table_version = 0;
+  std::string service;
+  std::uint32_t status = 0;
+  std::string reason;
+  std::uint32_t age_ms = 0;
+  std::uint32_t after_ms = 0;
+  std::int32_t time_left_ms = 0;
+  std::vector<HopTrace> hops;
+
+  bool operator==(const RequestTrace&) const = default;
+};
+
+struct RequestTraceList {
+  std::vector<RequestTrace> traces;
+
+  bool operator==(const RequestTraceList&) const = default;
+};
+
+struct MeshDump {
+  std::string host;
+  std::string data_centre;
+  std::string region;
+  std::uint64_t table_version = 0;
+  std::uint32_t route_count = 0;
+  std::vector<HostRecord> hosts;
+  LocalTargetRecord target;
+  HopReport target_report;
+  std::uint32_t open_requests = 0;
+  std::uint32_t open_connections = 0;
+  bool stopping = false;
+
+  bool operator==(const MeshDump&) const = default;
+};
+
 struct MeshSettings {
   std::string host;
   std::string data_centre;
@@ -165,6 +219,7 @@
   double retry_ratio = 0;
   double retry_slack = 0;
   std::uint32_t retry_window_ms = 0;
+  std::uint64_t link_bytes_per_second = 0;
 
   bool operator==(const MeshSettings&) const = default;
 };
--- a/Source/Generated/mesh_codec.cc
+++ b/Source/Generated/mesh_codec.cc
@@ -496,6 +496,8 @@
   for (const auto& element : plain.strikes) {
     ToWire(element, *wire.add_strikes());
   }
+  wire.set_fingerprint(plain.fingerprint);
+  wire.set_answer_bytes(plain.answer_bytes);
 }
 
 void FromWire(const wire::HopRequest& wire, HopRequest& plain) {
@@ -513,6 +515,8 @@
   for (const auto& element : wire.strikes()) {
     FromWire(element, plain.strikes.emplace_back());
   }
+  plain.fingerprint = wire.fingerprint();
+  plain.answer_bytes = wire.answer_bytes();
 }
 
 std::string Encode(const HopRequest& plain) {
@@ -570,6 +574,8 @@
   for (const auto& element : plain.strikes) {
     ToWire(element, *wire.add_strikes());
   }
+  wire.set_link_wait_ms(plain.link_wait_ms);
+  wire.set_link_bytes_per_second(plain.link_bytes_per_second);
 }
 
 void FromWire(const wire::HopReport& wire, HopReport& plain) {
@@ -587,6 +593,8 @@
   for (const auto& element : wire.strikes()) {
     FromWire(element, plain.strikes.emplace_back());
   }
+  plain.link_wait_ms = wire.link_wait_ms();
+  plain.link_bytes_per_second = wire.link_bytes_per_second();
 }
 
 std::string Encode(const HopReport& plain) {
@@ -630,6 +638,273 @@
   return true;
 }
 
+void ToWire(const HopTrace& plain, wire::HopTrace& wire) {
+  wire.set_peer_address(plain.peer_address);
+  wire.set_target_id(plain.target_id);
+  wire.set_outcome(static_cast<wire::HopOutcome>(plain.outcome));
+  wire.set_reason(plain.reason);
+  wire.set_status(plain.status);
+  wire.set_expected_wait_ms(plain.expected_wait_ms);
+  wire.set_ended_after_ms(plain.ended_after_ms);
+}
+
+void FromWire(const wire::HopTrace& wire, HopTrace& plain) {
+  plain.peer_address = wire.peer_address();
+  plain.target_id = wire.target_id();
+  plain.outcome = static_cast<HopOutcome>(wire.outcome());
+  plain.reason = wire.reason();
+  plain.status = wire.status();
+  plain.expected_wait_ms = wire.expected_wait_ms();
+  plain.ended_after_ms = wire.ended_after_ms();
+}
+
+std::string Encode(const HopTrace& plain) {
+  wire::HopTrace wire;
+  ToWire(plain, wire);
+  return wire.SerializeAsString();
+}
+
+bool Decode(std::string_view bytes, HopTrace& plain) {
+  wire::HopTrace wire;
+  if (!wire.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
+std::string EncodeJson(const HopTrace& plain) {
+  wire::HopTrace wire;
+  ToWire(plain, wire);
+  std::string text;
+  google::protobuf::util::JsonPrintOptions options;
+  options.preserve_proto_field_names = true;
+  options.always_print_primitive_fields = true;
+  if (!google::protobuf::util::MessageToJsonString(wire, &text, options).ok()) {
+    return {};
+  }
+  return text;
+}
+
+bool DecodeJson(std::string_view text, HopTrace& plain) {
+  wire::HopTrace wire;
+  if (!google::protobuf::util::JsonStringToMessage(
+           google::protobuf::StringPiece(text.data(), text.size()), &wire)
+           .ok()) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
+void ToWire(const RequestTrace& plain, wire::RequestTrace& wire) {
+  wire.set_request_id(plain.request_id);
+  wire.set_path(plain.path);
+  wire.set_route(plain.route);
+  wire.set_table_version(plain.table_version);
+  wire.set_service(plain.service);
+  wire.set_status(plain.status);
+  wire.set_reason(plain.reason);
+  wire.set_age_ms(plain.age_ms);
+  wire.set_after_ms(plain.after_ms);
+  wire.set_time_left_ms(plain.time_left_ms);
+  for (const auto& element : plain.hops) {
+    ToWire(element, *wire.add_hops());
+  }
+}
+
+void FromWire(const wire::RequestTrace& wire, RequestTrace& plain) {
+  plain.request_id = wire.request_id();
+  plain.path = wire.path();
+  plain.route = wire.route();
+  plain.table_version = wire.table_version();
+  plain.service = wire.service();
+  plain.status = wire.status();
+  plain.reason = wire.reason();
+  plain.age_ms = wire.age_ms();
+  plain.after_ms = wire.after_ms();
+  plain.time_left_ms = wire.time_left_ms();
+  plain.hops.reserve(static_cast<std::size_t>(wire.hops_size()));
+  for (const auto& element : wire.hops()) {
+    FromWire(element, plain.hops.emplace_back());
+  }
+}
+
+std::string Encode(const RequestTrace& plain) {
+  wire::RequestTrace wire;
+  ToWire(plain, wire);
+  return wire.SerializeAsString();
+}
+
+bool Decode(std::string_view bytes, RequestTrace& plain) {
+  wire::RequestTrace wire;
+  if (!wire.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
+std::string EncodeJson(const RequestTrace& plain) {
+  wire::RequestTrace wire;
+  ToWire(plain, wire);
+  std::string text;
+  google::protobuf::util::JsonPrintOptions options;
+  options.preserve_proto_field_names = true;
+  options.always_print_primitive_fields = true;
+  if (!google::protobuf::util::MessageToJsonString(wire, &text, options).ok()) {
+    return {};
+  }
+  return text;
+}
+
+bool DecodeJson(std::string_view text, RequestTrace& plain) {
+  wire::RequestTrace wire;
+  if (!google::protobuf::util::JsonStringToMessage(
+           google::protobuf::StringPiece(text.data(), text.size()), &wire)
+           .ok()) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
+void ToWire(const RequestTraceList& plain, wire::RequestTraceList& wire) {
+  for (const auto& element : plain.traces) {
+    ToWire(element, *wire.add_traces());
+  }
+}
+
+void FromWire(const wire::RequestTraceList& wire, RequestTraceList& plain) {
+  plain.traces.reserve(static_cast<std::size_t>(wire.traces_size()));
+  for (const auto& element : wire.traces()) {
+    FromWire(element, plain.traces.emplace_back());
+  }
+}
+
+std::string Encode(const RequestTraceList& plain) {
+  wire::RequestTraceList wire;
+  ToWire(plain, wire);
+  return wire.SerializeAsString();
+}
+
+bool Decode(std::string_view bytes, RequestTraceList& plain) {
+  wire::RequestTraceList wire;
+  if (!wire.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
+std::string EncodeJson(const RequestTraceList& plain) {
+  wire::RequestTraceList wire;
+  ToWire(plain, wire);
+  std::string text;
+  google::protobuf::util::JsonPrintOptions options;
+  options.preserve_proto_field_names = true;
+  options.always_print_primitive_fields = true;
+  if (!google::protobuf::util::MessageToJsonString(wire, &text, options).ok()) {
+    return {};
+  }
+  return text;
+}
+
+bool DecodeJson(std::string_view text, RequestTraceList& plain) {
+  wire::RequestTraceList wire;
+  if (!google::protobuf::util::JsonStringToMessage(
+           google::protobuf::StringPiece(text.data(), text.size()), &wire)
+           .ok()) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
+void ToWire(const MeshDump& plain, wire::MeshDump& wire) {
+  wire.set_host(plain.host);
+  wire.set_data_centre(plain.data_centre);
+  wire.set_region(plain.region);
+  wire.set_table_version(plain.table_version);
+  wire.set_route_count(plain.route_count);
+  for (const auto& element : plain.hosts) {
+    ToWire(element, *wire.add_hosts());
+  }
+  if (plain.target != LocalTargetRecord{}) {
+    ToWire(plain.target, *wire.mutable_target());
+  }
+  if (plain.target_report != HopReport{}) {
+    ToWire(plain.target_report, *wire.mutable_target_report());
+  }
+  wire.set_open_requests(plain.open_requests);
+  wire.set_open_connections(plain.open_connections);
+  wire.set_stopping(plain.stopping);
+}
+
+void FromWire(const wire::MeshDump& wire, MeshDump& plain) {
+  plain.host = wire.host();
+  plain.data_centre = wire.data_centre();
+  plain.region = wire.region();
+  plain.table_version = wire.table_version();
+  plain.route_count = wire.route_count();
+  plain.hosts.reserve(static_cast<std::size_t>(wire.hosts_size()));
+  for (const auto& element : wire.hosts()) {
+    FromWire(element, plain.hosts.emplace_back());
+  }
+  FromWire(wire.target(), plain.target);
+  FromWire(wire.target_report(), plain.target_report);
+  plain.open_requests = wire.open_requests();
+  plain.open_connections = wire.open_connections();
+  plain.stopping = wire.stopping();
+}
+
+std::string Encode(const MeshDump& plain) {
+  wire::MeshDump wire;
+  ToWire(plain, wire);
+  return wire.SerializeAsString();
+}
+
+bool Decode(std::string_view bytes, MeshDump& plain) {
+  wire::MeshDump wire;
+  if (!wire.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
+std::string EncodeJson(const MeshDump& plain) {
+  wire::MeshDump wire;
+  ToWire(plain, wire);
+  std::string text;
+  google::protobuf::util::JsonPrintOptions options;
+  options.preserve_proto_field_names = true;
+  options.always_print_primitive_fields = true;
+  if (!google::protobuf::util::MessageToJsonString(wire, &text, options).ok()) {
+    return {};
+  }
+  return text;
+}
+
+bool DecodeJson(std::string_view text, MeshDump& plain) {
+  wire::MeshDump wire;
+  if (!google::protobuf::util::JsonStringToMessage(
+           google::protobuf::StringPiece(text.data(), text.size()), &wire)
+           .ok()) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
 void ToWire(const MeshSettings& plain, wire::MeshSettings& wire) {
   wire.set_host(plain.host);
   wire.set_data_centre(plain.data_centre);
@@ -648,6 +923,7 @@
   wire.set_retry_ratio(plain.retry_ratio);
   wire.set_retry_slack(plain.retry_slack);
   wire.set_retry_window_ms(plain.retry_window_ms);
+  wire.set_link_bytes_per_second(plain.link_bytes_per_second);
 }
 
 void FromWire(const wire::MeshSettings& wire, MeshSettings& plain) {
@@ -668,6 +944,7 @@
   plain.retry_ratio = wire.retry_ratio();
   plain.retry_slack = wire.retry_slack();
   plain.retry_window_ms = wire.retry_window_ms();
+  plain.link_bytes_per_second = wire.link_bytes_per_second();
 }
 
 std::string Encode(const MeshSettings& plain) {
--- a/Source/Http/outbound_exchange.cc
+++ b/Source/Http/outbound_exchange.cc
@@ -81,6 +81,7 @@
   connect_timer.Start(this->connection->socket, options.connect_limit);
   co_await this->connection->socket.async_connect(endpoint, AwaitInto(code));
   connect_timer.Stop();
+  this->failure = code;
   if (code || !this->connection->socket.is_open()) {
     co_return this->cancelled ? ExchangeStatus::kCancelled : ExchangeStatus::kNotConnected;
   }
@@ -113,6 +114,13 @@
   co_return co_await this->ReadHead();
 }
 
+Awaitable<ExchangeStatus> OutboundExchange::Probe(Duration connect_limit) {
+  const OutboundOptions options{connect_limit, Duration{0}, Duration{0}};
+  const ExchangeStatus status = co_await this->Connect(options);
+  this->connection.reset();
+  co_return status;
+}
+
 Awaitable<ExchangeStatus> OutboundExchange::ReadHead() {
   do {
     this->parser.emplace();
--- a/Source/Http/outbound_exchange.h
+++ b/Source/Http/outbound_exchange.h
@@ -55,6 +55,9 @@
   // states the length or chunks of a body that only begins with the given one.
   Awaitable<ExchangeStatus> Start(const Request& request, const BodyWriter* rest, Duration limit,
                                   const OutboundOptions& options);
+  // Opens a connection and closes it again, to see whether anything listens.
+  Awaitable<ExchangeStatus> Probe(Duration connect_limit);
+
   // Reads the head of the next answer on the connection, after the body of the present one.
   Awaitable<ExchangeStatus> ReadNextHead();
 
@@ -72,8 +75,10 @@
   // Returns the connection to the pool if it is in a known state, and closes it otherwise.
   void Finish();
 
-  // Why the head of an answer could not be read, for logs.
+  // Why there is no connection or no head of an answer, for logs.
   std::string GetFailureText() const { return this->failure.message(); }
+  // After kNotConnected: nothing listens at the address.
+  bool WasRefused() const { return this->failure == asio::error::connection_refused; }
 
  private:
   // Bounds the head of an answer; targets of today send a few hundred bytes.
--- a/Source/Membership/local_target.h
+++ b/Source/Membership/local_target.h
@@ -50,6 +50,8 @@
   // Empty until a target is known.
   const std::string& GetId() const { return this->id; }
   const std::string& GetService() const { return this->service; }
+  // Unix milliseconds of the target's start, by its own clock; 0 while it is not known.
+  std::uint64_t GetBorn() const { return this->born_unix_ms; }
   std::uint32_t GetSlots() const { return this->slots; }
   LocalTargetRecord MakeRecord() const;
 
--- a/Source/Node/mesh_node.h
+++ b/Source/Node/mesh_node.h
@@ -16,16 +16,19 @@
 #include "Http/boot_clock.h"
 #include "Http/io_shard.h"
 #include "Http/stream_listener.h"
-#include "Node/metrics_handler.h"
+#include "Node/operator_handler.h"
+#include "Node/setting_differences.h"
 #include "Node/snapshot_fetcher.h"
 #include "Node/target_prober.h"
 #include "Observe/event_log.h"
 #include "Observe/metrics_registry.h"
 #include "Proxy/caller_handler.h"
+#include "Proxy/crash_containment.h"
 #include "Proxy/daemon_stage.h"
 #include "Proxy/mesh_state.h"
 #include "Proxy/peer_handler.h"
 #include "Proxy/proxy_context.h"
+#include "Proxy/recent_requests.h"
 #include "Proxy/target_gate.h"
 #include "Store/store_sync.h"
 #include "mesh.h"
@@ -66,7 +69,7 @@
     this->peers->Start();
     this->control->Start();
     this->ready->Start();
-    this->metrics_page->Start();
+    this->operator_page->Start();
     this->sync.Start();
     asio::co_spawn(
         this->GetControlContext(), [this]() -> Awaitable<void> { co_await this->Tick(); },
@@ -103,6 +106,23 @@
         asio::detached);
   }
 
+  // Takes over what can change while the daemon runs: the bounds on retries, the shortest
+  // lease and the time to stop. Returns the names of changed settings that need a restart.
+  // To be called on the control shard's thread.
+  std::vector<std::string> ApplySettings(const MeshSettings& changed) {
+    this->stop_limit = std::chrono::milliseconds(changed.stop_limit_ms);
+    this->state.SetRetryBound(MakeRetryBound(changed));
+    this->sync.SetMinLease(std::chrono::milliseconds(changed.min_lease_ms));
+    MeshSettings applied = this->settings;
+    applied.stop_limit_ms = changed.stop_limit_ms;
+    applied.retry_ratio = changed.retry_ratio;
+    applied.retry_slack = changed.retry_slack;
+    applied.retry_window_ms = changed.retry_window_ms;
+    applied.min_lease_ms = changed.min_lease_ms;
+    this->settings = applied;
+    return ListSettingDifferences(applied, changed);
+  }
+
   asio::io_context& GetControlContext() { return this->control_shards[0]->GetContext(); }
 
  private:
@@ -117,25 +137,26 @@
   static constexpr int kEndPercent = 93;
   static constexpr std::size_t kMetricsShards = 4;
 
-  MeshNode(const MeshSettings& settings, std::uint64_t seed)
-      : stop_limit(std::chrono::milliseconds(settings.stop_limit_ms)),
-        addresses(settings),
-        workers(MakeShards(settings.worker_threads, seed)),
-        control_shards(MakeShards(1, seed + settings.worker_threads)),
+  MeshNode(const MeshSettings& given, std::uint64_t seed)
+      : stop_limit(std::chrono::milliseconds(given.stop_limit_ms)),
+        settings(given),
+        workers(MakeShards(given.worker_threads, seed)),
+        control_shards(MakeShards(1, seed + given.worker_threads)),
         metrics(kMetricsShards),
-        state(MakeIdentity(settings)),
-        gate(settings.service),
+        state(MakeIdentity(given), MakeRetryBound(given)),
+        gate(given.service, given.link_bytes_per_second),
         fetcher(*this->control_shards[0], this->state),
-        context{this->state, this->gate, this->stage, this->metrics,
+        context{this->state, this->gate, this->stage, this->metrics, this->containment,
+                this->recent,
                 [this](const std::string& peer) { this->RequestSnapshot(peer); }},
         caller_handler(this->context),
         peer_handler(this->context),
-        metrics_handler(this->context),
+        operator_handler(this->context),
         control_handler(this->gate, [this] { this->sync.NoteRecordChanged(); }),
         ready_handler([this] { return this->IsReady(); }),
-        client(*this->control_shards[0], settings.store_address),
+        client(*this->control_shards[0], given.store_address),
         sync(*this->control_shards[0], this->state, this->gate, this->client,
-             std::chrono::milliseconds(settings.min_lease_ms)),
+             std::chrono::milliseconds(given.min_lease_ms)),
         prober(*this->control_shards[0], this->state, this->gate) {}
 
   static std::vector<std::unique_ptr<IoShard>> MakeShards(std::size_t count, std::uint64_t seed) {
@@ -146,20 +167,25 @@
     return shards;
   }
 
-  static MeshIdentity MakeIdentity(const MeshSettings& settings) {
+  static MeshIdentity MakeIdentity(const MeshSettings& given) {
     MeshIdentity identity;
-    identity.host = settings.host;
-    identity.data_centre = settings.data_centre;
-    identity.region = settings.region;
-    identity.target_address = settings.target_address;
-    identity.service = settings.service;
-    identity.peer_address = settings.peer_address;
-    identity.retry_bound.ratio = settings.retry_ratio;
-    identity.retry_bound.slack = settings.retry_slack;
-    identity.retry_bound.window = std::chrono::milliseconds(settings.retry_window_ms);
+    identity.host = given.host;
+    identity.data_centre = given.data_centre;
+    identity.region = given.region;
+    identity.target_address = given.target_address;
+    identity.service = given.service;
+    identity.peer_address = given.peer_address;
     return identity;
   }
 
+  static RetryBound MakeRetryBound(const MeshSettings& given) {
+    RetryBound bound;
+    bound.ratio = given.retry_ratio;
+    bound.slack = given.retry_slack;
+    bound.window = std::chrono::milliseconds(given.retry_window_ms);
+    return bound;
+  }
+
   template <typename Handler>
   Status OpenListener(const std::string& address,
                       std::span<const std::unique_ptr<IoShard>> listener_shards, Handler& handler,
@@ -173,23 +199,23 @@
   }
 
   Status Listen() {
-    Status status = this->OpenListener(this->addresses.caller_address, this->workers,
+    Status status = this->OpenListener(this->settings.caller_address, this->workers,
                                        this->caller_handler, this->callers);
     if (IsOk(status)) {
-      status = this->OpenListener(this->addresses.peer_address, this->workers, this->peer_handler,
+      status = this->OpenListener(this->settings.peer_address, this->workers, this->peer_handler,
                                   this->peers);
     }
     if (IsOk(status)) {
-      status = this->OpenListener(this->addresses.control_address, this->control_shards,
+      status = this->OpenListener(this->settings.control_address, this->control_shards,
                                   this->control_handler, this->control);
     }
     if (IsOk(status)) {
-      status = this->OpenListener(this->addresses.ready_address, this->control_shards,
+      status = this->OpenListener(this->settings.ready_address, this->control_shards,
                                   this->ready_handler, this->ready);
     }
     if (IsOk(status)) {
-      status = this->OpenListener(this->addresses.metrics_address, this->control_shards,
-                                  this->metrics_handler, this->metrics_page);
+      status = this->OpenListener(this->settings.metrics_address, this->control_shards,
+                                  this->operator_handler, this->operator_page);
     }
     return status;
   }
@@ -249,19 +275,21 @@
     co_await timer.async_wait(AwaitInto(code));
   }
 
-  const Duration stop_limit;
-  const MeshSettings addresses;
+  Duration stop_limit;
+  MeshSettings settings;
   const std::vector<std::unique_ptr<IoShard>> workers;
   const std::vector<std::unique_ptr<IoShard>> control_shards;
   MetricsRegistry metrics;
   DaemonStage stage;
   MeshState state;
   TargetGate gate;
+  CrashContainment containment;
+  RecentRequests recent;
   SnapshotFetcher fetcher;
   ProxyContext context;
   CallerHandler<typename Platform::Wire> caller_handler;
   PeerHandler<typename Platform::Wire> peer_handler;
-  MetricsHandler metrics_handler;
+  OperatorHandler operator_handler;
   typename Platform::ControlHandler control_handler;
   typename Platform::ReadyHandler ready_handler;
   typename Platform::StoreClient client;
@@ -271,7 +299,7 @@
   std::unique_ptr<StreamListener<PeerHandler<typename Platform::Wire>>> peers;
   std::unique_ptr<StreamListener<typename Platform::ControlHandler>> control;
   std::unique_ptr<StreamListener<typename Platform::ReadyHandler>> ready;
-  std::unique_ptr<StreamListener<MetricsHandler>> metrics_page;
+  std::unique_ptr<StreamListener<OperatorHandler>> operator_page;
   std::function<void()> hook;
   bool ended = false;
 };
--- /dev/null
+++ b/Source/Node/operator_handler.h
@@ -0,0 +1,37 @@
+#ifndef LACEWINGBRIDGE_SOURCE_NODE_OPERATOR_HANDLER_H_
+#define LACEWINGBRIDGE_SOURCE_NODE_OPERATOR_HANDLER_H_
+
+#include <string>
+#include <string_view>
+
+#include "Http/server_connection.h"
+#include "Http/server_limits.h"
+#include "Proxy/proxy_context.h"
+
+namespace lacewingbridge {
+
+// What operators read: metrics in the Prometheus text format on any path, the state of the
+// daemon as JSON on /dump, and what became of a request that was not served on
+// /requests/ID.
+class OperatorHandler {
+ public:
+  static constexpr std::string_view kDumpPath = "/dump";
+  static constexpr std::string_view kRequestPrefix = "/requests/";
+
+  explicit OperatorHandler(const ProxyContext& proxy_context) : context(proxy_context) {}
+
+  Awaitable<void> Handle(IoShard& shard, ServerExchange& exchange);
+  ServerLimits GetLimits() const { return {}; }
+  void NoteOpened() {}
+  void NoteClosed() {}
+
+ private:
+  std::string FormatMetrics() const;
+  std::string FormatDump() const;
+
+  ProxyContext context;
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_SOURCE_NODE_OPERATOR_HANDLER_H_
--- a/Source/Observe/event_log.cc
+++ b/Source/Observe/event_log.cc
@@ -79,24 +79,24 @@
   GetOptions() = {std::string(host), GetSeverity(least_level)};
 }
 
-bool EventLog::IsEnabled(Event event) {
-  return GetSeverity(FindDescription(event).level) >= GetOptions().least_severity;
-}
-
-void EventLog::WriteLine(Event event, std::string_view particulars) {
+bool EventLog::TakeLine(Event event) {
   const EventDescription& description = FindDescription(event);
+  if (GetSeverity(description.level) < GetOptions().least_severity) {
+    return false;
+  }
   const auto position = static_cast<std::uint64_t>(&description - kEventCatalogue.data());
   const LineVerdict verdict =
       GetBudgets().WithShard(position, [](LineBudget& budget) { return budget.Take(GetNow()); });
-  if (!verdict.write) {
-    return;
-  }
-  if (verdict.dropped_before > 0) {
+  if (verdict.write && verdict.dropped_before > 0) {
     WriteFields(
         FindDescription(Event::kLinesDropped),
         fmt::format("of=LW{:04} count={}", static_cast<int>(event), verdict.dropped_before));
   }
-  WriteFields(description, particulars);
+  return verdict.write;
+}
+
+void EventLog::WriteLine(Event event, std::string_view particulars) {
+  WriteFields(FindDescription(event), particulars);
 }
 
 void EventLog::Flush() { spdlog::shutdown(); }
--- a/Source/Observe/event_log.h
+++ b/Source/Observe/event_log.h
@@ -25,13 +25,15 @@
   // Writes the event with particulars given as a fmt format string.
   template <typename... Args>
   static void Write(Event event, fmt::format_string<Args...> format, Args&&... args) {
-    if (IsEnabled(event)) {
+    // A line that is left out costs no formatting.
+    if (TakeLine(event)) {
       WriteLine(event, fmt::format(format, std::forward<Args>(args)...));
     }
   }
 
  private:
-  static bool IsEnabled(Event event);
+  // Whether the event is severe enough and within its rate. Reports lines left out before.
+  static bool TakeLine(Event event);
   static void WriteLine(Event event, std::string_view particulars);
 };
 
--- a/Source/Proxy/answer_relay.cc
+++ b/Source/Proxy/answer_relay.cc
@@ -1,8 +1,11 @@
 #include "Proxy/answer_relay.h"
 
+#include <algorithm>
+#include <cstdint>
 #include <string_view>
 #include <utility>
 
+#include "Http/boot_clock.h"
 #include "Proxy/header_fields.h"
 
 namespace lacewingbridge {
@@ -11,6 +14,8 @@
 
 // Held in memory between a fast sender and a slow reader.
 constexpr std::size_t kPartBytes = std::size_t{32} * 1024;
+// Part of a paced answer: short answers wait behind one such part at most.
+constexpr std::size_t kPacedBytes = std::size_t{16} * 1024;
 
 Awaitable<bool> WritePart(TcpSocket& to, std::string_view part, bool chunked) {
   ErrorCode code;
@@ -29,9 +34,35 @@
 
 }  // namespace
 
-Awaitable<void> HoldAnswer(OutboundExchange& from, HeldAnswer& held) {
+Awaitable<void> HoldAnswer(OutboundExchange& from, HeldAnswer& held, std::size_t max_bytes) {
   held.head = from.GetHead();
-  held.status = co_await from.ReadBody(held.body, HeldAnswer::kMaxHeldAnswer);
+  const std::size_t room = max_bytes - std::min(max_bytes, held.body.size());
+  held.status = co_await from.ReadBody(held.body, room);
+}
+
+Awaitable<void> RelayInTurn(HeldAnswer& held, LinkTurn turn, asio::io_context& io_context,
+                            ServerExchange& to) {
+  const std::string_view body = held.body;
+  const TimePoint begin = GetNow() + turn.wait;
+  asio::steady_timer timer(io_context);
+  ErrorCode code;
+  timer.expires_after(turn.wait);
+  co_await timer.async_wait(AwaitInto(code));
+  bool sound = co_await to.SendHead(std::move(held.head), body.size());
+  for (std::size_t sent = 0; sound && sent < body.size(); sent += kPacedBytes) {
+    const Duration due = turn.transfer * static_cast<std::int64_t>(sent) /
+                         static_cast<std::int64_t>(body.size());
+    timer.expires_after(std::max(begin + due - GetNow(), Duration{0}));
+    co_await timer.async_wait(AwaitInto(code));
+    const std::string_view part = body.substr(sent, kPacedBytes);
+    sound = co_await to.SendPart(part);
+  }
+  if (sound) {
+    sound = co_await to.SendEnd();
+  }
+  if (!sound) {
+    to.Abort();
+  }
 }
 
 Awaitable<std::uint64_t> RelayAnswer(OutboundExchange& from, HeldAnswer& held, ServerExchange& to) {
--- a/Source/Proxy/answer_relay.h
+++ b/Source/Proxy/answer_relay.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 
+#include "Core/time_point.h"
 #include "Http/outbound_exchange.h"
 #include "Http/server_exchange.h"
 
@@ -20,14 +21,24 @@
   BodyStatus status = BodyStatus::kMore;
 };
 
-// Reads the begin of the body.
-Awaitable<void> HoldAnswer(OutboundExchange& from, HeldAnswer& held);
+// Reads further bytes of the body until max_bytes are held or the body is complete.
+Awaitable<void> HoldAnswer(OutboundExchange& from, HeldAnswer& held, std::size_t max_bytes);
 
 // Passes the answer on, the rest of a long body as it arrives and as fast as the reader
 // takes it. An answer that breaks off is aborted, so that it does not look complete.
 // Returns the number of bytes of the body.
 Awaitable<std::uint64_t> RelayAnswer(OutboundExchange& from, HeldAnswer& held, ServerExchange& to);
 
+// When the parts of an answer may go out on a slow link.
+struct LinkTurn {
+  Duration wait{0};      // until the first byte
+  Duration transfer{0};  // from the first byte to the last
+};
+
+// Passes a complete answer on in parts that are spread over its turn.
+Awaitable<void> RelayInTurn(HeldAnswer& held, LinkTurn turn, asio::io_context& io_context,
+                            ServerExchange& to);
+
 // The request as it is passed on: method, target, end-to-end headers, and the body that is
 // held, in the framing of the one that was received.
 OutboundExchange::Request MakeForwardedRequest(const ServerExchange& from);
--- a/Source/Proxy/caller_request.cc
+++ b/Source/Proxy/caller_request.cc
@@ -10,9 +10,11 @@
 #include "Http/io_shard.h"
 #include "Observe/event_log.h"
 #include "Observe/metrics_registry.h"
+#include "Proxy/crash_containment.h"
 #include "Proxy/daemon_stage.h"
 #include "Proxy/header_fields.h"
 #include "Proxy/mesh_state.h"
+#include "Proxy/recent_requests.h"
 #include "Retry/return_interval.h"
 
 namespace lacewingbridge {
@@ -47,7 +49,6 @@
 
 void CallerRequest::SetFacts(TimePoint now) {
   const Duration timeout = std::chrono::milliseconds(this->route->timeout_ms);
-  this->facts.arrived_at = now;
   this->facts.timeout_at = now + timeout;
   this->facts.deadline = now + this->head.time_left.value_or(timeout);
   const Duration objective = this->route->objective_ms > 0
@@ -55,6 +56,9 @@
                                  : timeout;
   this->fingerprint =
       CombineHashes(HashBytes(this->exchange.GetTarget()), HashBytes(this->exchange.GetBody()));
+  this->crash_fingerprint = CombineHashes(
+      ComputeFingerprint(this->route->name, this->context.state.GetIdentity().service),
+      this->fingerprint);
   this->first_arrival =
       this->context.state.FindFirstArrival(now, this->route->name, this->fingerprint);
   this->facts.objective_at = this->first_arrival + objective;
@@ -65,6 +69,8 @@
 
 Awaitable<void> CallerRequest::Run() {
   const RequestScope scope(this->context.stage);
+  this->facts.arrived_at = GetNow();
+  this->first_arrival = this->facts.arrived_at;
   if (this->context.stage.IsStopping()) {
     this->exchange.CloseAfter();
   }
@@ -81,7 +87,7 @@
     co_await this->SendRefusal(http::status::not_found, "no_route", std::nullopt);
     co_return;
   }
-  const TimePoint now = GetNow();
+  const TimePoint now = this->facts.arrived_at;
   this->SetFacts(now);
   this->service = this->context.state.PickDestination(*this->route, this->shard.GetRandom());
   this->context.state.RecordRequest(now, this->service);
@@ -113,6 +119,10 @@
   if (now >= this->facts.GetEnd()) {
     co_return this->progress->NoteTimeOver();
   }
+  if (this->context.containment.IsContained(now, this->service, this->crash_fingerprint)) {
+    const HopEnd contained{HopOutcome::kQuarantined, 0};
+    co_return this->context.state.DecideNext(now, this->service, contained, *this->progress);
+  }
   const std::optional<HopChoice> choice = this->context.state.ChooseHop(
       now, this->service, this->MakeNeed(now), this->refused_by, this->shard.GetRandom());
   if (!choice.has_value()) {
@@ -146,6 +156,11 @@
   hop_request.repeated = this->progress->IsRepeat();
   hop_request.table_version = this->index->GetTable().version;
   hop_request.sender = this->context.state.GetIdentity().peer_address;
+  hop_request.fingerprint = this->crash_fingerprint;
+  hop_request.answer_bytes =
+      static_cast<std::uint32_t>(this->context.state.GetAnswerBytes(this->route->name));
+  hop_request.strikes =
+      this->context.containment.TakeOutgoing(this->service, this->crash_fingerprint);
   SetHopRequest(request, hop_request);
   return request;
 }
@@ -175,13 +190,16 @@
     report = GetHopReport(this->hop->GetHead());
     this->hop->LimitSilence(kAnswerSilence);
     this->held = HeldAnswer();
-    co_await HoldAnswer(*this->hop, this->held);
+    co_await HoldAnswer(*this->hop, this->held, HeldAnswer::kMaxHeldAnswer);
   }
   const bool failed = status == ExchangeStatus::kNotConnected || status == ExchangeStatus::kLost;
   this->context.state.RecordHopEnd(GetNow(), this->service, choice.peer_address,
                                    report.has_value() ? &*report : nullptr, failed);
-  if (report.has_value() && report->table_version > this->context.state.GetTableVersion()) {
-    this->context.note_newer_table(choice.peer_address);
+  if (report.has_value()) {
+    this->context.containment.Merge(GetNow(), this->service, report->strikes);
+    if (report->table_version > this->context.state.GetTableVersion()) {
+      this->context.note_newer_table(choice.peer_address);
+    }
   }
   HopEnd end;
   if (status == ExchangeStatus::kNotConnected) {
@@ -195,14 +213,26 @@
     end.status = this->held.head.result_int();
     this->last_reason = report->reason;
   }
+  this->NoteHop(choice, end, report.has_value() ? &*report : nullptr);
+  co_return end;
+}
+
+void CallerRequest::NoteHop(const HopChoice& choice, const HopEnd& end, const HopReport* report) {
+  HopTrace hop_trace;
+  hop_trace.peer_address = choice.peer_address;
+  hop_trace.target_id = choice.target_id;
+  hop_trace.outcome = end.outcome;
+  hop_trace.reason = this->last_reason;
+  hop_trace.status = end.status;
+  hop_trace.expected_wait_ms = report == nullptr ? 0 : report->expected_wait_ms;
+  hop_trace.ended_after_ms = CountPositive(GetNow() - this->facts.arrived_at);
   EventLog::Write(Event::kHopEnded,
                   "request={} service={} peer={} target={} outcome={} reason={} status={} "
                   "wait_ms={} after_ms={}",
-                  this->head.request_id, this->service, choice.peer_address, choice.target_id,
-                  GetName(end.outcome), this->last_reason, end.status,
-                  report.has_value() ? report->expected_wait_ms : 0,
-                  CountMilliseconds(GetNow() - this->facts.arrived_at));
-  co_return end;
+                  this->head.request_id, this->service, hop_trace.peer_address,
+                  hop_trace.target_id, GetName(hop_trace.outcome), hop_trace.reason,
+                  hop_trace.status, hop_trace.expected_wait_ms, hop_trace.ended_after_ms);
+  this->hops.push_back(std::move(hop_trace));
 }
 
 std::optional<Duration> CallerRequest::ComputeReturn(TimePoint now) {
@@ -217,31 +247,31 @@
 
 Awaitable<void> CallerRequest::Finish(const ProgressDecision& decision) {
   const TimePoint now = GetNow();
+  const std::string_view reason = DescribeProgressReason(decision.reason);
   if (decision.action != ProgressAction::kDeliver) {
     this->context.state.NoteUnserved(this->first_arrival, this->route->name, this->fingerprint);
   }
   switch (decision.action) {
     case ProgressAction::kPlace:
     case ProgressAction::kDeliver: {
-      this->LogEnd(decision, this->held.head.result_int());
+      const unsigned status = this->held.head.result_int();
+      this->context.metrics.AddCount("requests", fmt::format("status=\"{}\"", status));
+      this->LogEnd(status, reason);
       const std::uint64_t bytes = co_await RelayAnswer(*this->hop, this->held, this->exchange);
       this->context.state.RecordAnswerBytes(this->route->name, bytes);
       break;
     }
     case ProgressAction::kRefuse:
-      this->LogEnd(decision, 503);
       co_await this->SendRefusal(
-          http::status::service_unavailable, DescribeProgressReason(decision.reason),
+          http::status::service_unavailable, reason,
           decision.reason == ProgressReason::kQuarantined ? std::nullopt
                                                           : this->ComputeReturn(now));
       break;
     case ProgressAction::kFailUnknown:
-      this->LogEnd(decision, 502);
-      co_await this->SendRefusal(http::status::bad_gateway, "outcome_unknown", std::nullopt);
+      co_await this->SendRefusal(http::status::bad_gateway, reason, std::nullopt);
       break;
     case ProgressAction::kTimeout:
-      this->LogEnd(decision, 504);
-      co_await this->SendRefusal(http::status::gateway_timeout, "timeout", std::nullopt);
+      co_await this->SendRefusal(http::status::gateway_timeout, reason, std::nullopt);
       break;
   }
   this->context.metrics.AddLatency("request_seconds",
@@ -251,8 +281,12 @@
 
 Awaitable<void> CallerRequest::SendRefusal(http::status status, std::string_view reason,
                                            std::optional<Duration> return_after) {
-  this->context.metrics.AddCount("refusals", fmt::format("status=\"{}\",reason=\"{}\"",
-                                                         static_cast<unsigned>(status), reason));
+  const auto number = static_cast<unsigned>(status);
+  this->context.metrics.AddCount("requests", fmt::format("status=\"{}\"", number));
+  this->context.metrics.AddCount("refusals",
+                                 fmt::format("status=\"{}\",reason=\"{}\"", number, reason));
+  this->LogEnd(number, reason);
+  this->context.recent.Add(this->MakeTrace(number, reason));
   ServerExchange::Answer answer(status, 11);
   if (return_after.has_value()) {
     answer.set(http::field::retry_after,
@@ -263,18 +297,39 @@
   co_await this->exchange.Send(std::move(answer));
 }
 
-void CallerRequest::LogEnd(const ProgressDecision& decision, unsigned status) const {
-  this->context.metrics.AddCount("requests", fmt::format("status=\"{}\"", status));
+RequestTrace CallerRequest::MakeTrace(unsigned status, std::string_view reason) const {
+  const TimePoint now = GetNow();
+  RequestTrace trace;
+  trace.request_id = this->head.request_id;
+  trace.path = this->exchange.GetTarget();
+  trace.route = this->route == nullptr ? std::string() : this->route->name;
+  trace.table_version = this->index == nullptr ? 0 : this->index->GetTable().version;
+  trace.service = this->service;
+  trace.status = status;
+  trace.reason = reason;
+  trace.age_ms = CountPositive(now - this->first_arrival);
+  trace.after_ms = CountPositive(now - this->facts.arrived_at);
+  const Duration time_left = this->head.time_left.value_or(Duration{0}) -
+                             (now - this->facts.arrived_at);
+  trace.time_left_ms = static_cast<std::int32_t>(CountMilliseconds(time_left));
+  trace.hops = this->hops;
+  return trace;
+}
+
+void CallerRequest::LogEnd(unsigned status, std::string_view reason) const {
+  const TimePoint now = GetNow();
   EventLog::Write(
       Event::kRequestEnded,
       "request={} path={} route={} version={} service={} status={} reason={} last={} refused={} "
       "time_left_ms={} age_ms={} after_ms={}",
-      this->head.request_id, this->exchange.GetTarget(), this->route->name,
-      this->index->GetTable().version, this->service, status,
-      DescribeProgressReason(decision.reason), this->last_reason, this->refused_by.size(),
-      CountMilliseconds(this->facts.deadline - GetNow()),
-      CountMilliseconds(GetNow() - this->first_arrival),
-      CountMilliseconds(GetNow() - this->facts.arrived_at));
+      this->head.request_id, this->exchange.GetTarget(),
+      this->route == nullptr ? std::string_view("none") : std::string_view(this->route->name),
+      this->index == nullptr ? 0 : this->index->GetTable().version, this->service, status, reason,
+      this->last_reason, this->refused_by.size(),
+      CountMilliseconds(this->head.time_left.value_or(Duration{0}) -
+                        (now - this->facts.arrived_at)),
+      CountMilliseconds(now - this->first_arrival),
+      CountMilliseconds(now - this->facts.arrived_at));
 }
 
 }  // namespace lacewingbridge
--- a/Source/Proxy/caller_request.h
+++ b/Source/Proxy/caller_request.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "Core/time_point.h"
@@ -44,7 +45,9 @@
   Awaitable<void> SendRefusal(http::status status, std::string_view reason,
                               std::optional<Duration> return_after);
   std::optional<Duration> ComputeReturn(TimePoint now);
-  void LogEnd(const ProgressDecision& decision, unsigned status) const;
+  void NoteHop(const HopChoice& choice, const HopEnd& end, const HopReport* report);
+  void LogEnd(unsigned status, std::string_view reason) const;
+  RequestTrace MakeTrace(unsigned status, std::string_view reason) const;
 
   const ProxyContext& context;
   IoShard& shard;
@@ -55,10 +58,13 @@
   std::string service;
   // Of target and body: the same request, sent again, has the same one.
   std::uint64_t fingerprint = 0;
+  // The same for the whole fleet, with route and service of the caller.
+  std::uint64_t crash_fingerprint = 0;
   TimePoint first_arrival;
   RequestFacts facts;
   std::optional<RequestProgress> progress;
   std::vector<std::string> refused_by;
+  std::vector<HopTrace> hops;
   std::string last_reason;
   std::unique_ptr<OutboundExchange> hop;
   HeldAnswer held;
--- /dev/null
+++ b/Source/Proxy/crash_containment.cc
@@ -0,0 +1,100 @@
+#include "Proxy/crash_containment.h"
+
+#include <utility>
+
+#include "Core/hash.h"
+#include "Observe/event_log.h"
+
+namespace lacewingbridge {
+
+CrashContainment::CrashContainment()
+    : shards(kShardCount, [] {
+        QuarantineLimits limits;
+        limits.spread_count = kMessagesPerStrike;
+        return Shard{QuarantineTable(limits), TimePoint()};
+      }) {}
+
+void CrashContainment::LogContained(std::string_view service, std::size_t count) {
+  if (count > 0) {
+    EventLog::Write(Event::kRequestQuarantined, "service={} count={}", service, count);
+  }
+}
+
+bool CrashContainment::IsContained(TimePoint now, std::string_view service,
+                                   std::uint64_t fingerprint) {
+  return this->shards.WithShard(HashBytes(service), [&](Shard& shard) {
+    return shard.table.IsQuarantined(now, fingerprint);
+  });
+}
+
+QuarantineDecision CrashContainment::TryStart(TimePoint now, std::string_view service,
+                                              std::uint64_t fingerprint,
+                                              const TargetStart& target) {
+  std::size_t contained = 0;
+  const QuarantineDecision decision =
+      this->shards.WithShard(HashBytes(service), [&](Shard& shard) {
+        contained = shard.table.NoteIncarnation(now, target.address, target.incarnation);
+        const QuarantineDecision made = shard.table.MayStart(now, fingerprint, target.address);
+        if (made == QuarantineDecision::kRun) {
+          shard.table.Start(fingerprint, target.address);
+        }
+        return made;
+      });
+  LogContained(service, contained);
+  return decision;
+}
+
+void CrashContainment::NoteEnd(std::string_view service, std::uint64_t fingerprint,
+                               const TargetStart& target, bool answered) {
+  this->shards.WithShard(HashBytes(service), [&](Shard& shard) {
+    shard.table.Finish(fingerprint, target.address, answered);
+  });
+}
+
+void CrashContainment::NoteLost(TimePoint now, std::string_view service, std::uint64_t fingerprint,
+                                const TargetStart& target) {
+  const std::size_t contained = this->shards.WithShard(HashBytes(service), [&](Shard& shard) {
+    const bool known_dead =
+        shard.refused_at != TimePoint() && now - shard.refused_at < kSameCrash;
+    // A start that becomes known later would look like a restart, so a loss on a target
+    // whose start is not known counts only if the target is known to have died.
+    if (known_dead || target.incarnation > 0) {
+      shard.table.NoteLost(now, fingerprint, target.address, target.incarnation);
+    }
+    return known_dead ? shard.table.NoteRefused(now, target.address) : std::size_t{0};
+  });
+  LogContained(service, contained);
+}
+
+void CrashContainment::NoteRefused(TimePoint now, std::string_view service,
+                                   const TargetStart& target) {
+  const std::size_t contained = this->shards.WithShard(HashBytes(service), [&](Shard& shard) {
+    shard.refused_at = now;
+    return shard.table.NoteRefused(now, target.address);
+  });
+  LogContained(service, contained);
+}
+
+void CrashContainment::Merge(TimePoint now, std::string_view service,
+                             std::span<const QuarantineStrike> strikes) {
+  if (strikes.empty()) {
+    return;
+  }
+  const std::size_t contained = this->shards.WithShard(HashBytes(service), [&](Shard& shard) {
+    return shard.table.MergeStrikes(now, strikes);
+  });
+  LogContained(service, contained);
+}
+
+std::vector<QuarantineStrike> CrashContainment::TakeOutgoing(std::string_view service,
+                                                             std::uint64_t fingerprint) {
+  return this->shards.WithShard(HashBytes(service), [&](Shard& shard) {
+    std::vector<QuarantineStrike> strikes = shard.table.ListStrikes(fingerprint);
+    for (QuarantineStrike& strike : shard.table.TakeStrikes(kStrikesPerMessage)) {
+      strikes.push_back(std::move(strike));
+    }
+    return strikes;
+  });
+}
+
+}  // namespace lacewingbridge
--- a/Source/Proxy/mesh_identity.h
+++ b/Source/Proxy/mesh_identity.h
@@ -3,8 +3,6 @@
 
 #include <string>
 
-#include "Retry/fleet_retry_budget.h"
-
 namespace lacewingbridge {
 
 // What a daemon knows about itself from its settings.
@@ -17,8 +15,6 @@
   std::string service;
   // Address on which other daemons send requests.
   std::string peer_address;
-  // Of the whole fleet; the number of daemons is kept up to date by the daemon.
-  RetryBound retry_bound;
 };
 
 }  // namespace lacewingbridge
--- a/Source/Proxy/mesh_state.cc
+++ b/Source/Proxy/mesh_state.cc
@@ -9,8 +9,9 @@
 
 namespace lacewingbridge {
 
-MeshState::MeshState(const MeshIdentity& daemon_identity)
+MeshState::MeshState(const MeshIdentity& daemon_identity, const RetryBound& fleet_bound)
     : identity(daemon_identity),
+      retry_bound(fleet_bound),
       services(kShardCount, [] { return ServiceShard(); }),
       routes(kShardCount, [] { return RouteShard(); }) {}
 
@@ -19,9 +20,9 @@
   return this->services.WithShard(HashBytes(service), [&](ServiceShard& shard) {
     auto found = shard.services.find(service);
     if (found == shard.services.end()) {
+      // The bound is set with the next list of hosts; until then nothing is repeated.
       const MeshIdentity& self = this->identity;
       ServiceState state{HopPlacement(self.host, self.data_centre, self.region), {}};
-      state.budget.SetBound(self.retry_bound);
       found = shard.services.emplace(std::string(service), std::move(state)).first;
     }
     return std::forward<Action>(action)(found->second);
@@ -87,7 +88,6 @@
   return this->directory.GetHosts();
 }
 
-// The caller holds the lock of the hosts; the locks of the shards are taken one by one.
 void MeshState::PublishHosts() {
   const std::vector<HostRecord> hosts = this->directory.GetHosts();
   std::map<std::string, std::vector<HostRecord>, std::less<>> by_service;
@@ -99,16 +99,21 @@
   for (const auto& [service, records] : by_service) {
     this->WithService(service, [](ServiceState&) {});
   }
+  this->retry_bound.daemons = std::max<std::size_t>(hosts.size(), 1);
   this->services.ForEachShard([&](ServiceShard& shard) {
     for (auto& [name, state] : shard.services) {
       state.placement.UpdateHosts(by_service[name]);
-      RetryBound bound = this->identity.retry_bound;
-      bound.daemons = std::max<std::size_t>(hosts.size(), 1);
-      state.budget.SetBound(bound);
+      state.budget.SetBound(this->retry_bound);
     }
   });
 }
 
+void MeshState::SetRetryBound(const RetryBound& fleet_bound) {
+  const std::lock_guard guard(this->hosts_mutex);
+  this->retry_bound = fleet_bound;
+  this->PublishHosts();
+}
+
 std::string MeshState::PickDestination(const HostRoute& route, std::mt19937_64& random) {
   return this->routes.WithShard(HashBytes(route.name), [&](RouteShard& shard) {
     return route.destinations[shard.rotation.Pick(route.name, route.destinations, random)].service;
--- a/Source/Proxy/mesh_state.h
+++ b/Source/Proxy/mesh_state.h
@@ -16,6 +16,7 @@
 #include "Core/time_point.h"
 #include "Membership/host_directory.h"
 #include "Proxy/mesh_identity.h"
+#include "Retry/fleet_retry_budget.h"
 #include "Retry/request_progress.h"
 #include "Retry/returning_requests.h"
 #include "Routing/hop_placement.h"
@@ -32,7 +33,7 @@
 // shards, each under its own lock.
 class MeshState {
  public:
-  explicit MeshState(const MeshIdentity& daemon_identity);
+  MeshState(const MeshIdentity& daemon_identity, const RetryBound& fleet_bound);
 
   const MeshIdentity& GetIdentity() const { return this->identity; }
 
@@ -57,6 +58,8 @@
   double GetAnswerBytes(std::string_view route);
   void RecordAnswerBytes(std::string_view route, std::uint64_t bytes);
 
+  // The bound of the whole fleet; the number of daemons is filled in here.
+  void SetRetryBound(const RetryBound& fleet_bound);
   void RecordRequest(TimePoint now, std::string_view service);
   std::optional<HopChoice> ChooseHop(TimePoint now, std::string_view service, const HopNeed& need,
                                      std::span<const std::string> excluded,
@@ -90,6 +93,7 @@
 
   template <typename Action>
   decltype(auto) WithService(std::string_view service, Action&& action);
+  // The caller holds the lock of the hosts; the locks of the shards are taken one by one.
   void PublishHosts();
 
   const MeshIdentity identity;
@@ -97,6 +101,7 @@
   std::shared_ptr<const RouteIndex> index;
   mutable std::mutex hosts_mutex;
   HostDirectory directory;
+  RetryBound retry_bound;
   Sharded<ServiceShard> services;
   Sharded<RouteShard> routes;
 };
--- a/Source/Proxy/peer_request.cc
+++ b/Source/Proxy/peer_request.cc
@@ -23,6 +23,16 @@
 constexpr Duration kAnswerSilence = std::chrono::seconds(5);
 // Interval at which waiting requests look for the end of their time.
 constexpr Duration kExpiryInterval = std::chrono::milliseconds(25);
+// Interval at which a request looks whether another one that crashed a target has ended.
+constexpr Duration kTurnInterval = std::chrono::milliseconds(10);
+// An answer that takes less time than this on the link is sent without pacing.
+constexpr Duration kPacedTransfer = std::chrono::milliseconds(20);
+// Longest answer that is held while it waits for the link. A longer one is passed on as the
+// link takes it.
+constexpr std::size_t kMaxHeldForLink = std::size_t{512} * 1024;
+// Part of its time for which such a request waits here, as a divisor; then it is better
+// placed elsewhere.
+constexpr int kTurnWaitDivisor = 4;
 
 }  // namespace
 
@@ -45,6 +55,58 @@
       this->arrived_at + std::chrono::milliseconds(this->hop.objective_left_ms);
 }
 
+Awaitable<bool> PeerRequest::WaitForContainment() {
+  CrashContainment& containment = this->context.containment;
+  containment.Merge(this->arrived_at, this->hop.service, this->hop.strikes);
+  this->target = {this->context.state.GetIdentity().target_address,
+                  this->context.gate.GetTargetBorn()};
+  const TimePoint until =
+      this->arrived_at + (this->offer.deadline - this->arrived_at) / kTurnWaitDivisor;
+  AsyncSignal turn(this->shard.GetContext());
+  while (true) {
+    const TimePoint now = GetNow();
+    const QuarantineDecision decision =
+        containment.TryStart(now, this->hop.service, this->hop.fingerprint, this->target);
+    if (decision == QuarantineDecision::kRun) {
+      co_return false;
+    }
+    if (decision == QuarantineDecision::kQuarantined) {
+      co_await this->SendWithoutRun(HopOutcome::kQuarantined, "crashes_targets");
+      co_return true;
+    }
+    if (now >= until || this->exchange.IsCallerGone()) {
+      co_await this->SendRefused("beside_crashing_request");
+      co_return true;
+    }
+    co_await turn.WaitFor(kTurnInterval);
+  }
+}
+
+void PeerRequest::EndContainment() {
+  const bool answered =
+      this->outcome == HopOutcome::kAnswered || this->outcome == HopOutcome::kNotRun;
+  this->context.containment.NoteEnd(this->hop.service, this->hop.fingerprint, this->target,
+                                    answered);
+}
+
+Awaitable<void> PeerRequest::CheckTarget(ExchangeStatus status) {
+  const bool broken = status == ExchangeStatus::kOk && this->held.status == BodyStatus::kBroken;
+  if (this->exchange.IsCallerGone() || (status != ExchangeStatus::kLost && !broken)) {
+    co_return;
+  }
+  CrashContainment& containment = this->context.containment;
+  containment.NoteLost(GetNow(), this->hop.service, this->hop.fingerprint, this->target);
+  if (!this->context.gate.TakeListenCheck(GetNow())) {
+    co_return;
+  }
+  OutboundExchange probe(this->shard, this->target.address);
+  co_await probe.Probe(kConnectLimit);
+  if (probe.WasRefused()) {
+    this->context.gate.NoteConnectionRefused(GetNow());
+    containment.NoteRefused(GetNow(), this->hop.service, this->target);
+  }
+}
+
 Awaitable<bool> PeerRequest::WaitForSlot() {
   if (this->context.stage.IsClosing()) {
     co_await this->SendRefused("stopping");
@@ -136,11 +198,36 @@
   }
 }
 
+Awaitable<void> PeerRequest::HoldForLink() {
+  const std::uint64_t bytes = this->to_target->GetLength().value_or(kMaxHeldForLink);
+  if (this->held.status == BodyStatus::kMore && bytes <= kMaxHeldForLink &&
+      this->context.gate.GetTransferTime(bytes) >= kPacedTransfer) {
+    co_await HoldAnswer(*this->to_target, this->held, kMaxHeldForLink);
+  }
+}
+
+Awaitable<void> PeerRequest::SendAnswer() {
+  const bool whole = this->held.status == BodyStatus::kComplete;
+  const std::uint64_t bytes =
+      whole ? this->held.body.size()
+            : this->to_target->GetLength().value_or(this->held.body.size());
+  const LinkTurn turn{this->context.gate.ReserveLink(GetNow(), bytes),
+                      this->context.gate.GetTransferTime(bytes)};
+  if (whole && turn.transfer >= kPacedTransfer &&
+      this->exchange.GetHead().method() != http::verb::head) {
+    co_await RelayInTurn(this->held, turn, this->shard.GetContext(), this->exchange);
+  } else {
+    co_await RelayAnswer(*this->to_target, this->held, this->exchange);
+  }
+}
+
 HopReport PeerRequest::MakeReport() {
   HopReport report = this->context.gate.MakeReport(GetNow(), this->hop.priority);
   report.outcome = this->outcome;
   report.reason = this->reason;
   report.table_version = this->context.state.GetTableVersion();
+  report.strikes =
+      this->context.containment.TakeOutgoing(this->hop.service, this->hop.fingerprint);
   return report;
 }
 
@@ -148,6 +235,9 @@
   const TimePoint now = GetNow();
   if (status == ExchangeStatus::kNotConnected) {
     this->context.gate.NoteConnectionRefused(now);
+    if (this->to_target->WasRefused()) {
+      this->context.containment.NoteRefused(now, this->hop.service, this->target);
+    }
     this->outcome = HopOutcome::kRefused;
     this->reason = "target_unreachable";
   } else if (status != ExchangeStatus::kOk) {
@@ -173,7 +263,7 @@
     CopyEndToEndHeaders(this->held.head, head);
     SetHopReport(head, report);
     this->held.head = std::move(head);
-    co_await RelayAnswer(*this->to_target, this->held, this->exchange);
+    co_await this->SendAnswer();
   }
   if (streaming) {
     this->to_target->Finish();
@@ -183,7 +273,11 @@
 }
 
 Awaitable<void> PeerRequest::SendRefused(std::string_view why) {
-  this->outcome = HopOutcome::kRefused;
+  co_await this->SendWithoutRun(HopOutcome::kRefused, why);
+}
+
+Awaitable<void> PeerRequest::SendWithoutRun(HopOutcome how, std::string_view why) {
+  this->outcome = how;
   this->reason = std::string(why);
   const HopReport report = this->MakeReport();
   this->Log(report, static_cast<unsigned>(http::status::service_unavailable));
--- a/Source/Proxy/peer_request.h
+++ b/Source/Proxy/peer_request.h
@@ -13,6 +13,7 @@
 #include "Http/outbound_exchange.h"
 #include "Http/server_exchange.h"
 #include "Proxy/answer_relay.h"
+#include "Proxy/crash_containment.h"
 #include "Proxy/header_fields.h"
 #include "Proxy/mesh_state.h"
 #include "Proxy/proxy_context.h"
@@ -30,8 +31,13 @@
 
   template <ProxyWire Wire>
   Awaitable<void> Run() {
+    const bool contained = co_await this->WaitForContainment();
+    if (contained) {
+      co_return;
+    }
     const bool admitted = co_await this->WaitForSlot();
     if (!admitted) {
+      this->EndContainment();
       co_return;
     }
     OutboundExchange::Request request = MakeForwardedRequest(this->exchange);
@@ -40,8 +46,9 @@
     ExchangeStatus status = co_await this->SendToTarget(request);
     for (int skipped = 0; status == ExchangeStatus::kOk; ++skipped) {
       const TargetAnswerHead head = Wire::ReadAnswerHead(this->to_target->GetHead());
-      co_await HoldAnswer(*this->to_target, this->held);
+      co_await HoldAnswer(*this->to_target, this->held, HeldAnswer::kMaxHeldAnswer);
       if (head.request_id == request_id) {
+        co_await this->HoldForLink();
         this->Judge(head);
         break;
       }
@@ -53,6 +60,8 @@
       this->held = HeldAnswer();
       status = co_await this->to_target->ReadNextHead();
     }
+    co_await this->CheckTarget(status);
+    this->EndContainment();
     co_await this->FinishHop(status);
   }
 
@@ -61,14 +70,25 @@
 
   struct SlotWait;
 
+  // Whether the request has been answered because it crashes targets. Otherwise it counts
+  // as running until EndContainment.
+  Awaitable<bool> WaitForContainment();
+  void EndContainment();
   Awaitable<bool> WaitForSlot();
   Awaitable<bool> WaitForTurn(const std::shared_ptr<SlotWait>& wait);
   TargetHead MakeTargetHead() const;
   Awaitable<ExchangeStatus> SendToTarget(const OutboundExchange::Request& request);
+  // Reads the rest of an answer that will wait for the link, so that the target is done
+  // with it and takes the next request.
+  Awaitable<void> HoldForLink();
+  Awaitable<void> SendAnswer();
+  // After a lost connection: finds out whether the target died of its requests.
+  Awaitable<void> CheckTarget(ExchangeStatus status);
   // Decides from the head of the answer and the begin of its body what became of it.
   void Judge(const TargetAnswerHead& head);
   Awaitable<void> FinishHop(ExchangeStatus status);
   Awaitable<void> SendRefused(std::string_view why);
+  Awaitable<void> SendWithoutRun(HopOutcome how, std::string_view why);
   HopReport MakeReport();
   void Log(const HopReport& report, unsigned status) const;
 
@@ -79,6 +99,7 @@
   const TimePoint arrived_at;
   TimePoint started_at;
   WorkOffer offer;
+  TargetStart target;
   std::unique_ptr<OutboundExchange> to_target;
   HeldAnswer held;
   HopOutcome outcome = HopOutcome::kUnknown;
--- a/Source/Proxy/proxy_context.h
+++ b/Source/Proxy/proxy_context.h
@@ -6,9 +6,11 @@
 
 namespace lacewingbridge {
 
+class CrashContainment;
 class DaemonStage;
 class MeshState;
 class MetricsRegistry;
+class RecentRequests;
 class TargetGate;
 
 // The shared parts that requests use. All outlive every request.
@@ -17,6 +19,8 @@
   TargetGate& gate;
   DaemonStage& stage;
   MetricsRegistry& metrics;
+  CrashContainment& containment;
+  RecentRequests& recent;
   // Called with the peer address of a daemon that holds a newer version.
   std::function<void(const std::string&)> note_newer_table;
 };
--- a/Source/Proxy/target_gate.cc
+++ b/Source/Proxy/target_gate.cc
@@ -55,6 +55,7 @@
     take(id, true);
   }
   for (const RequestId id : release.refused) {
+    this->link.Forget(id);
     take(id, false);
   }
 }
@@ -79,10 +80,14 @@
       return GateVerdict::kNotAccepting;
     }
     offer.id = ++this->last_id;
+    offer.transfer = this->link.GetTransferTime(hop.answer_bytes);
+    offer.link_free_at = now + this->link.EstimateWait(now);
     switch (this->admission.Offer(now, offer)) {
       case AdmissionVerdict::kAdmitted:
+        this->link.Expect(offer.id, hop.answer_bytes);
         return GateVerdict::kAdmitted;
       case AdmissionVerdict::kQueued:
+        this->link.Expect(offer.id, hop.answer_bytes);
         this->listeners.emplace(offer.id, std::move(listener));
         return GateVerdict::kQueued;
       case AdmissionVerdict::kRefusedDeadline:
@@ -99,14 +104,21 @@
 
 void TargetGate::Finish(TimePoint now, RequestId id) {
   this->Change(now, [&](std::vector<Notification>& notifications) {
+    this->link.Forget(id);
     this->Collect(this->admission.Finish(now, id), notifications);
     return true;
   });
 }
 
+Duration TargetGate::ReserveLink(TimePoint now, std::uint64_t bytes) {
+  const std::lock_guard guard(this->mutex);
+  return this->link.Reserve(now, bytes);
+}
+
 bool TargetGate::Cancel(TimePoint now, RequestId id) {
   return this->Change(now, [&](std::vector<Notification>&) {
     this->admission.Cancel(id);
+    this->link.Forget(id);
     return this->listeners.erase(id) == 0;
   });
 }
@@ -157,6 +169,20 @@
                       [&](std::vector<Notification>&) { return this->target.TakeProofTurn(now); });
 }
 
+bool TargetGate::TakeListenCheck(TimePoint now) {
+  const std::lock_guard guard(this->mutex);
+  if (now - this->listen_checked_at < kListenCheckInterval) {
+    return false;
+  }
+  this->listen_checked_at = now;
+  return true;
+}
+
+std::uint64_t TargetGate::GetTargetBorn() {
+  const std::lock_guard guard(this->mutex);
+  return this->target.GetBorn();
+}
+
 HopReport TargetGate::MakeReport(TimePoint now, std::uint32_t priority) {
   const std::lock_guard guard(this->mutex);
   HopReport report;
@@ -169,6 +195,8 @@
       static_cast<std::uint32_t>(CountMilliseconds(this->admission.GetServiceTime()));
   report.accepting = this->target.IsAccepting(now) && !this->leaving;
   report.target_id = this->target.GetId();
+  report.link_wait_ms = static_cast<std::uint32_t>(CountMilliseconds(this->link.EstimateWait(now)));
+  report.link_bytes_per_second = this->link.GetRate();
   return report;
 }
 
--- a/Source/Proxy/target_gate.h
+++ b/Source/Proxy/target_gate.h
@@ -1,6 +1,7 @@
 #ifndef LACEWINGBRIDGE_SOURCE_PROXY_TARGET_GATE_H_
 #define LACEWINGBRIDGE_SOURCE_PROXY_TARGET_GATE_H_
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <mutex>
@@ -8,6 +9,7 @@
 #include <string_view>
 #include <unordered_map>
 
+#include "Admission/link_schedule.h"
 #include "Admission/target_admission.h"
 #include "Core/time_point.h"
 #include "Membership/local_target.h"
@@ -27,12 +29,19 @@
   // Called from any thread when a queued request may start (true) or is refused (false).
   using Listener = std::function<void(bool)>;
 
-  explicit TargetGate(std::string_view service) : target(service) {}
+  // 0 bytes per second: the link of the host is not limited.
+  TargetGate(std::string_view service, std::uint64_t link_bytes_per_second)
+      : target(service), link(link_bytes_per_second) {}
 
   // Chooses the id of the offer. The listener is called at most once, and only if the
   // verdict is kQueued.
   GateVerdict Offer(TimePoint now, const HopRequest& hop, WorkOffer& offer, Listener listener);
   void Finish(TimePoint now, RequestId id);
+  // Takes the time on the link for an answer of the target; returns the time until its
+  // first byte may go out.
+  Duration ReserveLink(TimePoint now, std::uint64_t bytes);
+  // Time that a long answer takes on the link.
+  Duration GetTransferTime(std::uint64_t bytes) const { return this->link.GetTransferTime(bytes); }
   // Returns whether the request had already been admitted; then it has to be finished.
   bool Cancel(TimePoint now, RequestId id);
   // To be called regularly while requests wait.
@@ -44,6 +53,11 @@
   void NoteHealth(TimePoint now, bool healthy, std::string_view id, std::uint32_t slots);
   void NoteConnectionRefused(TimePoint now);
   bool TakeProofTurn(TimePoint now);
+  // Whether a lost connection is a reason to look now if the target still listens. Several
+  // connections are lost at once; one look is enough.
+  bool TakeListenCheck(TimePoint now);
+  // When the present target started; 0 while it is not known.
+  std::uint64_t GetTargetBorn();
 
   // State of the target for the answer to a request of the priority.
   HopReport MakeReport(TimePoint now, std::uint32_t priority);
@@ -53,6 +67,9 @@
   void SetLeaving();
 
  private:
+  // Shorter than the time in which a target restarts.
+  static constexpr Duration kListenCheckInterval = std::chrono::milliseconds(300);
+
   struct Notification {
     Listener listener;
     bool admitted = false;
@@ -67,8 +84,10 @@
   std::mutex mutex;
   LocalTarget target;
   TargetAdmission admission;
+  LinkSchedule link;
   std::unordered_map<RequestId, Listener> listeners;
   RequestId last_id = 0;
+  TimePoint listen_checked_at;
   bool leaving = false;
 };
 
--- a/Source/Quarantine/quarantine_table.cc
+++ b/Source/Quarantine/quarantine_table.cc
@@ -133,6 +133,11 @@
   return found != this->entries.end() && found->second.strikes.size() >= this->limits.strike_limit;
 }
 
+std::vector<QuarantineStrike> QuarantineTable::ListStrikes(std::uint64_t fingerprint) const {
+  const auto found = this->entries.find(fingerprint);
+  return found == this->entries.end() ? std::vector<QuarantineStrike>() : found->second.strikes;
+}
+
 void QuarantineTable::Expire(TimePoint now) {
   while (!this->suspicions.empty() &&
          this->suspicions.front().since + this->limits.proof_window <= now) {
--- a/Source/Quarantine/quarantine_table.h
+++ b/Source/Quarantine/quarantine_table.h
@@ -90,6 +90,8 @@
   std::vector<QuarantineStrike> TakeStrikes(std::size_t max_count);
 
   bool IsQuarantined(TimePoint now, std::uint64_t fingerprint);
+  // The strikes of one request, to be told to whoever may run it next.
+  std::vector<QuarantineStrike> ListStrikes(std::uint64_t fingerprint) const;
   std::size_t GetEntryCount() const { return this->entries.size(); }
   std::size_t GetSuspicionCount() const { return this->suspicions.size(); }
   std::size_t GetOutstandingCount() const { return this->outgoing.size(); }
--- a/Source/Routing/hop_placement.cc
+++ b/Source/Routing/hop_placement.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "Admission/link_schedule.h"
+
 namespace lacewingbridge {
 
 namespace {
@@ -106,24 +108,46 @@
   ++candidate->failures;
 }
 
-Duration HopPlacement::EstimateWait(TimePoint now, const Candidate& candidate) const {
-  const bool fresh = candidate.has_report && now - candidate.report_at < kReportLifetime;
-  const std::uint32_t slots = std::max(fresh ? candidate.report.slots : candidate.slots, 1U);
-  Duration service_time = kInitialServiceTime;
-  if (candidate.has_report && candidate.report.service_time_ms > 0) {
-    service_time = FromMilliseconds(candidate.report.service_time_ms);
+Duration HopPlacement::ComputeTypicalServiceTime() const {
+  Duration sum{0};
+  std::int64_t count = 0;
+  for (const Candidate& candidate : this->candidates) {
+    if (candidate.has_report && candidate.report.service_time_ms > 0) {
+      sum += FromMilliseconds(candidate.report.service_time_ms);
+      ++count;
+    }
   }
-  std::int64_t occupied = candidate.in_flight;
-  if (fresh) {
-    const std::int64_t since = static_cast<std::int64_t>(candidate.in_flight) -
-                               static_cast<std::int64_t>(candidate.in_flight_at_report);
-    occupied = std::max<std::int64_t>(
-        occupied, static_cast<std::int64_t>(candidate.report.running) +
-                      static_cast<std::int64_t>(candidate.report.waiting) + since);
+  return count == 0 ? kInitialServiceTime : sum / count;
+}
+
+Duration HopPlacement::GetServiceTime(const Candidate& candidate, const Draw& draw) const {
+  return candidate.has_report && candidate.report.service_time_ms > 0
+             ? FromMilliseconds(candidate.report.service_time_ms)
+             : draw.typical_service_time;
+}
+
+std::int64_t HopPlacement::CountOccupied(TimePoint now, const Candidate& candidate) {
+  if (!IsFresh(now, candidate)) {
+    return candidate.in_flight;
   }
-  const std::int64_t excess = std::max<std::int64_t>(occupied - slots + 1, 0);
+  const std::int64_t since = static_cast<std::int64_t>(candidate.in_flight) -
+                             static_cast<std::int64_t>(candidate.in_flight_at_report);
+  return std::max<std::int64_t>(candidate.in_flight,
+                                static_cast<std::int64_t>(candidate.report.running) +
+                                    static_cast<std::int64_t>(candidate.report.waiting) + since);
+}
+
+std::uint32_t HopPlacement::CountSlots(TimePoint now, const Candidate& candidate) {
+  return std::max(IsFresh(now, candidate) ? candidate.report.slots : candidate.slots, 1U);
+}
+
+Duration HopPlacement::EstimateWait(TimePoint now, const Candidate& candidate,
+                                    Duration service_time) const {
+  const std::uint32_t slots = CountSlots(now, candidate);
+  const std::int64_t excess =
+      std::max<std::int64_t>(CountOccupied(now, candidate) - slots + 1, 0);
   Duration wait = service_time * excess / slots;
-  if (fresh) {
+  if (IsFresh(now, candidate)) {
     const Duration told =
         FromMilliseconds(candidate.report.expected_wait_ms) - (now - candidate.report_at);
     wait = std::max(wait, told);
@@ -131,26 +155,45 @@
   return wait;
 }
 
-Duration HopPlacement::ComputeCost(TimePoint now, const HopNeed& need, const Candidate& candidate,
-                                   double jitter) const {
+Duration HopPlacement::EstimateLinkTime(TimePoint now, const HopNeed& need,
+                                        const Candidate& candidate, Duration ready) {
+  const double rate = static_cast<double>(candidate.report.link_bytes_per_second);
+  if (!candidate.has_report || rate <= 0 ||
+      need.answer_bytes <= static_cast<double>(LinkSchedule::kMaxShortBytes)) {
+    return Duration{0};
+  }
+  const Duration told =
+      FromMilliseconds(candidate.report.link_wait_ms) - (now - candidate.report_at);
+  const auto transfer = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(need.answer_bytes / rate));
+  return std::max(told - ready, Duration{0}) + transfer;
+}
+
+Duration HopPlacement::ComputeCost(TimePoint now, const HopNeed& need, std::size_t position,
+                                   const Draw& draw) const {
+  const Candidate& candidate = this->candidates[position];
+  const double jitter = draw.jitters[position];
   const auto distance = static_cast<std::size_t>(candidate.distance);
-  const Duration service_time = candidate.has_report
-                                    ? FromMilliseconds(candidate.report.service_time_ms)
-                                    : kInitialServiceTime;
-  const Duration wait = Scale(this->EstimateWait(now, candidate), jitter) + kRoundTrips[distance];
+  const Duration service_time = this->GetServiceTime(candidate, draw);
+  Duration wait =
+      Scale(this->EstimateWait(now, candidate, service_time), jitter) + kRoundTrips[distance];
+  wait += EstimateLinkTime(now, need, candidate, wait + service_time);
   const double late = EstimateLateness(need.objective_left - wait, service_time);
   const double kilobytes = need.answer_bytes / 1024 + kHeadKilobytes;
-  // A target that has not reported yet gets one request, so that a new one is brought in.
-  if (!candidate.has_report && candidate.in_flight == 0 && kilobytes <= kMaxTrialKilobytes) {
+  if (draw.trial && !candidate.has_report && candidate.in_flight == 0 &&
+      kilobytes <= kMaxTrialKilobytes) {
     return kRoundTrips[distance];
   }
-  return wait + Scale(service_time, jitter) + Scale(need.time_left, late * kLatePrice) +
-         Scale(kPricePerKilobyte[distance], kilobytes);
+  const double crowd = std::min(static_cast<double>(CountOccupied(now, candidate)) /
+                                    CountSlots(now, candidate),
+                                1.0);
+  return wait + Scale(service_time, jitter + kCrowdedPrice * crowd * crowd * crowd) +
+         Scale(need.time_left, late * kLatePrice) + Scale(kPricePerKilobyte[distance], kilobytes);
 }
 
 std::optional<HopChoice> HopPlacement::ChooseFor(TimePoint now, const HopNeed& need,
                                                  std::span<const std::string> excluded,
-                                                 std::span<const double> jitters) const {
+                                                 const Draw& draw) const {
   const Candidate* best = nullptr;
   Duration best_cost{0};
   for (std::size_t i = 0; i < this->candidates.size(); ++i) {
@@ -161,7 +204,7 @@
         std::find(excluded.begin(), excluded.end(), candidate.peer_address) != excluded.end()) {
       continue;
     }
-    const Duration cost = this->ComputeCost(now, need, candidate, jitters[i]);
+    const Duration cost = this->ComputeCost(now, need, i, draw);
     if (best == nullptr || cost < best_cost) {
       best = &candidate;
       best_cost = cost;
@@ -175,12 +218,14 @@
 
 std::optional<Duration> HopPlacement::EstimateReturn(TimePoint now) const {
   std::optional<Duration> least;
+  const Duration typical = this->ComputeTypicalServiceTime();
   for (const Candidate& candidate : this->candidates) {
     if (!candidate.accepting) {
       continue;
     }
     const Duration pause = std::max(candidate.paused_until - now, Duration{0});
-    const Duration wait = std::max(this->EstimateWait(now, candidate), pause);
+    const Duration service_time = this->GetServiceTime(candidate, {{}, false, typical});
+    const Duration wait = std::max(this->EstimateWait(now, candidate, service_time), pause);
     if (!least.has_value() || wait < *least) {
       least = wait;
     }
--- a/Source/Routing/hop_placement.h
+++ b/Source/Routing/hop_placement.h
@@ -1,6 +1,7 @@
 #ifndef LACEWINGBRIDGE_SOURCE_ROUTING_HOP_PLACEMENT_H_
 #define LACEWINGBRIDGE_SOURCE_ROUTING_HOP_PLACEMENT_H_
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <cstdint>
@@ -57,7 +58,9 @@
     for (double& entry : jitters) {
       entry = jitter(random);
     }
-    return this->ChooseFor(now, need, excluded, jitters);
+    const double trial_rate = 1.0 / static_cast<double>(std::max<std::size_t>(jitters.size(), 1));
+    const bool trial = std::bernoulli_distribution(trial_rate)(random);
+    return this->ChooseFor(now, need, excluded, {jitters, trial, this->ComputeTypicalServiceTime()});
   }
 
   // To be called once for every hop that is sent, and once when it has ended.
@@ -90,9 +93,12 @@
   // Waiting that a late answer is worth, as a part of the caller's time: about seven tenths
   // of an answer's worth are lost, in the same measure as the price of bytes.
   static constexpr double kLatePrice = 0.25;
+  // What a target that is nearly full costs more, as a part of its service time: its reports
+  // are a moment old, and many targets slow down when they are nearly full.
+  static constexpr double kCrowdedPrice = 0.5;
   // A longer answer is not sent over a billed link to try a new target.
   static constexpr double kMaxTrialKilobytes = 32;
-  // Until a report tells better.
+  // While no target of the service has reported.
   static constexpr Duration kInitialServiceTime = std::chrono::milliseconds(50);
   // Pause of a peer that failed, doubled with each further failure.
   static constexpr Duration kFirstPause = std::chrono::milliseconds(200);
@@ -114,14 +120,36 @@
     TimePoint paused_until;
   };
 
+  // What one choice has drawn.
+  struct Draw {
+    std::span<const double> jitters;
+    // A target that has not reported yet may be tried out of turn. Every daemon has to learn
+    // every target, so the chance is one in the number of targets: otherwise most requests
+    // of a large fleet would be trials.
+    bool trial = false;
+    // Service time assumed for targets that have not reported.
+    Duration typical_service_time{0};
+  };
+
   std::optional<HopChoice> ChooseFor(TimePoint now, const HopNeed& need,
-                                     std::span<const std::string> excluded,
-                                     std::span<const double> jitters) const;
+                                     std::span<const std::string> excluded, const Draw& draw) const;
+  // Mean of the service times that are known.
+  Duration ComputeTypicalServiceTime() const;
+  Duration GetServiceTime(const Candidate& candidate, const Draw& draw) const;
   Candidate* Find(std::string_view peer_address);
   Distance GetDistance(const HostRecord& record) const;
-  Duration EstimateWait(TimePoint now, const Candidate& candidate) const;
-  Duration ComputeCost(TimePoint now, const HopNeed& need, const Candidate& candidate,
-                       double jitter) const;
+  static bool IsFresh(TimePoint now, const Candidate& candidate) {
+    return candidate.has_report && now - candidate.report_at < kReportLifetime;
+  }
+  // Requests that run or wait at the candidate, as far as this daemon knows.
+  static std::int64_t CountOccupied(TimePoint now, const Candidate& candidate);
+  static std::uint32_t CountSlots(TimePoint now, const Candidate& candidate);
+  Duration EstimateWait(TimePoint now, const Candidate& candidate, Duration service_time) const;
+  // What the link of the candidate's host adds to the wait and the work.
+  static Duration EstimateLinkTime(TimePoint now, const HopNeed& need, const Candidate& candidate,
+                                   Duration ready);
+  Duration ComputeCost(TimePoint now, const HopNeed& need, std::size_t position,
+                       const Draw& draw) const;
 
   std::string host;
   std::string data_centre;
--- a/Source/Store/store_sync.h
+++ b/Source/Store/store_sync.h
@@ -50,6 +50,9 @@
     this->Spawn(&StoreSync::KeepRecord);
   }
 
+  // For the next lease.
+  void SetMinLease(Duration min_lease) { this->lease_time = std::max(min_lease, kLeaseTime); }
+
   // The local target or this daemon's willingness to take work has changed. To be called
   // on the shard's thread.
   void NoteRecordChanged() { this->record_changed.Notify(); }
@@ -66,8 +69,16 @@
   static constexpr std::string_view kHostPrefix = "lacewingbridge/hosts/";
   // Time of a pending watch. Each watch is a call, and the store allows 30 s at most.
   static constexpr Duration kWatchTime = std::chrono::seconds(29);
-  // After changes of the host list, so that those of a restart storm arrive together.
-  static constexpr Duration kHostsPause = std::chrono::milliseconds(700);
+  // After changes of the host list, so that those of a restart storm arrive together: each
+  // look at the list is a call of every daemon. A new target may wait for seconds for its
+  // first requests, and a host that left is found by its refusals.
+  static constexpr Duration kHostsPause = std::chrono::milliseconds(2000);
+  // After a new version, so that those of a quick succession arrive together. A quarter of
+  // the shortest bound within which a version has to be in force.
+  static constexpr Duration kTablePause = std::chrono::milliseconds(500);
+  // Longest wait for the target's state before this host is listed: a record that changes
+  // at once would wake every daemon twice.
+  static constexpr Duration kTargetPatience = std::chrono::milliseconds(1500);
   // Hosts that lose power disappear from the list after this time.
   static constexpr Duration kLeaseTime = std::chrono::seconds(4);
   // Renewals per lease time; two may fail before the lease ends.
@@ -150,7 +161,11 @@
           this->TakeTable(item);
         }
       }
+      const bool first = !known.has_value();
       known = std::max(known.value_or(0), GetValue(view).revision);
+      if (!first && !GetValue(view).items.empty()) {
+        co_await this->Pause(kTablePause);
+      }
     }
   }
 
@@ -185,13 +200,26 @@
     std::vector<HostRecord> records;
     bool own_listed = false;
     for (const StoreItem& item : view.items) {
-      own_listed = own_listed || item.key == this->GetOwnKey();
-      if (std::optional<HostRecord> record = this->DecodeRecord(item)) {
+      std::optional<HostRecord> record = this->DecodeRecord(item);
+      if (item.key == this->GetOwnKey()) {
+        own_listed = true;
+        this->TakeEarlierRecord(record);
+      }
+      if (record.has_value()) {
         records.push_back(std::move(*record));
       }
     }
     this->state.ReplaceHosts(GetNow(), records);
     this->NoteOwnRecord(own_listed);
+    this->hosts_read = true;
+    this->record_changed.Notify();
+  }
+
+  // An earlier process of this host may have acknowledged that the target leaves.
+  void TakeEarlierRecord(const std::optional<HostRecord>& record) {
+    if (!this->hosts_read && record.has_value() && record->target.has_value()) {
+      this->gate.NoteRecord(GetNow(), *record->target);
+    }
   }
 
   void NoteOwnRecord(bool listed) {
@@ -269,22 +297,6 @@
     return record;
   }
 
-  // An earlier process of this host may have acknowledged that the target leaves.
-  Awaitable<Status> ReadOwnRecord() {
-    const std::string key = this->GetOwnKey();
-    Result<StoreItem> item = co_await this->client.Get(key);
-    if (!IsOk(item)) {
-      co_return GetError(item);
-    }
-    if (GetValue(item).value.has_value()) {
-      const std::optional<HostRecord> record = this->DecodeRecord(GetValue(item));
-      if (record.has_value() && record->target.has_value()) {
-        this->gate.NoteRecord(GetNow(), *record->target);
-      }
-    }
-    co_return MakeOkStatus();
-  }
-
   Awaitable<Status> EnsureLease() {
     if (this->lease != 0) {
       co_return MakeOkStatus();
@@ -324,19 +336,23 @@
     co_return status;
   }
 
+  // Waits until the list has been read, which holds the record of an earlier process of
+  // this host, and for a moment until the target's state is known.
+  Awaitable<void> WaitBeforeListing() {
+    const TimePoint until = GetNow() + kTargetPatience;
+    while (!this->ended && (!this->hosts_read || (GetNow() < until && !this->IsTargetKnown()))) {
+      co_await this->record_changed.WaitFor(kTargetPatience);
+    }
+  }
+
+  bool IsTargetKnown() { return this->gate.MakeRecord().accepting; }
+
   Awaitable<void> KeepRecord() {
     StoreBackoff backoff;
     bool reached = true;
-    bool own_read = false;
+    co_await this->WaitBeforeListing();
     while (!this->ended) {
-      Status status = MakeOkStatus();
-      if (!own_read) {
-        status = co_await this->ReadOwnRecord();
-        own_read = IsOk(status);
-      }
-      if (IsOk(status)) {
-        status = co_await this->RenewOrWrite();
-      }
+      const Status status = co_await this->RenewOrWrite();
       if (IsOk(status)) {
         this->NoteReached("keep_record", reached, backoff);
         if (this->written == this->MakeRecord()) {
@@ -352,11 +368,13 @@
   MeshState& state;
   TargetGate& gate;
   Client& client;
-  const Duration lease_time;
+  Duration lease_time;
   AsyncSignal record_changed;
   std::uint64_t lease = 0;
   // The record that the store holds under the lease.
   std::optional<HostRecord> written;
+  // The list of hosts has been read once.
+  bool hosts_read = false;
   bool ended = false;
 };
 
