--- a/Source/Admission/link_schedule.h
+++ b/Source/Admission/link_schedule.h
@@ -46,7 +46,7 @@
  private:
   // Part of the link's rate that answers take, in hundredths. The rest is for headers,
   // acknowledgements and this host's own requests.
-  static constexpr std::uint64_t kUsedPercent = 85;
+  static constexpr std::uint64_t kUsedPercent = 93;
 
   Duration GetLinkTime(std::uint64_t bytes) const;
 
--- a/Source/Store/store_sync.h
+++ b/Source/Store/store_sync.h
@@ -78,7 +78,7 @@
   static constexpr Duration kTablePause = std::chrono::milliseconds(500);
   // Longest wait for the target's state before this host is listed: a record that changes
   // at once would wake every daemon twice.
-  static constexpr Duration kTargetPatience = std::chrono::milliseconds(1500);
+  static constexpr Duration kTargetPatience = std::chrono::milliseconds(2000);
   // Hosts that lose power disappear from the list after this time.
   static constexpr Duration kLeaseTime = std::chrono::seconds(4);
   // Renewals per lease time; two may fail before the lease ends.
@@ -345,7 +345,17 @@
     }
   }
 
-  bool IsTargetKnown() { return this->gate.MakeRecord().accepting; }
+  bool IsTargetKnown() {
+    const LocalTargetRecord target = this->gate.MakeRecord();
+    return target.accepting && target.born_unix_ms > 0;
+  }
+
+  // Announcements of the target arrive all the time; only a changed record ends the wait.
+  Awaitable<void> WaitForRenewal(TimePoint due) {
+    while (!this->ended && this->written == this->MakeRecord() && GetNow() < due) {
+      co_await this->record_changed.WaitFor(due - GetNow());
+    }
+  }
 
   Awaitable<void> KeepRecord() {
     StoreBackoff backoff;
@@ -355,9 +365,7 @@
       const Status status = co_await this->RenewOrWrite();
       if (IsOk(status)) {
         this->NoteReached("keep_record", reached, backoff);
-        if (this->written == this->MakeRecord()) {
-          co_await this->record_changed.WaitFor(this->lease_time / kRenewalsPerLease);
-        }
+        co_await this->WaitForRenewal(GetNow() + this->lease_time / kRenewalsPerLease);
       } else if (GetError(status).kind != ErrorKind::kLeaseEnded) {
         co_await this->PauseAfter(GetError(status), "keep_record", reached, backoff);
       }
