--- a/Source/Admission/link_schedule.cc
+++ b/Source/Admission/link_schedule.cc
@@ -39,7 +39,7 @@
 
 Duration LinkSchedule::Reserve(TimePoint now, std::uint64_t bytes) {
   const TimePoint begin = std::max(this->free_at, now);
-  this->free_at = begin + this->GetLinkTime(bytes);
+  this->free_at = begin + this->GetLinkTime(bytes + kHeadBytes);
   return bytes <= kMaxShortBytes ? Duration{0} : begin - now;
 }
 
--- a/Source/Admission/link_schedule.h
+++ b/Source/Admission/link_schedule.h
@@ -39,14 +39,16 @@
   // Its answer is here, or none will come.
   void Forget(RequestId id);
 
-  // Takes the time on the link for an answer; returns the time until its first byte may go
-  // out. Short answers never wait.
+  // Takes the time on the link for a message with a body of that size; returns the time
+  // until its first byte may go out. Short messages never wait.
   Duration Reserve(TimePoint now, std::uint64_t bytes);
 
  private:
-  // Part of the link's rate that answers take, in hundredths. The rest is for headers,
-  // acknowledgements and this host's own requests.
-  static constexpr std::uint64_t kUsedPercent = 93;
+  // Part of the link's rate that is planned with, in hundredths. The rest is for packet
+  // heads, acknowledgements, repeats of lost packets, the store and the target's calls.
+  static constexpr std::uint64_t kUsedPercent = 80;
+  // Head of a message with the headers between daemons.
+  static constexpr std::uint64_t kHeadBytes = 1024;
 
   Duration GetLinkTime(std::uint64_t bytes) const;
 
--- a/Source/Admission/target_admission.cc
+++ b/Source/Admission/target_admission.cc
@@ -40,7 +40,8 @@
   const Duration time_left = offer.deadline - now;
   TimePoint hold_until = now + time_left / kLateWaitDivisor;
   const bool on_time = this->IsOnTime(start, offer);
-  if (!on_time && !IsLinkFreeBy(hold_until, offer)) {
+  // A late long answer would make those behind it late too, so it only gets an idle link.
+  if (!on_time && !IsLinkFreeBy(now + offer.transfer, offer)) {
     return AdmissionVerdict::kRefusedQueueFull;
   }
   if (this->running.size() < this->slots && this->waiting.empty()) {
@@ -49,9 +50,9 @@
   }
   if (on_time) {
     const Duration most = (offer.objective_at - now) / kOnTimeWaitDivisor;
-    hold_until = std::min(
-        offer.objective_at - offer.transfer - this->GetSafeServiceTime(offer.priority),
-        now + std::max(most, this->service_time));
+    hold_until =
+        std::min(offer.objective_at - offer.transfer - this->GetSafeServiceTime(offer.priority),
+                 now + std::max(most, this->service_time));
   } else if (start > hold_until) {
     return AdmissionVerdict::kRefusedQueueFull;
   }
--- a/Source/Daemon/daemon_main.cc
+++ b/Source/Daemon/daemon_main.cc
@@ -1,7 +1,9 @@
 // lacewingbridged: one daemon per target host.
 #include <fmt/core.h>
 #include <getopt.h>
+#include <unistd.h>
 
+#include <chrono>
 #include <cstdio>
 #include <string>
 
@@ -85,4 +87,12 @@
 }  // namespace
 }  // namespace lacewingbridge
 
-int main(int argc, char** argv) { return lacewingbridge::Main(argc, argv); }
+int main(int argc, char** argv) {
+  // The reader of standard output may be stopped.
+  constexpr std::chrono::milliseconds kFlushLimit{500};
+  const int exit_code = lacewingbridge::Main(argc, argv);
+  if (!lacewingbridge::EventLog::Flush(kFlushLimit)) {
+    _exit(exit_code);
+  }
+  return exit_code;
+}
--- a/Source/Generated/mesh.h
+++ b/Source/Generated/mesh.h
@@ -220,6 +220,7 @@
   double retry_slack = 0;
   std::uint32_t retry_window_ms = 0;
   std::uint64_t link_bytes_per_second = 0;
+  std::uint32_t table_bound_ms = 0;
 
   bool operator==(const MeshSettings&) const = default;
 };
--- a/Source/Generated/mesh_codec.cc
+++ b/Source/Generated/mesh_codec.cc
@@ -924,6 +924,7 @@
   wire.set_retry_slack(plain.retry_slack);
   wire.set_retry_window_ms(plain.retry_window_ms);
   wire.set_link_bytes_per_second(plain.link_bytes_per_second);
+  wire.set_table_bound_ms(plain.table_bound_ms);
 }
 
 void FromWire(const wire::MeshSettings& wire, MeshSettings& plain) {
@@ -945,6 +946,7 @@
   plain.retry_slack = wire.retry_slack();
   plain.retry_window_ms = wire.retry_window_ms();
   plain.link_bytes_per_second = wire.link_bytes_per_second();
+  plain.table_bound_ms = wire.table_bound_ms();
 }
 
 std::string Encode(const MeshSettings& plain) {
--- a/Source/Membership/host_directory.cc
+++ b/Source/Membership/host_directory.cc
@@ -20,6 +20,7 @@
   const auto found = this->entries.find(host);
   if (found != this->entries.end() && !found->second.removed_at.has_value()) {
     found->second.removed_at = now;
+    this->any_removed = true;
   }
 }
 
@@ -40,14 +41,25 @@
 }
 
 bool HostDirectory::DropRemoved(TimePoint now) {
-  return std::erase_if(this->entries, [now](const auto& item) {
-           const Entry& entry = item.second;
-           return entry.removed_at.has_value() && now - *entry.removed_at >= kRemovalDelay &&
-                  now - entry.heard_at >= kRemovalDelay;
-         }) > 0;
+  if (!this->any_removed) {
+    return false;
+  }
+  const std::size_t dropped = std::erase_if(this->entries, [now](const auto& item) {
+    const Entry& entry = item.second;
+    return entry.removed_at.has_value() && now - *entry.removed_at >= kRemovalDelay &&
+           now - entry.heard_at >= kRemovalDelay;
+  });
+  this->any_removed = std::any_of(this->entries.begin(), this->entries.end(), [](const auto& item) {
+    return item.second.removed_at.has_value();
+  });
+  return dropped > 0;
 }
 
 void HostDirectory::NoteHeard(TimePoint now, std::string_view peer_address) {
+  // Only hosts that the store lacks depend on being heard of.
+  if (!this->any_removed) {
+    return;
+  }
   for (auto& [host, entry] : this->entries) {
     if (entry.record.peer_address == peer_address) {
       entry.heard_at = now;
--- a/Source/Membership/host_directory.h
+++ b/Source/Membership/host_directory.h
@@ -44,6 +44,7 @@
   };
 
   std::map<std::string, Entry, std::less<>> entries;
+  bool any_removed = false;
 };
 
 }  // namespace lacewingbridge
--- a/Source/Node/mesh_node.h
+++ b/Source/Node/mesh_node.h
@@ -133,7 +133,7 @@
   // Parts of the time until the process is ended by force, in hundredths: requests are
   // taken during the first, so that the rest suffices for their timeouts of a second or
   // two, and the process has ended after the second.
-  static constexpr int kTakePercent = 58;
+  static constexpr int kTakePercent = 48;
   static constexpr int kEndPercent = 93;
   static constexpr std::size_t kMetricsShards = 4;
 
@@ -146,7 +146,11 @@
         state(MakeIdentity(given), MakeRetryBound(given)),
         gate(given.service, given.link_bytes_per_second),
         fetcher(*this->control_shards[0], this->state),
-        context{this->state, this->gate, this->stage, this->metrics, this->containment,
+        context{this->state,
+                this->gate,
+                this->stage,
+                this->metrics,
+                this->containment,
                 this->recent,
                 [this](const std::string& peer) { this->RequestSnapshot(peer); }},
         caller_handler(this->context),
@@ -156,7 +160,8 @@
         ready_handler([this] { return this->IsReady(); }),
         client(*this->control_shards[0], given.store_address),
         sync(*this->control_shards[0], this->state, this->gate, this->client,
-             std::chrono::milliseconds(given.min_lease_ms)),
+             {std::chrono::milliseconds(given.min_lease_ms),
+              std::chrono::milliseconds(given.table_bound_ms), given.link_bytes_per_second}),
         prober(*this->control_shards[0], this->state, this->gate) {}
 
   static std::vector<std::unique_ptr<IoShard>> MakeShards(std::size_t count, std::uint64_t seed) {
--- a/Source/Node/operator_handler.cc
+++ b/Source/Node/operator_handler.cc
@@ -55,8 +55,7 @@
   if (target == kDumpPath) {
     answer.body() = this->FormatDump();
   } else if (target.starts_with(kRequestPrefix)) {
-    const RequestTraceList found =
-        this->context.recent.Find(target.substr(kRequestPrefix.size()));
+    const RequestTraceList found = this->context.recent.Find(target.substr(kRequestPrefix.size()));
     answer.result(found.traces.empty() ? http::status::not_found : http::status::ok);
     answer.body() = EncodeJson(found);
   } else {
--- a/Source/Node/setting_differences.cc
+++ b/Source/Node/setting_differences.cc
@@ -31,6 +31,7 @@
   compare("retry_ratio", &MeshSettings::retry_ratio);
   compare("retry_slack", &MeshSettings::retry_slack);
   compare("retry_window_ms", &MeshSettings::retry_window_ms);
+  compare("table_bound_ms", &MeshSettings::table_bound_ms);
   compare("link_bytes_per_second", &MeshSettings::link_bytes_per_second);
   return names;
 }
--- a/Source/Observe/event_log.cc
+++ b/Source/Observe/event_log.cc
@@ -5,9 +5,11 @@
 #include <spdlog/spdlog.h>
 
 #include <array>
+#include <future>
 #include <memory>
 #include <mutex>
 #include <string>
+#include <thread>
 
 #include "Core/sharded.h"
 #include "Http/boot_clock.h"
@@ -99,6 +101,15 @@
   WriteFields(FindDescription(event), particulars);
 }
 
-void EventLog::Flush() { spdlog::shutdown(); }
+bool EventLog::Flush(Duration limit) {
+  auto done = std::make_shared<std::promise<void>>();
+  std::future<void> written = done->get_future();
+  // The queue's thread may be blocked in a write, and its owner waits for it.
+  std::thread([done] {
+    spdlog::shutdown();
+    done->set_value();
+  }).detach();
+  return written.wait_for(limit) == std::future_status::ready;
+}
 
 }  // namespace lacewingbridge
--- a/Source/Observe/event_log.h
+++ b/Source/Observe/event_log.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <utility>
 
+#include "Core/time_point.h"
 #include "events.h"
 
 namespace lacewingbridge {
@@ -19,8 +20,9 @@
   // Sets the host name shown in each line and the least severe level written.
   static void Configure(std::string_view host, std::string_view least_level);
 
-  // Writes what is queued; nothing may be logged afterwards.
-  static void Flush();
+  // Writes what is queued; nothing may be logged afterwards. False if the reader of standard
+  // output has not taken it all within the limit; then the process has to end by _exit.
+  static bool Flush(Duration limit);
 
   // Writes the event with particulars given as a fmt format string.
   template <typename... Args>
--- a/Source/Observe/metrics_registry.cc
+++ b/Source/Observe/metrics_registry.cc
@@ -26,6 +26,16 @@
   return {key.substr(0, brace), key.substr(brace + 1, key.size() - brace - 2)};
 }
 
+// The line that begins the series of a metric; empty for its further series.
+std::string FormatType(const std::string& key, std::string_view type, std::string& family) {
+  std::string name = SplitKey(key).first;
+  if (name == family) {
+    return {};
+  }
+  family = std::move(name);
+  return fmt::format("# TYPE {} {}\n", family, type);
+}
+
 }  // namespace
 
 MetricsRegistry::MetricsRegistry(std::size_t shard_count)
@@ -59,10 +69,13 @@
     }
   });
   std::string text(gauge_lines);
+  std::string family;
   for (const auto& [key, count] : total.counts) {
+    text += FormatType(key, "counter", family);
     text += fmt::format("{} {}\n", key, count);
   }
   for (const auto& [key, latencies] : total.latencies) {
+    text += FormatType(key, "histogram", family);
     text += FormatLatencies(key, latencies);
   }
   return text;
--- a/Source/Proxy/answer_relay.cc
+++ b/Source/Proxy/answer_relay.cc
@@ -50,8 +50,8 @@
   co_await timer.async_wait(AwaitInto(code));
   bool sound = co_await to.SendHead(std::move(held.head), body.size());
   for (std::size_t sent = 0; sound && sent < body.size(); sent += kPacedBytes) {
-    const Duration due = turn.transfer * static_cast<std::int64_t>(sent) /
-                         static_cast<std::int64_t>(body.size());
+    const Duration due =
+        turn.transfer * static_cast<std::int64_t>(sent) / static_cast<std::int64_t>(body.size());
     timer.expires_after(std::max(begin + due - GetNow(), Duration{0}));
     co_await timer.async_wait(AwaitInto(code));
     const std::string_view part = body.substr(sent, kPacedBytes);
--- a/Source/Proxy/caller_handler.h
+++ b/Source/Proxy/caller_handler.h
@@ -14,14 +14,24 @@
 
 namespace lacewingbridge {
 
-// Limits of callers from the version in force; the defaults until there is one.
+// Limits of callers from the version in force. What it does not state, and everything while
+// there is none, is as ServerLimits has it.
 inline ServerLimits MakeCallerLimits(const RouteIndex* index) {
   ServerLimits limits;
-  if (index != nullptr) {
-    const CallerLimits& stated = index->GetTable().limits;
+  if (index == nullptr) {
+    return limits;
+  }
+  const CallerLimits& stated = index->GetTable().limits;
+  if (stated.max_header_bytes > 0) {
     limits.max_header_bytes = stated.max_header_bytes;
+  }
+  if (stated.max_body_bytes > 0) {
     limits.max_body_bytes = stated.max_body_bytes;
+  }
+  if (stated.header_timeout_ms > 0) {
     limits.header_timeout = std::chrono::milliseconds(stated.header_timeout_ms);
+  }
+  if (stated.idle_timeout_ms > 0) {
     limits.idle_timeout = std::chrono::milliseconds(stated.idle_timeout_ms);
   }
   return limits;
--- a/Source/Proxy/caller_request.cc
+++ b/Source/Proxy/caller_request.cc
@@ -13,8 +13,10 @@
 #include "Proxy/crash_containment.h"
 #include "Proxy/daemon_stage.h"
 #include "Proxy/header_fields.h"
+#include "Proxy/link_relay.h"
 #include "Proxy/mesh_state.h"
 #include "Proxy/recent_requests.h"
+#include "Proxy/target_gate.h"
 #include "Retry/return_interval.h"
 
 namespace lacewingbridge {
@@ -173,6 +175,9 @@
   }
   this->hop = std::make_unique<OutboundExchange>(this->shard, choice.peer_address);
   this->context.state.RecordHopStart(this->service, choice.peer_address);
+  if (choice.peer_address != this->context.state.GetIdentity().peer_address) {
+    this->context.gate.ReserveLink(now, request.body().size());
+  }
   const OutboundExchange::BodyWriter rest = [this](TcpSocket& to) {
     return RelayRequestBody(this->exchange, !this->exchange.GetLength().has_value(), to);
   };
@@ -191,6 +196,7 @@
     this->hop->LimitSilence(kAnswerSilence);
     this->held = HeldAnswer();
     co_await HoldAnswer(*this->hop, this->held, HeldAnswer::kMaxHeldAnswer);
+    co_await HoldForLink(this->context.gate, *this->hop, this->held);
   }
   const bool failed = status == ExchangeStatus::kNotConnected || status == ExchangeStatus::kLost;
   this->context.state.RecordHopEnd(GetNow(), this->service, choice.peer_address,
@@ -229,9 +235,11 @@
   EventLog::Write(Event::kHopEnded,
                   "request={} service={} peer={} target={} outcome={} reason={} status={} "
                   "wait_ms={} after_ms={}",
-                  this->head.request_id, this->service, hop_trace.peer_address,
-                  hop_trace.target_id, GetName(hop_trace.outcome), hop_trace.reason,
-                  hop_trace.status, hop_trace.expected_wait_ms, hop_trace.ended_after_ms);
+                  this->head.request_id, this->service, hop_trace.peer_address, hop_trace.target_id,
+                  GetName(hop_trace.outcome), hop_trace.reason, hop_trace.status,
+                  hop_trace.expected_wait_ms, hop_trace.ended_after_ms);
+  this->context.metrics.AddCount("hops_total",
+                                 fmt::format("outcome=\"{}\"", GetName(hop_trace.outcome)));
   this->hops.push_back(std::move(hop_trace));
 }
 
@@ -255,17 +263,18 @@
     case ProgressAction::kPlace:
     case ProgressAction::kDeliver: {
       const unsigned status = this->held.head.result_int();
-      this->context.metrics.AddCount("requests", fmt::format("status=\"{}\"", status));
+      this->context.metrics.AddCount("requests_total", fmt::format("status=\"{}\"", status));
       this->LogEnd(status, reason);
-      const std::uint64_t bytes = co_await RelayAnswer(*this->hop, this->held, this->exchange);
+      const std::uint64_t bytes = co_await RelayOnLink(this->context.gate, this->shard, *this->hop,
+                                                       this->held, this->exchange);
       this->context.state.RecordAnswerBytes(this->route->name, bytes);
       break;
     }
     case ProgressAction::kRefuse:
-      co_await this->SendRefusal(
-          http::status::service_unavailable, reason,
-          decision.reason == ProgressReason::kQuarantined ? std::nullopt
-                                                          : this->ComputeReturn(now));
+      co_await this->SendRefusal(http::status::service_unavailable, reason,
+                                 decision.reason == ProgressReason::kQuarantined
+                                     ? std::nullopt
+                                     : this->ComputeReturn(now));
       break;
     case ProgressAction::kFailUnknown:
       co_await this->SendRefusal(http::status::bad_gateway, reason, std::nullopt);
@@ -282,8 +291,8 @@
 Awaitable<void> CallerRequest::SendRefusal(http::status status, std::string_view reason,
                                            std::optional<Duration> return_after) {
   const auto number = static_cast<unsigned>(status);
-  this->context.metrics.AddCount("requests", fmt::format("status=\"{}\"", number));
-  this->context.metrics.AddCount("refusals",
+  this->context.metrics.AddCount("requests_total", fmt::format("status=\"{}\"", number));
+  this->context.metrics.AddCount("refusals_total",
                                  fmt::format("status=\"{}\",reason=\"{}\"", number, reason));
   this->LogEnd(number, reason);
   this->context.recent.Add(this->MakeTrace(number, reason));
@@ -309,8 +318,8 @@
   trace.reason = reason;
   trace.age_ms = CountPositive(now - this->first_arrival);
   trace.after_ms = CountPositive(now - this->facts.arrived_at);
-  const Duration time_left = this->head.time_left.value_or(Duration{0}) -
-                             (now - this->facts.arrived_at);
+  const Duration time_left =
+      this->head.time_left.value_or(Duration{0}) - (now - this->facts.arrived_at);
   trace.time_left_ms = static_cast<std::int32_t>(CountMilliseconds(time_left));
   trace.hops = this->hops;
   return trace;
--- a/Source/Proxy/crash_containment.cc
+++ b/Source/Proxy/crash_containment.cc
@@ -31,15 +31,14 @@
                                               std::uint64_t fingerprint,
                                               const TargetStart& target) {
   std::size_t contained = 0;
-  const QuarantineDecision decision =
-      this->shards.WithShard(HashBytes(service), [&](Shard& shard) {
-        contained = shard.table.NoteIncarnation(now, target.address, target.incarnation);
-        const QuarantineDecision made = shard.table.MayStart(now, fingerprint, target.address);
-        if (made == QuarantineDecision::kRun) {
-          shard.table.Start(fingerprint, target.address);
-        }
-        return made;
-      });
+  const QuarantineDecision decision = this->shards.WithShard(HashBytes(service), [&](Shard& shard) {
+    contained = shard.table.NoteIncarnation(now, target.address, target.incarnation);
+    const QuarantineDecision made = shard.table.MayStart(now, fingerprint, target.address);
+    if (made == QuarantineDecision::kRun) {
+      shard.table.Start(fingerprint, target.address);
+    }
+    return made;
+  });
   LogContained(service, contained);
   return decision;
 }
@@ -54,8 +53,7 @@
 void CrashContainment::NoteLost(TimePoint now, std::string_view service, std::uint64_t fingerprint,
                                 const TargetStart& target) {
   const std::size_t contained = this->shards.WithShard(HashBytes(service), [&](Shard& shard) {
-    const bool known_dead =
-        shard.refused_at != TimePoint() && now - shard.refused_at < kSameCrash;
+    const bool known_dead = shard.refused_at != TimePoint() && now - shard.refused_at < kSameCrash;
     // A start that becomes known later would look like a restart, so a loss on a target
     // whose start is not known counts only if the target is known to have died.
     if (known_dead || target.incarnation > 0) {
@@ -80,9 +78,8 @@
   if (strikes.empty()) {
     return;
   }
-  const std::size_t contained = this->shards.WithShard(HashBytes(service), [&](Shard& shard) {
-    return shard.table.MergeStrikes(now, strikes);
-  });
+  const std::size_t contained = this->shards.WithShard(
+      HashBytes(service), [&](Shard& shard) { return shard.table.MergeStrikes(now, strikes); });
   LogContained(service, contained);
 }
 
--- /dev/null
+++ b/Source/Proxy/link_relay.cc
@@ -0,0 +1,40 @@
+#include "Proxy/link_relay.h"
+
+#include "Http/boot_clock.h"
+#include "Http/io_shard.h"
+#include "Proxy/target_gate.h"
+
+namespace lacewingbridge {
+
+namespace {
+
+// An answer that takes less time than this on the link is sent without pacing.
+constexpr Duration kPacedTransfer = std::chrono::milliseconds(20);
+// Longest answer that is held while it waits for the link. A longer one is passed on as the
+// reader takes it.
+constexpr std::uint64_t kMaxHeldForLink = std::uint64_t{512} * 1024;
+
+}  // namespace
+
+Awaitable<void> HoldForLink(const TargetGate& gate, OutboundExchange& from, HeldAnswer& held) {
+  const std::uint64_t bytes = from.GetLength().value_or(kMaxHeldForLink);
+  if (held.status == BodyStatus::kMore && bytes <= kMaxHeldForLink &&
+      gate.GetTransferTime(bytes) >= kPacedTransfer) {
+    co_await HoldAnswer(from, held, kMaxHeldForLink);
+  }
+}
+
+Awaitable<std::uint64_t> RelayOnLink(TargetGate& gate, IoShard& shard, OutboundExchange& from,
+                                     HeldAnswer& held, ServerExchange& to) {
+  const bool whole = held.status == BodyStatus::kComplete;
+  const std::uint64_t bytes =
+      whole ? held.body.size() : from.GetLength().value_or(held.body.size());
+  const LinkTurn turn{gate.ReserveLink(GetNow(), bytes), gate.GetTransferTime(bytes)};
+  if (whole && turn.transfer >= kPacedTransfer && to.GetHead().method() != http::verb::head) {
+    co_await RelayInTurn(held, turn, shard.GetContext(), to);
+    co_return bytes;
+  }
+  co_return co_await RelayAnswer(from, held, to);
+}
+
+}  // namespace lacewingbridge
--- a/Source/Proxy/peer_request.cc
+++ b/Source/Proxy/peer_request.cc
@@ -7,6 +7,7 @@
 
 #include "Observe/event_log.h"
 #include "Proxy/daemon_stage.h"
+#include "Proxy/link_relay.h"
 
 namespace lacewingbridge {
 
@@ -25,11 +26,6 @@
 constexpr Duration kExpiryInterval = std::chrono::milliseconds(25);
 // Interval at which a request looks whether another one that crashed a target has ended.
 constexpr Duration kTurnInterval = std::chrono::milliseconds(10);
-// An answer that takes less time than this on the link is sent without pacing.
-constexpr Duration kPacedTransfer = std::chrono::milliseconds(20);
-// Longest answer that is held while it waits for the link. A longer one is passed on as the
-// link takes it.
-constexpr std::size_t kMaxHeldForLink = std::size_t{512} * 1024;
 // Part of its time for which such a request waits here, as a divisor; then it is better
 // placed elsewhere.
 constexpr int kTurnWaitDivisor = 4;
@@ -198,27 +194,8 @@
   }
 }
 
-Awaitable<void> PeerRequest::HoldForLink() {
-  const std::uint64_t bytes = this->to_target->GetLength().value_or(kMaxHeldForLink);
-  if (this->held.status == BodyStatus::kMore && bytes <= kMaxHeldForLink &&
-      this->context.gate.GetTransferTime(bytes) >= kPacedTransfer) {
-    co_await HoldAnswer(*this->to_target, this->held, kMaxHeldForLink);
-  }
-}
-
-Awaitable<void> PeerRequest::SendAnswer() {
-  const bool whole = this->held.status == BodyStatus::kComplete;
-  const std::uint64_t bytes =
-      whole ? this->held.body.size()
-            : this->to_target->GetLength().value_or(this->held.body.size());
-  const LinkTurn turn{this->context.gate.ReserveLink(GetNow(), bytes),
-                      this->context.gate.GetTransferTime(bytes)};
-  if (whole && turn.transfer >= kPacedTransfer &&
-      this->exchange.GetHead().method() != http::verb::head) {
-    co_await RelayInTurn(this->held, turn, this->shard.GetContext(), this->exchange);
-  } else {
-    co_await RelayAnswer(*this->to_target, this->held, this->exchange);
-  }
+bool PeerRequest::IsFromThisHost() const {
+  return this->hop.sender == this->context.state.GetIdentity().peer_address;
 }
 
 HopReport PeerRequest::MakeReport() {
@@ -226,8 +203,7 @@
   report.outcome = this->outcome;
   report.reason = this->reason;
   report.table_version = this->context.state.GetTableVersion();
-  report.strikes =
-      this->context.containment.TakeOutgoing(this->hop.service, this->hop.fingerprint);
+  report.strikes = this->context.containment.TakeOutgoing(this->hop.service, this->hop.fingerprint);
   return report;
 }
 
@@ -263,7 +239,13 @@
     CopyEndToEndHeaders(this->held.head, head);
     SetHopReport(head, report);
     this->held.head = std::move(head);
-    co_await this->SendAnswer();
+    // Between two daemons of one host nothing goes over the link.
+    if (this->IsFromThisHost()) {
+      co_await RelayAnswer(*this->to_target, this->held, this->exchange);
+    } else {
+      co_await RelayOnLink(this->context.gate, this->shard, *this->to_target, this->held,
+                           this->exchange);
+    }
   }
   if (streaming) {
     this->to_target->Finish();
@@ -283,16 +265,17 @@
   this->Log(report, static_cast<unsigned>(http::status::service_unavailable));
   ServerExchange::Answer answer(http::status::service_unavailable, 11);
   SetHopReport(answer, report);
+  this->context.gate.ReserveLink(GetNow(), 0);
   co_await this->exchange.Send(std::move(answer));
 }
 
 void PeerRequest::Log(const HopReport& report, unsigned status) const {
   EventLog::Write(
       Event::kTargetHopEnded,
-      "sender={} target={} outcome={} reason={} status={} priority={} running={} "
+      "request={} sender={} target={} outcome={} reason={} status={} priority={} running={} "
       "waiting={} slots={} waited_ms={} after_ms={}",
-      this->hop.sender, report.target_id, GetName(report.outcome), report.reason, status,
-      this->hop.priority, report.running, report.waiting, report.slots,
+      this->request_id, this->hop.sender, report.target_id, GetName(report.outcome), report.reason,
+      status, this->hop.priority, report.running, report.waiting, report.slots,
       this->started_at == TimePoint() ? 0 : CountMilliseconds(this->started_at - this->arrived_at),
       CountMilliseconds(GetNow() - this->arrived_at));
 }
--- a/Source/Proxy/peer_request.h
+++ b/Source/Proxy/peer_request.h
@@ -15,6 +15,7 @@
 #include "Proxy/answer_relay.h"
 #include "Proxy/crash_containment.h"
 #include "Proxy/header_fields.h"
+#include "Proxy/link_relay.h"
 #include "Proxy/mesh_state.h"
 #include "Proxy/proxy_context.h"
 #include "Proxy/proxy_wire.h"
@@ -31,6 +32,7 @@
 
   template <ProxyWire Wire>
   Awaitable<void> Run() {
+    this->request_id = Wire::ReadCallerHead(this->exchange.GetHead()).request_id;
     const bool contained = co_await this->WaitForContainment();
     if (contained) {
       co_return;
@@ -42,13 +44,14 @@
     }
     OutboundExchange::Request request = MakeForwardedRequest(this->exchange);
     Wire::WriteTargetHead(request, this->MakeTargetHead());
-    const std::string request_id = Wire::ReadCallerHead(request).request_id;
     ExchangeStatus status = co_await this->SendToTarget(request);
     for (int skipped = 0; status == ExchangeStatus::kOk; ++skipped) {
       const TargetAnswerHead head = Wire::ReadAnswerHead(this->to_target->GetHead());
       co_await HoldAnswer(*this->to_target, this->held, HeldAnswer::kMaxHeldAnswer);
-      if (head.request_id == request_id) {
-        co_await this->HoldForLink();
+      if (head.request_id == this->request_id) {
+        if (!this->IsFromThisHost()) {
+          co_await HoldForLink(this->context.gate, *this->to_target, this->held);
+        }
         this->Judge(head);
         break;
       }
@@ -78,10 +81,7 @@
   Awaitable<bool> WaitForTurn(const std::shared_ptr<SlotWait>& wait);
   TargetHead MakeTargetHead() const;
   Awaitable<ExchangeStatus> SendToTarget(const OutboundExchange::Request& request);
-  // Reads the rest of an answer that will wait for the link, so that the target is done
-  // with it and takes the next request.
-  Awaitable<void> HoldForLink();
-  Awaitable<void> SendAnswer();
+  bool IsFromThisHost() const;
   // After a lost connection: finds out whether the target died of its requests.
   Awaitable<void> CheckTarget(ExchangeStatus status);
   // Decides from the head of the answer and the begin of its body what became of it.
@@ -97,6 +97,7 @@
   ServerExchange& exchange;
   const HopRequest hop;
   const TimePoint arrived_at;
+  std::string request_id;
   TimePoint started_at;
   WorkOffer offer;
   TargetStart target;
--- a/Source/Retry/request_progress.h
+++ b/Source/Retry/request_progress.h
@@ -57,8 +57,9 @@
 class RequestProgress {
  public:
   // Daemons that are asked for room before the caller is told to return. Each costs a
-  // round trip; after three refusals from the cheapest peers the fleet is full.
-  static constexpr std::uint32_t kMaxRefusedHops = 3;
+  // round trip, and its refusal tells what to expect of it for a while; after five refusals
+  // from the cheapest peers the fleet is full.
+  static constexpr std::uint32_t kMaxRefusedHops = 5;
 
   explicit RequestProgress(const RequestFacts& request_facts) : facts(request_facts) {}
 
--- a/Source/Routing/hop_placement.cc
+++ b/Source/Routing/hop_placement.cc
@@ -144,8 +144,7 @@
 Duration HopPlacement::EstimateWait(TimePoint now, const Candidate& candidate,
                                     Duration service_time) const {
   const std::uint32_t slots = CountSlots(now, candidate);
-  const std::int64_t excess =
-      std::max<std::int64_t>(CountOccupied(now, candidate) - slots + 1, 0);
+  const std::int64_t excess = std::max<std::int64_t>(CountOccupied(now, candidate) - slots + 1, 0);
   Duration wait = service_time * excess / slots;
   if (IsFresh(now, candidate)) {
     const Duration told =
@@ -164,8 +163,8 @@
   }
   const Duration told =
       FromMilliseconds(candidate.report.link_wait_ms) - (now - candidate.report_at);
-  const auto transfer = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(need.answer_bytes / rate));
+  const auto transfer =
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(need.answer_bytes / rate));
   return std::max(told - ready, Duration{0}) + transfer;
 }
 
@@ -184,9 +183,8 @@
       kilobytes <= kMaxTrialKilobytes) {
     return kRoundTrips[distance];
   }
-  const double crowd = std::min(static_cast<double>(CountOccupied(now, candidate)) /
-                                    CountSlots(now, candidate),
-                                1.0);
+  const double crowd = std::min(
+      static_cast<double>(CountOccupied(now, candidate)) / CountSlots(now, candidate), 1.0);
   return wait + Scale(service_time, jitter + kCrowdedPrice * crowd * crowd * crowd) +
          Scale(need.time_left, late * kLatePrice) + Scale(kPricePerKilobyte[distance], kilobytes);
 }
--- a/Source/Routing/hop_placement.h
+++ b/Source/Routing/hop_placement.h
@@ -60,7 +60,8 @@
     }
     const double trial_rate = 1.0 / static_cast<double>(std::max<std::size_t>(jitters.size(), 1));
     const bool trial = std::bernoulli_distribution(trial_rate)(random);
-    return this->ChooseFor(now, need, excluded, {jitters, trial, this->ComputeTypicalServiceTime()});
+    return this->ChooseFor(now, need, excluded,
+                           {jitters, trial, this->ComputeTypicalServiceTime()});
   }
 
   // To be called once for every hop that is sent, and once when it has ended.
--- a/Source/Store/store_sync.h
+++ b/Source/Store/store_sync.h
@@ -19,6 +19,7 @@
 #include "Store/lease_store.h"
 #include "Store/store_backoff.h"
 #include "Store/table_offer_log.h"
+#include "Store/table_pause.h"
 #include "mesh_codec.h"
 
 namespace lacewingbridge {
@@ -30,18 +31,28 @@
   { Source::Decode(bytes) } -> std::same_as<Result<RouteTable>>;
 };
 
+struct StoreBounds {
+  // Shortest lease that the store grants.
+  Duration min_lease{0};
+  // A version has to be in force this long after it was written.
+  Duration table_bound{0};
+  // Rate of this host's link; 0 when it is not known.
+  std::uint64_t link_bytes_per_second = 0;
+};
+
 // Keeps this daemon in step with the store: takes over the newest route table and the list
 // of hosts, and lists this host under a lease. Runs on one shard's thread.
 template <LeaseStore Client, TableSource Source>
 class StoreSync {
  public:
   StoreSync(IoShard& io_shard, MeshState& mesh_state, TargetGate& target_gate, Client& store_client,
-            Duration min_lease)
+            const StoreBounds& store_bounds)
       : shard(io_shard),
         state(mesh_state),
         gate(target_gate),
         client(store_client),
-        lease_time(std::max(min_lease, kLeaseTime)),
+        lease_time(std::max(store_bounds.min_lease, kLeaseTime)),
+        bounds(store_bounds),
         record_changed(io_shard.GetContext()) {}
 
   void Start() {
@@ -73,9 +84,6 @@
   // look at the list is a call of every daemon. A new target may wait for seconds for its
   // first requests, and a host that left is found by its refusals.
   static constexpr Duration kHostsPause = std::chrono::milliseconds(2000);
-  // After a new version, so that those of a quick succession arrive together. A quarter of
-  // the shortest bound within which a version has to be in force.
-  static constexpr Duration kTablePause = std::chrono::milliseconds(500);
   // Longest wait for the target's state before this host is listed: a record that changes
   // at once would wake every daemon twice.
   static constexpr Duration kTargetPatience = std::chrono::milliseconds(2000);
@@ -156,15 +164,18 @@
         continue;
       }
       this->NoteReached("follow_table", reached, backoff);
+      std::size_t bytes = 0;
       for (const StoreItem& item : GetValue(view).items) {
         if (item.key == Source::GetKey()) {
+          bytes += item.value.has_value() ? item.value->size() : 0;
           this->TakeTable(item);
         }
       }
       const bool first = !known.has_value();
       known = std::max(known.value_or(0), GetValue(view).revision);
-      if (!first && !GetValue(view).items.empty()) {
-        co_await this->Pause(kTablePause);
+      if (!first && bytes > 0) {
+        co_await this->Pause(
+            ComputeTablePause(bytes, this->bounds.link_bytes_per_second, this->bounds.table_bound));
       }
     }
   }
@@ -377,6 +388,7 @@
   TargetGate& gate;
   Client& client;
   Duration lease_time;
+  const StoreBounds bounds;
   AsyncSignal record_changed;
   std::uint64_t lease = 0;
   // The record that the store holds under the lease.
--- /dev/null
+++ b/Tests/Fakes/fake_lease_store.h
@@ -0,0 +1,209 @@
+#ifndef LACEWINGBRIDGE_TESTS_FAKES_FAKE_LEASE_STORE_H_
+#define LACEWINGBRIDGE_TESTS_FAKES_FAKE_LEASE_STORE_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+#include "Core/result.h"
+#include "Http/boot_clock.h"
+#include "Http/io_shard.h"
+#include "Store/lease_store.h"
+
+namespace lacewingbridge {
+
+// A platform's store in memory, with its faults. Daemons of several threads use it.
+class FakeLeaseStore {
+ public:
+  struct Entry {
+    std::string value;
+    std::uint64_t revision = 0;
+    std::uint64_t lease = 0;
+  };
+
+  void Put(const std::string& key, const std::string& value) {
+    const std::lock_guard guard(this->mutex);
+    this->items[key] = {value, ++this->revision, 0};
+  }
+
+  // Calls fail without effect.
+  void SetRefusing(bool value) {
+    const std::lock_guard guard(this->mutex);
+    this->refusing = value;
+  }
+  // The next writes take effect, but their answers are lost.
+  void LoseAnswers(int count) {
+    const std::lock_guard guard(this->mutex);
+    this->answers_to_lose = count;
+  }
+  // Watches that continue from before now have to begin anew.
+  void ForgetHistory() {
+    const std::lock_guard guard(this->mutex);
+    this->history_from = this->revision;
+  }
+  // Leases end, and their keys disappear without an event.
+  void EndLeases() {
+    const std::lock_guard guard(this->mutex);
+    std::erase_if(this->items, [](const auto& item) { return item.second.lease != 0; });
+    this->last_lease += 1000;
+    this->first_lease = this->last_lease;
+    this->history_from = ++this->revision;
+  }
+
+  bool Has(const std::string& key) {
+    const std::lock_guard guard(this->mutex);
+    return this->items.count(key) > 0;
+  }
+  int GetCalls() {
+    const std::lock_guard guard(this->mutex);
+    return this->calls;
+  }
+
+  bool BeginCall() {
+    const std::lock_guard guard(this->mutex);
+    ++this->calls;
+    return !this->refusing;
+  }
+  StoreItem Get(const std::string& key) {
+    const std::lock_guard guard(this->mutex);
+    StoreItem item{key, std::nullopt, this->revision};
+    if (this->items.count(key) > 0) {
+      item.value = this->items[key].value;
+    }
+    return item;
+  }
+  StoreView List(std::string_view prefix, std::uint64_t after) {
+    const std::lock_guard guard(this->mutex);
+    StoreView view{{}, this->revision};
+    for (const auto& [key, entry] : this->items) {
+      if (key.starts_with(prefix) && entry.revision > after) {
+        view.items.push_back({key, entry.value, entry.revision});
+      }
+    }
+    return view;
+  }
+  bool IsForgotten(std::uint64_t after) {
+    const std::lock_guard guard(this->mutex);
+    return after < this->history_from;
+  }
+  // False if the lease has ended.
+  bool Write(const std::string& key, const std::string& value, std::uint64_t lease) {
+    const std::lock_guard guard(this->mutex);
+    if (!this->IsLease(lease)) {
+      return false;
+    }
+    this->items[key] = {value, ++this->revision, lease};
+    return true;
+  }
+  std::uint64_t Grant() {
+    const std::lock_guard guard(this->mutex);
+    return ++this->last_lease;
+  }
+  bool Keep(std::uint64_t lease) {
+    const std::lock_guard guard(this->mutex);
+    return this->IsLease(lease);
+  }
+  bool TakeLostAnswer() {
+    const std::lock_guard guard(this->mutex);
+    return this->answers_to_lose > 0 && this->answers_to_lose-- > 0;
+  }
+
+ private:
+  bool IsLease(std::uint64_t lease) const {
+    return lease > this->first_lease && lease <= this->last_lease;
+  }
+
+  std::mutex mutex;
+  std::map<std::string, Entry> items;
+  std::uint64_t revision = 1;
+  std::uint64_t history_from = 0;
+  std::uint64_t first_lease = 0;
+  std::uint64_t last_lease = 0;
+  int answers_to_lose = 0;
+  int calls = 0;
+  bool refusing = false;
+};
+
+// A daemon's client of the one fake store of the test.
+class FakeStoreClient {
+ public:
+  FakeStoreClient(IoShard& io_shard, std::string_view) : shard(io_shard) {}
+
+  static FakeLeaseStore& GetStore() {
+    static FakeLeaseStore store;
+    return store;
+  }
+
+  Awaitable<Result<StoreItem>> Get(std::string_view key) {
+    if (!GetStore().BeginCall()) {
+      co_return MakeRefused();
+    }
+    co_return GetStore().Get(std::string(key));
+  }
+  Awaitable<Result<StoreView>> List(std::string_view prefix) {
+    if (!GetStore().BeginCall()) {
+      co_return MakeRefused();
+    }
+    co_return GetStore().List(prefix, 0);
+  }
+  Awaitable<Result<StoreView>> Watch(std::string_view prefix, std::uint64_t after, Duration wait) {
+    constexpr Duration kLookInterval = std::chrono::milliseconds(5);
+    const TimePoint until = GetNow() + wait;
+    if (!GetStore().BeginCall()) {
+      co_return MakeRefused();
+    }
+    asio::steady_timer timer(this->shard.GetContext());
+    while (true) {
+      if (GetStore().IsForgotten(after)) {
+        co_return Error{ErrorKind::kStoreHistoryGone, "forgotten"};
+      }
+      StoreView view = GetStore().List(prefix, after);
+      if (!view.items.empty() || GetNow() >= until) {
+        co_return view;
+      }
+      ErrorCode code;
+      timer.expires_after(kLookInterval);
+      co_await timer.async_wait(AwaitInto(code));
+    }
+  }
+  Awaitable<Status> Write(std::string_view key, std::string_view value, std::uint64_t lease) {
+    if (!GetStore().BeginCall()) {
+      co_return MakeRefused();
+    }
+    if (!GetStore().Write(std::string(key), std::string(value), lease)) {
+      co_return Error{ErrorKind::kLeaseEnded, "ended"};
+    }
+    if (GetStore().TakeLostAnswer()) {
+      co_return MakeRefused();
+    }
+    co_return MakeOkStatus();
+  }
+  Awaitable<Result<std::uint64_t>> GrantLease(Duration) {
+    if (!GetStore().BeginCall()) {
+      co_return MakeRefused();
+    }
+    co_return GetStore().Grant();
+  }
+  Awaitable<Status> KeepLease(std::uint64_t lease) {
+    if (!GetStore().BeginCall()) {
+      co_return MakeRefused();
+    }
+    if (!GetStore().Keep(lease)) {
+      co_return Error{ErrorKind::kLeaseEnded, "ended"};
+    }
+    co_return MakeOkStatus();
+  }
+  Awaitable<Status> EndLease(std::uint64_t) { co_return MakeOkStatus(); }
+
+ private:
+  static Error MakeRefused() { return {ErrorKind::kStoreUnavailable, "refused"}; }
+
+  IoShard& shard;
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_TESTS_FAKES_FAKE_LEASE_STORE_H_
--- /dev/null
+++ b/Tests/Fakes/fake_platform.h
@@ -0,0 +1,227 @@
+#ifndef LACEWINGBRIDGE_TESTS_FAKES_FAKE_PLATFORM_H_
+#define LACEWINGBRIDGE_TESTS_FAKES_FAKE_PLATFORM_H_
+
+#include <charconv>
+#include <functional>
+#include <future>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "Fakes/fake_lease_store.h"
+#include "Fakes/raw_target.h"
+#include "Node/mesh_node.h"
+#include "mesh_codec.h"
+
+namespace lacewingbridge {
+
+// Header names, store, configuration and announcements of a platform that the tests made up.
+struct FakePlatform {
+  struct Wire {
+    static CallerHead ReadCallerHead(const http::fields& fields) {
+      CallerHead head;
+      head.request_id = std::string(fields["X-Id"]);
+      const std::string text(fields["X-Time-Left-Ms"]);
+      int milliseconds = 0;
+      if (std::from_chars(text.data(), text.data() + text.size(), milliseconds).ec == std::errc()) {
+        head.time_left = std::chrono::milliseconds(milliseconds);
+      }
+      return head;
+    }
+    static TargetAnswerHead ReadAnswerHead(const http::fields& fields) {
+      TargetAnswerHead head;
+      head.request_id = std::string(fields["X-Id"]);
+      head.target_id = std::string(fields["X-Target"]);
+      head.has_signature = fields.count("X-Signature") > 0;
+      head.not_run = fields.count("X-Not-Run") > 0;
+      head.is_encoded = fields.count("Content-Encoding") > 0;
+      return head;
+    }
+    static void WriteTargetHead(http::fields& fields, const TargetHead& head) {
+      fields.set("X-Time-Left-Ms", std::to_string(CountMilliseconds(head.time_left)));
+      fields.set("X-Caller-Service", head.caller_service);
+      fields.set("X-Expected-Target", head.target_id);
+    }
+  };
+
+  using StoreClient = FakeStoreClient;
+
+  struct Source {
+    static std::string_view GetKey() { return "table"; }
+    static Result<RouteTable> Decode(std::string_view bytes) {
+      RouteTable table;
+      if (!lacewingbridge::Decode(bytes, table)) {
+        return Error{ErrorKind::kRulesInvalid, "not a table"};
+      }
+      return table;
+    }
+  };
+
+  // Every request to the control address says that the target t1 is ready.
+  class ControlHandler {
+   public:
+    ControlHandler(TargetGate& target_gate, std::function<void()> change_listener)
+        : gate(target_gate), on_change(std::move(change_listener)) {}
+    Awaitable<void> Handle(IoShard&, ServerExchange& exchange) {
+      TargetAnnouncement announcement;
+      announcement.id = "t1";
+      announcement.service = std::string(exchange.GetBody());
+      announcement.slots = 4;
+      announcement.sequence = ++this->sequence;
+      announcement.born_unix_ms = 1000;
+      this->gate.NoteAnnouncement(GetNow(), announcement);
+      this->on_change();
+      ServerExchange::Answer answer(http::status::ok, 11);
+      co_await exchange.Send(std::move(answer));
+    }
+    ServerLimits GetLimits() const { return {}; }
+    void NoteOpened() {}
+    void NoteClosed() {}
+
+   private:
+    TargetGate& gate;
+    std::function<void()> on_change;
+    std::uint64_t sequence = 0;
+  };
+
+  class ReadyHandler {
+   public:
+    explicit ReadyHandler(std::function<bool()> ready_question)
+        : is_ready(std::move(ready_question)) {}
+    Awaitable<void> Handle(IoShard&, ServerExchange& exchange) {
+      const http::status status =
+          this->is_ready() ? http::status::ok : http::status::service_unavailable;
+      ServerExchange::Answer answer(status, 11);
+      co_await exchange.Send(std::move(answer));
+    }
+    ServerLimits GetLimits() const { return {}; }
+    void NoteOpened() {}
+    void NoteClosed() {}
+
+   private:
+    std::function<bool()> is_ready;
+  };
+};
+
+// Sends bytes to a loopback address and reads until the other side ends or is silent.
+class RawClient {
+ public:
+  explicit RawClient(const std::string& address) {
+    const std::size_t colon = address.find(':');
+    ErrorCode code;
+    this->socket.connect({asio::ip::make_address(address.substr(0, colon)),
+                          static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))},
+                         code);
+  }
+
+  void Write(const std::string& bytes) {
+    ErrorCode ignored;
+    asio::write(this->socket, asio::buffer(bytes), ignored);
+  }
+
+  std::string ReadFor(std::chrono::milliseconds silence) {
+    std::string received;
+    char buffer[4096];
+    timeval limit{static_cast<time_t>(silence.count() / 1000),
+                  static_cast<suseconds_t>(silence.count() % 1000 * 1000)};
+    setsockopt(this->socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    while (true) {
+      const ssize_t count = recv(this->socket.native_handle(), buffer, sizeof(buffer), 0);
+      if (count <= 0) {
+        this->reset = count < 0 && errno == ECONNRESET;
+        this->ended = count == 0 || this->reset;
+        return received;
+      }
+      received.append(buffer, static_cast<std::size_t>(count));
+    }
+  }
+
+  bool IsEnded() const { return this->ended; }
+  bool WasReset() const { return this->reset; }
+
+ private:
+  asio::io_context context;
+  TcpSocket socket{this->context};
+  bool ended = false;
+  bool reset = false;
+};
+
+// A daemon with its threads beside a target at the given address.
+class MeshDaemon {
+ public:
+  MeshDaemon(const std::string& host, const std::string& service, const std::string& target)
+      : settings(MakeSettings(host, service, target)),
+        node(std::move(GetValue(MeshNode<FakePlatform>::Create(this->settings, 1)))),
+        thread([this] { this->node->Run([] {}); }) {}
+
+  ~MeshDaemon() {
+    this->Stop();
+    this->thread.join();
+  }
+  MeshDaemon(const MeshDaemon&) = delete;
+  MeshDaemon& operator=(const MeshDaemon&) = delete;
+
+  void Stop() {
+    asio::post(this->node->GetControlContext(), [this] { this->node->Stop(); });
+  }
+
+  std::vector<std::string> Apply(const MeshSettings& changed) {
+    std::promise<std::vector<std::string>> names;
+    asio::post(this->node->GetControlContext(),
+               [&] { names.set_value(this->node->ApplySettings(changed)); });
+    return names.get_future().get();
+  }
+
+  // Announces the target, as it does itself.
+  void Announce() {
+    RawClient client(this->settings.control_address);
+    client.Write("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                 std::to_string(this->settings.service.size()) + "\r\n\r\n" +
+                 this->settings.service);
+    client.ReadFor(std::chrono::milliseconds(50));
+  }
+
+  std::string Ask(const std::string& address, const std::string& path) {
+    RawClient client(address);
+    client.Write("GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n");
+    return client.ReadFor(std::chrono::milliseconds(100));
+  }
+
+  const MeshSettings& GetSettings() const { return this->settings; }
+
+ private:
+  static MeshSettings MakeSettings(const std::string& host, const std::string& service,
+                                   const std::string& target) {
+    MeshSettings settings;
+    settings.host = host;
+    settings.data_centre = "a1";
+    settings.region = "a";
+    settings.service = service;
+    settings.target_address = target;
+    settings.caller_address = FindFreeAddress();
+    settings.peer_address = FindFreeAddress();
+    settings.control_address = FindFreeAddress();
+    settings.ready_address = FindFreeAddress();
+    settings.metrics_address = FindFreeAddress();
+    settings.store_address = "127.0.0.1:1";
+    settings.worker_threads = 2;
+    settings.min_lease_ms = 1000;
+    settings.stop_limit_ms = 1500;
+    settings.retry_ratio = 1;
+    settings.retry_slack = 100;
+    settings.retry_window_ms = 10000;
+    settings.table_bound_ms = 200;
+    return settings;
+  }
+
+  const MeshSettings settings;
+  const std::unique_ptr<MeshNode<FakePlatform>> node;
+  std::thread thread;
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_TESTS_FAKES_FAKE_PLATFORM_H_
--- a/Tests/Fakes/raw_target.h
+++ b/Tests/Fakes/raw_target.h
@@ -37,7 +37,9 @@
 // then closes, so that tests decide about every byte of an answer.
 class RawTarget {
  public:
-  explicit RawTarget(std::string answer_bytes) : answer(std::move(answer_bytes)) {
+  // Health checks, on the path /health, get other bytes if some are given.
+  explicit RawTarget(std::string answer_bytes, std::string health_bytes = "")
+      : answer(std::move(answer_bytes)), health(std::move(health_bytes)) {
     this->listener = OpenSocket(this->port);
     listen(this->listener, 64);
     this->thread = std::thread([this] { this->Run(); });
@@ -72,7 +74,9 @@
         const std::lock_guard guard(this->mutex);
         this->requests.push_back(request);
       }
-      send(connection, this->answer.data(), this->answer.size(), MSG_NOSIGNAL);
+      const bool is_check = !this->health.empty() && request.starts_with("GET /health ");
+      const std::string& bytes = is_check ? this->health : this->answer;
+      send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
       close(connection);
     }
   }
@@ -99,6 +103,7 @@
   }
 
   std::string answer;
+  std::string health;
   int listener = -1;
   int port = 0;
   std::thread thread;
--- a/Tests/test_hop_placement.cc
+++ b/Tests/test_hop_placement.cc
@@ -120,3 +120,56 @@
   cr_assert_neq(fleet.Choose(kLookup), "near");
   cr_assert_eq(fleet.Choose(kLookup, kNow + HopPlacement::kReportLifetime), "near");
 }
+
+// 90 daemons with 51 targets: when each tried every target once, half of all requests were
+// trials, and slow targets got as many as quick ones.
+Test(hop_placement, few_requests_of_a_large_fleet_are_trials) {
+  HopPlacement placement("self", "a1", "a");
+  std::vector<HostRecord> hosts;
+  for (int i = 0; i < 51; ++i) {
+    hosts.push_back(MakeHost("h" + std::to_string(i), "a1", "a"));
+  }
+  placement.UpdateHosts(hosts);
+  HopReport report;
+  report.slots = 9;
+  report.service_time_ms = 100;
+  report.accepting = true;
+  placement.RecordReport(kNow, "h0", report);
+  std::mt19937_64 random(1);
+  int trials = 0;
+  constexpr int kRequests = 1000;
+  for (int i = 0; i < kRequests; ++i) {
+    // The known target is quick, so only a trial goes elsewhere.
+    HopReport quick = report;
+    quick.service_time_ms = 20;
+    placement.RecordReport(kNow, "h0", quick);
+    HopReport slow = report;
+    slow.service_time_ms = 400;
+    placement.RecordReport(kNow, "h1", slow);
+    const std::optional<HopChoice> choice = placement.Choose(kNow, kLookup, {}, random);
+    trials += choice->peer_address != "h0" ? 1 : 0;
+  }
+  cr_assert_leq(trials, kRequests / 20);
+  cr_assert_geq(trials, 1, "a new target is never tried");
+}
+
+Test(hop_placement, long_answers_avoid_a_host_whose_link_is_busy) {
+  Fleet fleet;
+  fleet.hosts.push_back(MakeHost("also_near", "a1", "a"));
+  fleet.placement.UpdateHosts(fleet.hosts);
+  for (const char* peer : {"near", "also_near"}) {
+    HopReport report;
+    report.slots = 9;
+    report.service_time_ms = 100;
+    report.accepting = true;
+    report.link_bytes_per_second = 1'000'000;
+    report.link_wait_ms = std::string(peer) == "near" ? 600 : 0;
+    fleet.placement.RecordReport(kNow, peer, report);
+  }
+  const HopNeed download{milliseconds(800), milliseconds(6000), 90000};
+  int busy = 0;
+  for (int i = 0; i < 100; ++i) {
+    busy += fleet.Choose(download) == "near" ? 1 : 0;
+  }
+  cr_assert_eq(busy, 0);
+}
--- /dev/null
+++ b/Tests/test_link_schedule.cc
@@ -0,0 +1,135 @@
+// Guards against long answers that fill a slow link, so that everything else on the host
+// waits behind them, and against long answers that are all late because each one is taken.
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <vector>
+
+#include "Admission/link_schedule.h"
+#include "Admission/target_admission.h"
+#include "Store/table_pause.h"
+
+using namespace lacewingbridge;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::uint64_t kSlowLink = 9'100'000 / 8;
+constexpr std::uint64_t kDownload = 90'000;
+
+TimePoint At(Duration since_start) { return TimePoint(seconds(10)) + since_start; }
+
+struct DownloadReplay {
+  int arrived = 0;
+  int admitted = 0;
+  int on_time = 0;
+
+  // Poisson arrivals of downloads at a target with enough slots, on a slow link. The work
+  // takes 160 ms, an answer is on time within 800 ms.
+  void Run(double per_second, Duration length, std::uint64_t seed) {
+    std::mt19937_64 random(seed);
+    std::exponential_distribution<double> gap(per_second);
+    LinkSchedule link(kSlowLink);
+    TargetAdmission admission;
+    admission.SetSlots(At(Duration{0}), 9);
+    std::multimap<TimePoint, std::pair<RequestId, TimePoint>> ends;
+    RequestId id = 0;
+    for (Duration since{0}; since < length;) {
+      since += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gap(random)));
+      const TimePoint now = At(since);
+      while (!ends.empty() && ends.begin()->first <= now) {
+        const TimePoint done = ends.begin()->first;
+        const auto [ended, objective] = ends.begin()->second;
+        ends.erase(ends.begin());
+        admission.Finish(done, ended);
+        link.Forget(ended);
+        const Duration wait = link.Reserve(done, kDownload);
+        this->on_time += done + wait + link.GetTransferTime(kDownload) <= objective ? 1 : 0;
+      }
+      WorkOffer offer;
+      offer.id = ++id;
+      offer.objective_at = now + milliseconds(800);
+      offer.deadline = now + seconds(6);
+      offer.transfer = link.GetTransferTime(kDownload);
+      offer.link_free_at = now + link.EstimateWait(now);
+      ++this->arrived;
+      if (admission.Offer(now, offer) == AdmissionVerdict::kAdmitted) {
+        ++this->admitted;
+        link.Expect(id, kDownload);
+        ends.emplace(now + milliseconds(160), std::pair(id, offer.objective_at));
+      }
+    }
+  }
+};
+
+}  // namespace
+
+Test(link_schedule, long_answers_take_turns_and_short_ones_do_not_wait) {
+  cr_assert(rc::check([] {
+    LinkSchedule link(kSlowLink);
+    TimePoint now = At(Duration{0});
+    TimePoint free_at = now;
+    const auto sizes = *rc::gen::container<std::vector<std::uint64_t>>(
+        rc::gen::inRange<std::uint64_t>(0, 600'000));
+    for (const std::uint64_t bytes : sizes) {
+      now += milliseconds(*rc::gen::inRange(0, 200));
+      const Duration wait = link.Reserve(now, bytes);
+      RC_ASSERT(wait >= Duration{0});
+      if (bytes <= LinkSchedule::kMaxShortBytes) {
+        RC_ASSERT(wait == Duration{0});
+      } else {
+        RC_ASSERT(now + wait >= free_at);
+      }
+      free_at = std::max(free_at, now + wait) + link.GetTransferTime(bytes);
+    }
+  }));
+}
+
+Test(link_schedule, an_unlimited_link_delays_nothing) {
+  LinkSchedule link(0);
+  for (int i = 0; i < 100; ++i) {
+    link.Expect(static_cast<RequestId>(i), kDownload);
+    cr_assert_eq(link.Reserve(At(Duration{0}), kDownload).count(), 0);
+  }
+  cr_assert_eq(link.EstimateWait(At(Duration{0})).count(), 0);
+  cr_assert_eq(link.GetTransferTime(kDownload).count(), 0);
+}
+
+Test(link_schedule, counts_admitted_answers_until_they_are_here) {
+  LinkSchedule link(kSlowLink);
+  link.Expect(1, kDownload);
+  const Duration wait = link.EstimateWait(At(Duration{0}));
+  cr_assert_gt(wait.count(), 0);
+  link.Forget(1);
+  link.Forget(1);
+  cr_assert_eq(link.EstimateWait(At(Duration{0})).count(), 0);
+}
+
+// The users' downloads need 1.4 times what the link carries. Taken one and all, each was
+// late; the bound on answers in time is what the link carries.
+Test(link_schedule, an_overloaded_link_carries_answers_in_time_instead_of_late_ones) {
+  for (const std::uint64_t seed : {1U, 2U, 3U}) {
+    DownloadReplay replay;
+    replay.Run(16, seconds(60), seed);
+    const double capacity =
+        60.0 / (LinkSchedule(kSlowLink).GetTransferTime(kDownload).count() / 1e6);
+    cr_assert_geq(replay.on_time, 0.9 * replay.admitted, "%d of %d", replay.on_time,
+                  replay.admitted);
+    cr_assert_geq(replay.on_time, 0.8 * std::min<double>(capacity, replay.arrived), "%d of %f",
+                  replay.on_time, capacity);
+  }
+}
+
+Test(table_pause, versions_take_a_quarter_of_a_slow_link_within_the_bound) {
+  const Duration bound = seconds(3);
+  cr_assert(ComputeTablePause(10'000, kSlowLink, bound) == bound / 4);
+  cr_assert(ComputeTablePause(1'000'000, kSlowLink, bound) == bound / 2);
+  cr_assert(ComputeTablePause(1'000'000, 0, bound) == bound / 4);
+  const Duration pause = ComputeTablePause(330'000, kSlowLink, bound);
+  const double transfer = 330'000.0 / kSlowLink;
+  cr_assert_leq(transfer / (transfer + pause.count() / 1e6), 0.26);
+}
--- /dev/null
+++ b/Tests/test_node_containment.cc
@@ -0,0 +1,146 @@
+// Guards against a request that takes down one target after the other while its caller
+// sends it again through any daemon, and against innocent requests that suffer from it.
+#include <criterion/criterion.h>
+
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "Proxy/crash_containment.h"
+#include "Proxy/recent_requests.h"
+
+using namespace lacewingbridge;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::uint64_t kCrashing = 77;
+constexpr char kService[] = "book";
+
+// Daemons that each stand beside one target and tell each other of strikes only in the
+// messages about requests.
+class ContainedFleet {
+ public:
+  explicit ContainedFleet(std::size_t size) : daemons(size), targets(size) {
+    for (std::size_t i = 0; i < size; ++i) {
+      this->daemons[i] = std::make_unique<CrashContainment>();
+      this->targets[i] = {"10.0.0." + std::to_string(i) + ":1", 1};
+    }
+  }
+
+  // A request from one daemon to the target of another one. Returns whether it ran.
+  bool Send(std::size_t from, std::size_t to, std::uint64_t fingerprint) {
+    CrashContainment& sender = *this->daemons[from];
+    CrashContainment& receiver = *this->daemons[to];
+    this->now += milliseconds(1);
+    if (sender.IsContained(this->now, kService, fingerprint)) {
+      return false;
+    }
+    receiver.Merge(this->now, kService, sender.TakeOutgoing(kService, fingerprint));
+    const QuarantineDecision decision =
+        receiver.TryStart(this->now, kService, fingerprint, this->targets[to]);
+    const bool ran = decision == QuarantineDecision::kRun;
+    const bool crashed = ran && fingerprint == kCrashing;
+    if (crashed) {
+      receiver.NoteLost(this->now, kService, fingerprint, this->targets[to]);
+      receiver.NoteRefused(this->now, kService, this->targets[to]);
+      ++this->targets[to].incarnation;
+      ++this->crashes;
+    }
+    if (ran) {
+      receiver.NoteEnd(kService, fingerprint, this->targets[to], !crashed);
+    }
+    sender.Merge(this->now, kService, receiver.TakeOutgoing(kService, fingerprint));
+    return ran;
+  }
+
+  std::vector<std::unique_ptr<CrashContainment>> daemons;
+  std::vector<TargetStart> targets;
+  TimePoint now{seconds(10)};
+  int crashes = 0;
+};
+
+RequestTrace MakeTrace(const std::string& id, unsigned status) {
+  RequestTrace trace;
+  trace.request_id = id;
+  trace.status = status;
+  return trace;
+}
+
+}  // namespace
+
+// Rule of the users: three targets at most in the whole fleet.
+Test(containment, a_crashing_request_takes_down_three_targets_at_most) {
+  for (const std::uint64_t seed : {1U, 2U, 3U, 4U, 5U}) {
+    std::mt19937_64 random(seed);
+    ContainedFleet fleet(18);
+    for (int round = 0; round < 3000; ++round) {
+      const std::size_t from = random() % 18;
+      const std::size_t to = random() % 18;
+      // One request in 100 is the crashing one; strikes travel with the others.
+      fleet.Send(from, to, round % 100 == 0 ? kCrashing : 1000 + random() % 500);
+    }
+    cr_assert_geq(fleet.crashes, 1);
+    cr_assert_leq(fleet.crashes, 3, "seed %d: %d targets died", static_cast<int>(seed),
+                  fleet.crashes);
+  }
+}
+
+Test(containment, a_daemon_that_restarted_learns_from_the_next_refusal) {
+  ContainedFleet fleet(3);
+  fleet.Send(0, 1, kCrashing);
+  fleet.Send(0, 2, kCrashing);
+  // Strikes reach the first target's daemon with any other request.
+  fleet.Send(0, 1, 5);
+  const int before = fleet.crashes;
+  fleet.daemons[0] = std::make_unique<CrashContainment>();
+  cr_assert(!fleet.Send(0, 1, kCrashing));
+  cr_assert(fleet.daemons[0]->IsContained(fleet.now, kService, kCrashing));
+  cr_assert_eq(fleet.crashes, before);
+}
+
+Test(containment, requests_that_were_lost_beside_it_run_again) {
+  ContainedFleet fleet(4);
+  CrashContainment& beside = *fleet.daemons[1];
+  for (std::uint64_t innocent = 1; innocent <= 8; ++innocent) {
+    cr_assert(beside.TryStart(fleet.now, kService, innocent, fleet.targets[1]) ==
+              QuarantineDecision::kRun);
+    beside.NoteLost(fleet.now, kService, innocent, fleet.targets[1]);
+  }
+  beside.NoteRefused(fleet.now, kService, fleet.targets[1]);
+  for (std::uint64_t innocent = 1; innocent <= 8; ++innocent) {
+    beside.NoteEnd(kService, innocent, fleet.targets[1], false);
+    fleet.daemons[0]->Merge(fleet.now, kService, beside.TakeOutgoing(kService, innocent));
+    cr_assert(fleet.Send(0, 2, innocent));
+  }
+}
+
+// A connection that is lost although the target lives proves nothing.
+Test(containment, a_lost_connection_alone_is_no_strike) {
+  ContainedFleet fleet(2);
+  CrashContainment& beside = *fleet.daemons[1];
+  for (int i = 0; i < 5; ++i) {
+    beside.TryStart(fleet.now, kService, 5, fleet.targets[1]);
+    beside.NoteLost(fleet.now, kService, 5, fleet.targets[1]);
+    beside.NoteEnd(kService, 5, fleet.targets[1], false);
+    fleet.now += seconds(6);
+  }
+  cr_assert(!beside.IsContained(fleet.now, kService, 5));
+  cr_assert(beside.TryStart(fleet.now, kService, 5, fleet.targets[1]) == QuarantineDecision::kRun);
+}
+
+Test(recent_requests, keeps_the_newest_and_finds_them_by_id) {
+  RecentRequests recent;
+  for (std::size_t i = 0; i < 10 * RecentRequests::kMaxKept; ++i) {
+    recent.Add(MakeTrace("r" + std::to_string(i), 503));
+  }
+  recent.Add(MakeTrace("again", 503));
+  recent.Add(MakeTrace("again", 502));
+  const RequestTraceList found = recent.Find("again");
+  cr_assert_eq(found.traces.size(), 2);
+  cr_assert_eq(found.traces[0].status, 503);
+  cr_assert_eq(found.traces[1].status, 502);
+  cr_assert(recent.Find("r0").traces.empty());
+}
--- /dev/null
+++ b/Tests/test_node_mesh.cc
@@ -0,0 +1,219 @@
+// Guards, with whole daemons and sockets, against answers that are not the target's whole
+// answer, requests that run twice, false words that a request has not run, and callers that
+// are kept waiting. The store and the targets are fakes.
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "Fakes/fake_platform.h"
+
+using namespace lacewingbridge;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr char kHealthy[] = "X-Id: r1\r\nX-Target: t1\r\nX-Signature: s\r\n";
+
+std::string MakeAnswer(const std::string& status, const std::string& headers,
+                       const std::string& body) {
+  return "HTTP/1.1 " + status + "\r\n" + headers +
+         "Connection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// Two daemons: callers use one, the target is beside the other. The target answers its
+// health check well, and every request with the same bytes.
+class Mesh {
+ public:
+  explicit Mesh(const std::string& answer)
+      : target(answer, MakeAnswer("200 OK", kHealthy, "")),
+        front("front", "desk", FindFreeAddress()),
+        back("back", "book", this->target.GetAddress()) {
+    RouteTable table;
+    table.version = 1;
+    table.services.push_back({"book", "/health", 100});
+    table.services.push_back({"desk", "/health", 100});
+    table.routes.push_back({"read", "a", "/read/", {{"book", 1}}, true, 1500, 500, 1, 2});
+    table.routes.push_back({"write", "a", "/write/", {{"book", 1}}, false, 1500, 500, 1, 2});
+    FakeStoreClient::GetStore().Put("table", Encode(table));
+    this->WaitUntilListed();
+  }
+
+  // Sends one request of the id r1 and returns the whole answer.
+  std::string Send(const std::string& method, const std::string& path) {
+    RawClient client(this->front.GetSettings().caller_address);
+    client.Write(method + " " + path +
+                 " HTTP/1.1\r\nHost: a\r\nX-Id: r1\r\nX-Time-Left-Ms: 1000\r\n"
+                 "Connection: close\r\nContent-Length: 0\r\n\r\n");
+    std::string answer = client.ReadFor(milliseconds(2500));
+    this->complete = client.IsEnded() && !client.WasReset();
+    return answer;
+  }
+
+  // Requests that reached the target, without health checks.
+  std::size_t CountRuns(const std::string& path) {
+    const std::vector<std::string> requests = this->target.ListRequests();
+    return static_cast<std::size_t>(
+        std::count_if(requests.begin(), requests.end(), [&](const std::string& request) {
+          return request.find(" " + path + " ") != std::string::npos;
+        }));
+  }
+
+  bool WasComplete() const { return this->complete; }
+  MeshDaemon& GetFront() { return this->front; }
+  MeshDaemon& GetBack() { return this->back; }
+
+ private:
+  void WaitUntilListed() {
+    for (int i = 0; i < 60; ++i) {
+      this->back.Announce();
+      const std::string dump = this->front.Ask(this->front.GetSettings().metrics_address, "/dump");
+      if (dump.find("\"accepting\":true") != std::string::npos &&
+          dump.find("\"table_version\":\"1\"") != std::string::npos) {
+        return;
+      }
+    }
+    cr_assert_fail("the daemons do not know each other");
+  }
+
+  RawTarget target;
+  MeshDaemon front;
+  MeshDaemon back;
+  bool complete = false;
+};
+
+bool HasStatus(const std::string& answer, const std::string& status) {
+  return answer.find("HTTP/1.1 " + status) == 0;
+}
+
+}  // namespace
+
+Test(mesh, passes_a_whole_answer_on_with_its_headers) {
+  Mesh mesh(MakeAnswer("200 OK", std::string(kHealthy) + "X-Maker: loom\r\n", "hello"));
+  const std::string answer = mesh.Send("GET", "/read/1");
+  cr_assert(HasStatus(answer, "200"), "%s", answer.c_str());
+  cr_assert(answer.find("X-Maker: loom") != std::string::npos);
+  cr_assert(answer.ends_with("\r\n\r\nhello"), "%s", answer.c_str());
+  cr_assert_eq(mesh.CountRuns("/read/1"), 1);
+}
+
+Test(mesh, a_request_that_may_not_run_twice_is_sent_once_when_its_answer_is_lost) {
+  Mesh mesh("HTTP/1.1 200 OK\r\n" + std::string(kHealthy) + "Content-Length: 50\r\n\r\nhalf");
+  const std::string answer = mesh.Send("POST", "/write/1");
+  cr_assert(HasStatus(answer, "502"), "%s", answer.c_str());
+  cr_assert_eq(mesh.CountRuns("/write/1"), 1);
+}
+
+Test(mesh, a_lookup_whose_answer_is_lost_is_repeated_within_its_attempts) {
+  Mesh mesh("HTTP/1.1 200 OK\r\n" + std::string(kHealthy) + "Content-Length: 50\r\n\r\nhalf");
+  const std::string answer = mesh.Send("GET", "/read/1");
+  cr_assert(!HasStatus(answer, "200"), "%s", answer.c_str());
+  cr_assert_geq(mesh.CountRuns("/read/1"), 1);
+  cr_assert_leq(mesh.CountRuns("/read/1"), 2);
+}
+
+Test(mesh, says_not_run_only_when_the_target_said_so) {
+  Mesh mesh(MakeAnswer("503 Full", std::string(kHealthy) + "X-Not-Run: 1\r\n", ""));
+  const std::string answer = mesh.Send("POST", "/write/1");
+  cr_assert(HasStatus(answer, "503"), "%s", answer.c_str());
+  cr_assert_leq(mesh.CountRuns("/write/1"), 2);
+}
+
+Test(mesh, an_answer_to_another_request_is_not_delivered) {
+  Mesh mesh(MakeAnswer("200 OK", "X-Id: other\r\nX-Target: t1\r\nX-Signature: s\r\n", "wrong"));
+  const std::string answer = mesh.Send("POST", "/write/1");
+  cr_assert(HasStatus(answer, "502"), "%s", answer.c_str());
+  cr_assert(answer.find("wrong") == std::string::npos);
+}
+
+Test(mesh, an_answer_without_the_targets_signature_is_not_delivered) {
+  Mesh mesh(MakeAnswer("200 OK", "X-Id: r1\r\nX-Target: t1\r\n", "forged"));
+  const std::string answer = mesh.Send("POST", "/write/1");
+  cr_assert(HasStatus(answer, "502"), "%s", answer.c_str());
+  cr_assert(answer.find("forged") == std::string::npos);
+}
+
+Test(mesh, bytes_behind_an_answer_belong_to_no_request) {
+  Mesh mesh("HTTP/1.1 200 OK\r\n" + std::string(kHealthy) +
+            "Content-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra");
+  for (int i = 0; i < 3; ++i) {
+    const std::string answer = mesh.Send("POST", "/write/1");
+    cr_assert(HasStatus(answer, "200"), "%s", answer.c_str());
+    cr_assert(answer.find("extra") == std::string::npos);
+  }
+}
+
+Test(mesh, the_end_of_the_connection_ends_an_answer_without_a_length) {
+  Mesh mesh("HTTP/1.1 200 OK\r\n" + std::string(kHealthy) + "\r\nall of it");
+  const std::string answer = mesh.Send("GET", "/read/1");
+  cr_assert(HasStatus(answer, "200"), "%s", answer.c_str());
+  cr_assert(answer.find("all of it") != std::string::npos);
+  cr_assert(mesh.WasComplete());
+}
+
+Test(mesh, a_failed_request_is_found_by_its_id) {
+  Mesh mesh(MakeAnswer("503 Full", std::string(kHealthy) + "X-Not-Run: 1\r\n", ""));
+  mesh.Send("POST", "/write/1");
+  const std::string address = mesh.GetFront().GetSettings().metrics_address;
+  const std::string trace = mesh.GetFront().Ask(address, "/requests/r1");
+  cr_assert(trace.find("\"request_id\":\"r1\"") != std::string::npos, "%s", trace.c_str());
+  cr_assert(trace.find("HOP_OUTCOME_NOT_RUN") != std::string::npos, "%s", trace.c_str());
+  cr_assert(HasStatus(mesh.GetFront().Ask(address, "/requests/unknown"), "404"));
+}
+
+Test(mesh, metrics_are_read_while_requests_run) {
+  Mesh mesh(MakeAnswer("200 OK", kHealthy, "hello"));
+  std::thread load([&mesh] {
+    for (int i = 0; i < 20; ++i) {
+      mesh.Send("GET", "/read/1");
+    }
+  });
+  const std::string address = mesh.GetFront().GetSettings().metrics_address;
+  for (int i = 0; i < 5; ++i) {
+    cr_assert(HasStatus(mesh.GetFront().Ask(address, "/metrics"), "200"));
+  }
+  load.join();
+  const std::string text = mesh.GetFront().Ask(address, "/metrics");
+  cr_assert(text.find("lacewingbridge_requests_total{status=\"200\"} 20\n") != std::string::npos,
+            "%s", text.c_str());
+  cr_assert(text.find("lacewingbridge_request_seconds_count{route=\"read\"} 20\n") !=
+            std::string::npos);
+}
+
+Test(mesh, a_daemon_that_stops_says_so_and_still_answers) {
+  Mesh mesh(MakeAnswer("200 OK", kHealthy, "hello"));
+  const std::string ready = mesh.GetFront().GetSettings().ready_address;
+  cr_assert(HasStatus(mesh.GetFront().Ask(ready, "/"), "200"));
+  mesh.GetFront().Stop();
+  std::this_thread::sleep_for(milliseconds(50));
+  cr_assert(HasStatus(mesh.GetFront().Ask(ready, "/"), "503"));
+  const std::string answer = mesh.Send("GET", "/read/1");
+  cr_assert(HasStatus(answer, "200"), "%s", answer.c_str());
+  cr_assert(answer.find("Connection: close") != std::string::npos);
+}
+
+Test(mesh, changed_settings_take_effect_or_are_named) {
+  Mesh mesh(MakeAnswer("200 OK", kHealthy, "hello"));
+  MeshSettings changed = mesh.GetFront().GetSettings();
+  changed.retry_ratio = 0;
+  changed.retry_slack = 0;
+  changed.stop_limit_ms = 700;
+  cr_assert(mesh.GetFront().Apply(changed).empty());
+  changed.peer_address = "127.0.0.1:9";
+  const std::vector<std::string> names = mesh.GetFront().Apply(changed);
+  cr_assert(names == std::vector<std::string>({"peer_address"}));
+}
+
+// Without any budget a lookup is not repeated, so the settings above are in force.
+Test(mesh, a_lookup_is_not_repeated_without_a_retry_budget) {
+  Mesh mesh("HTTP/1.1 200 OK\r\n" + std::string(kHealthy) + "Content-Length: 50\r\n\r\nhalf");
+  MeshSettings changed = mesh.GetFront().GetSettings();
+  changed.retry_ratio = 0;
+  changed.retry_slack = 0;
+  mesh.GetFront().Apply(changed);
+  mesh.Send("GET", "/read/1");
+  cr_assert_eq(mesh.CountRuns("/read/1"), 1);
+}
--- /dev/null
+++ b/Tests/test_node_store_sync.cc
@@ -0,0 +1,164 @@
+// Guards against a daemon that goes back to an older configuration, loses its place in the
+// list of hosts, or calls a store without need, when the store misbehaves.
+#include <criterion/criterion.h>
+
+#include <string>
+
+#include "Fakes/fake_lease_store.h"
+#include "Http/io_shard.h"
+#include "Proxy/mesh_state.h"
+#include "Proxy/target_gate.h"
+#include "Store/store_sync.h"
+
+using namespace lacewingbridge;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+struct FakeSource {
+  static std::string_view GetKey() { return "table"; }
+  static Result<RouteTable> Decode(std::string_view bytes) {
+    RouteTable table;
+    if (!lacewingbridge::Decode(bytes, table)) {
+      return Error{ErrorKind::kRulesInvalid, "not a table"};
+    }
+    return table;
+  }
+};
+
+std::string MakeTable(std::uint64_t version) {
+  RouteTable table;
+  table.version = version;
+  return Encode(table);
+}
+
+// One daemon's part that keeps in step with the store, and its shard.
+class SyncedDaemon {
+ public:
+  SyncedDaemon()
+      : state({"h1", "a1", "a", "127.0.0.1:1", "book", "127.0.0.1:2"}, {}),
+        gate("book", 0),
+        client(this->shard, ""),
+        sync(this->shard, this->state, this->gate, this->client,
+             {milliseconds(100), milliseconds(200), 0}) {
+    TargetAnnouncement announcement;
+    announcement.id = "t1";
+    announcement.service = "book";
+    announcement.slots = 9;
+    announcement.sequence = 1;
+    announcement.born_unix_ms = 1000;
+    this->gate.NoteAnnouncement(GetNow(), announcement);
+    this->gate.NoteHealth(GetNow(), true, "t1", 9);
+    this->sync.Start();
+  }
+
+  void RunFor(Duration time) { this->shard.GetContext().run_for(time); }
+  FakeLeaseStore& GetStore() { return FakeStoreClient::GetStore(); }
+
+  IoShard shard{1};
+  MeshState state;
+  TargetGate gate;
+  FakeStoreClient client;
+  StoreSync<FakeStoreClient, FakeSource> sync;
+};
+
+constexpr char kOwnKey[] = "lacewingbridge/hosts/h1";
+
+}  // namespace
+
+Test(store_sync, follows_versions_and_never_goes_back) {
+  SyncedDaemon daemon;
+  daemon.GetStore().Put("table", MakeTable(5));
+  daemon.RunFor(milliseconds(50));
+  cr_assert_eq(daemon.state.GetTableVersion(), 5);
+  daemon.GetStore().Put("table", MakeTable(9));
+  daemon.RunFor(milliseconds(200));
+  cr_assert_eq(daemon.state.GetTableVersion(), 9);
+  daemon.GetStore().Put("table", MakeTable(7));
+  daemon.RunFor(milliseconds(200));
+  cr_assert_eq(daemon.state.GetTableVersion(), 9);
+  daemon.GetStore().Put("table", "\xff not a table");
+  daemon.RunFor(milliseconds(200));
+  cr_assert_eq(daemon.state.GetTableVersion(), 9);
+  daemon.GetStore().Put("table", MakeTable(12));
+  daemon.RunFor(milliseconds(200));
+  cr_assert_eq(daemon.state.GetTableVersion(), 12);
+}
+
+Test(store_sync, reads_the_key_again_when_the_history_is_gone) {
+  SyncedDaemon daemon;
+  daemon.GetStore().Put("table", MakeTable(5));
+  daemon.RunFor(milliseconds(50));
+  daemon.GetStore().Put("table", MakeTable(6));
+  daemon.GetStore().ForgetHistory();
+  daemon.RunFor(milliseconds(300));
+  cr_assert_eq(daemon.state.GetTableVersion(), 6);
+}
+
+Test(store_sync, catches_up_within_two_seconds_of_an_outage) {
+  SyncedDaemon daemon;
+  daemon.GetStore().Put("table", MakeTable(5));
+  daemon.RunFor(milliseconds(50));
+  daemon.GetStore().SetRefusing(true);
+  daemon.GetStore().Put("table", MakeTable(6));
+  daemon.RunFor(seconds(2));
+  const int calls = daemon.GetStore().GetCalls();
+  daemon.RunFor(seconds(2));
+  // Three followers with pauses of a second at the most.
+  cr_assert_leq(daemon.GetStore().GetCalls() - calls, 14);
+  daemon.GetStore().SetRefusing(false);
+  daemon.RunFor(seconds(2));
+  cr_assert_eq(daemon.state.GetTableVersion(), 6);
+  cr_assert(daemon.GetStore().Has(kOwnKey));
+}
+
+Test(store_sync, lists_its_host_once_and_again_when_its_lease_has_ended) {
+  SyncedDaemon daemon;
+  daemon.RunFor(milliseconds(200));
+  cr_assert(daemon.GetStore().Has(kOwnKey));
+  const int calls = daemon.GetStore().GetCalls();
+  // Announcements of the target change nothing, so they cost no call.
+  for (int i = 0; i < 20; ++i) {
+    daemon.sync.NoteRecordChanged();
+    daemon.RunFor(milliseconds(5));
+  }
+  cr_assert_leq(daemon.GetStore().GetCalls() - calls, 1);
+  daemon.GetStore().EndLeases();
+  cr_assert(!daemon.GetStore().Has(kOwnKey));
+  daemon.RunFor(seconds(2));
+  cr_assert(daemon.GetStore().Has(kOwnKey));
+}
+
+Test(store_sync, a_write_whose_answer_was_lost_is_made_again) {
+  SyncedDaemon daemon;
+  daemon.GetStore().LoseAnswers(2);
+  daemon.RunFor(seconds(1));
+  cr_assert(daemon.GetStore().Has(kOwnKey));
+  cr_assert_eq(daemon.state.GetHosts().size(), 1);
+}
+
+// The store's word of an earlier process: the target had said that it leaves.
+Test(store_sync, a_target_that_left_under_an_earlier_process_gets_no_work) {
+  HostRecord earlier;
+  earlier.host = "h1";
+  earlier.peer_address = "127.0.0.1:2";
+  earlier.target = LocalTargetRecord{"book", "t1", 1000, 9, false};
+  FakeStoreClient::GetStore().Put(kOwnKey, Encode(earlier));
+  SyncedDaemon daemon;
+  daemon.RunFor(milliseconds(100));
+  cr_assert(!daemon.gate.MakeRecord().accepting);
+}
+
+Test(store_sync, entries_that_cannot_be_read_name_no_host_and_the_others_hold) {
+  HostRecord other;
+  other.host = "h2";
+  other.peer_address = "127.0.0.1:9";
+  FakeStoreClient::GetStore().Put("lacewingbridge/hosts/h2", Encode(other));
+  FakeStoreClient::GetStore().Put("lacewingbridge/hosts/h3", "\xff\xff");
+  SyncedDaemon daemon;
+  daemon.RunFor(milliseconds(100));
+  const std::vector<HostRecord> hosts = daemon.state.GetHosts();
+  cr_assert_eq(hosts.size(), 1);
+  cr_assert_eq(hosts[0].host, "h2");
+}
