--- a/Source/Proxy/caller_request.cc
+++ b/Source/Proxy/caller_request.cc
@@ -65,6 +65,8 @@
       this->context.state.FindFirstArrival(now, this->route->name, this->fingerprint);
   this->facts.objective_at = this->first_arrival + objective;
   this->facts.max_attempts = std::max(this->route->max_attempts, 1U);
+  this->facts.max_refused_hops =
+      ComputeMaxRefusedHops(this->context.state.CountTargets(this->service));
   this->facts.idempotent = this->route->idempotent;
   this->progress.emplace(this->facts);
 }
@@ -90,8 +92,8 @@
     co_return;
   }
   const TimePoint now = this->facts.arrived_at;
-  this->SetFacts(now);
   this->service = this->context.state.PickDestination(*this->route, this->shard.GetRandom());
+  this->SetFacts(now);
   this->context.state.RecordRequest(now, this->service);
   this->exchange.SetGoneListener([this] {
     if (this->hop != nullptr) {
--- a/Source/Retry/request_progress.h
+++ b/Source/Retry/request_progress.h
@@ -56,11 +56,6 @@
 // run the request.
 class RequestProgress {
  public:
-  // Daemons that are asked for room before the caller is told to return. Each costs a
-  // round trip, and its refusal tells what to expect of it for a while; after five refusals
-  // from the cheapest peers the fleet is full.
-  static constexpr std::uint32_t kMaxRefusedHops = 5;
-
   explicit RequestProgress(const RequestFacts& request_facts) : facts(request_facts) {}
 
   ProgressDecision NoteHopEnd(TimePoint now, const HopEnd& end, FleetRetryBudget& budget);
--- a/Source/Routing/hop_placement.h
+++ b/Source/Routing/hop_placement.h
@@ -49,6 +49,8 @@
   // stays are kept.
   void UpdateHosts(std::span<const HostRecord> hosts);
 
+  std::size_t GetCandidateCount() const { return this->candidates.size(); }
+
   // Empty when there is no candidate besides the excluded peer addresses.
   template <std::uniform_random_bit_generator Random>
   std::optional<HopChoice> Choose(TimePoint now, const HopNeed& need,
--- a/Source/Store/store_sync.h
+++ b/Source/Store/store_sync.h
@@ -81,12 +81,11 @@
   // Time of a pending watch. Each watch is a call, and the store allows 30 s at most.
   static constexpr Duration kWatchTime = std::chrono::seconds(29);
   // After changes of the host list, so that those of a restart storm arrive together: each
-  // look at the list is a call of every daemon. A new target may wait for seconds for its
-  // first requests, and a host that left is found by its refusals.
-  static constexpr Duration kHostsPause = std::chrono::milliseconds(2000);
+  // look at the list is a call of every daemon.
+  static constexpr Duration kHostsPause = std::chrono::milliseconds(1000);
   // Longest wait for the target's state before this host is listed: a record that changes
-  // at once would wake every daemon twice.
-  static constexpr Duration kTargetPatience = std::chrono::milliseconds(2000);
+  // at once would wake every daemon twice. Until then others send the target no work.
+  static constexpr Duration kTargetPatience = std::chrono::milliseconds(500);
   // Hosts that lose power disappear from the list after this time.
   static constexpr Duration kLeaseTime = std::chrono::seconds(4);
   // Renewals per lease time; two may fail before the lease ends.
