routing: Send nothing to a target that is known to have died; mend process_crashing_request

Cause: (1) after a lost connection a daemon looked at once whether the target still listens, sometimes before the system had closed the sockets of the dead process, so the crash was never proved; (2) a daemon that had heard of the crashes by gossip still sent innocent requests to the dead targets until its retry budget was spent; (3) since logs go to standard output, the test read an empty file. Ruled out: strikes that miss a daemon (all five logged the quarantine within 2 s). Change: 10 ms before the look, on both request paths; a strike ejects its target for 5 s or until it restarts; the fleet script keeps standard output.

--- a/Source/Daemon/proxy_request.cc
+++ b/Source/Daemon/proxy_request.cc
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <memory>
 #include <random>
+#include <thread>
 #include <utility>
 
 #include "Core/hash.h"
@@ -24,6 +25,10 @@
 
 namespace {
 
+// Time in which the system closes all sockets of a process that has died. Asked sooner, the
+// target may still seem to listen, and the crash would never be proved.
+constexpr milliseconds kCloseTime{10};
+
 std::uint64_t DrawRequestId() {
   static std::atomic<std::uint64_t> last_id{0};
   return ++last_id;
@@ -282,6 +287,9 @@
   const bool answered =
       attempt.outcome == TargetOutcome::kOk || attempt.outcome == TargetOutcome::kFailed;
   const milliseconds probe_limit(this->environment.settings.connect_timeout_ms);
+  if (lost) {
+    std::this_thread::sleep_for(kCloseTime);
+  }
   const bool refused = attempt.outcome == TargetOutcome::kConnectionRefused ||
                        (lost && IsConnectionRefused(choice.address, probe_limit));
   const TimePoint now = GetNow();
@@ -293,6 +301,9 @@
       runtime.quarantine.NoteLost(now, this->fingerprint, choice.address, choice.incarnation);
     }
     quarantined = refused ? runtime.quarantine.NoteRefused(now, choice.address) : 0;
+    if (lost && refused) {
+      runtime.selector.ReportDead(now, choice.address);
+    }
     runtime.quarantine.Finish(this->fingerprint, choice.address, answered);
     ServiceTable::Deliver(runtime,
                           runtime.queue.SetSlots(now, runtime.selector.CountUsableSlots(now)));
--- a/Source/Daemon/service_table.cc
+++ b/Source/Daemon/service_table.cc
@@ -56,11 +56,24 @@
     std::uint64_t& known = runtime.incarnations[endpoint.address];
     if (known != record->second->incarnation) {
       known = record->second->incarnation;
+      runtime.selector.ReportRestarted(endpoint.address);
       runtime.quarantine.NoteIncarnation(now, endpoint.address, known);
     }
   }
 }
 
+// A strike proves that its target died. Until the target announces itself again or is
+// dropped, requests are better sent elsewhere.
+void EjectStruck(ServiceRuntime& runtime, std::span<const QuarantineStrike> strikes,
+                 TimePoint now) {
+  for (const QuarantineStrike& strike : strikes) {
+    const auto known = runtime.incarnations.find(strike.target_address);
+    if (known != runtime.incarnations.end() && known->second == strike.target_incarnation) {
+      runtime.selector.ReportDead(now, strike.target_address);
+    }
+  }
+}
+
 bool IsIdle(const ServiceRuntime& runtime) {
   return runtime.queue.GetLoad().CountRunning() == 0 && runtime.waiting.empty();
 }
@@ -158,6 +171,7 @@
                      return runtime.incarnations.contains(strike.target_address);
                    });
       quarantined += own.empty() ? 0 : runtime.quarantine.MergeStrikes(now, own);
+      EjectStruck(runtime, own, now);
     }
   });
   return quarantined;
--- a/Source/Proxy/peer_request.cc
+++ b/Source/Proxy/peer_request.cc
@@ -24,6 +24,9 @@
 constexpr Duration kAnswerSilence = std::chrono::seconds(5);
 // Interval at which waiting requests look for the end of their time.
 constexpr Duration kExpiryInterval = std::chrono::milliseconds(25);
+// Time in which the system closes all sockets of a process that has died. Asked sooner, the
+// target may still seem to listen, and the crash would not be proved.
+constexpr Duration kCloseTime = std::chrono::milliseconds(10);
 // Interval at which a request looks whether another one that crashed a target has ended.
 constexpr Duration kTurnInterval = std::chrono::milliseconds(10);
 // Part of its time for which such a request waits here, as a divisor; then it is better
@@ -95,6 +98,9 @@
   if (!this->context.gate.TakeListenCheck(GetNow())) {
     co_return;
   }
+  asio::steady_timer timer(this->shard.GetContext(), kCloseTime);
+  ErrorCode code;
+  co_await timer.async_wait(AwaitInto(code));
   OutboundExchange probe(this->shard, this->target.address);
   co_await probe.Probe(kConnectLimit);
   if (probe.WasRefused()) {
--- a/Source/Routing/target_ejector.cc
+++ b/Source/Routing/target_ejector.cc
@@ -56,6 +56,23 @@
   }
 }
 
+void TargetEjector::EjectDead(TimePoint now, std::string_view address) {
+  if (this->IsEjected(now, address) || this->CountEjected(now) + 1 > this->GetEjectionLimit()) {
+    return;
+  }
+  Ejection& ejection = this->ejections[std::string(address)];
+  ejection.length = kDeadEjection;
+  ejection.until = now + kDeadEjection;
+  ejection.on_probation = true;
+}
+
+void TargetEjector::NoteRestarted(std::string_view address) {
+  const auto found = this->ejections.find(address);
+  if (found != this->ejections.end()) {
+    this->ejections.erase(found);
+  }
+}
+
 bool TargetEjector::IsEjected(TimePoint now, std::string_view address) const {
   const auto found = this->ejections.find(address);
   return found != this->ejections.end() && found->second.until > now;
--- a/Source/Routing/target_ejector.h
+++ b/Source/Routing/target_ejector.h
@@ -18,6 +18,8 @@
   static constexpr std::uint32_t kFailureThreshold = 5;
   static constexpr Duration kFirstEjection = std::chrono::seconds(1);
   static constexpr Duration kLongestEjection = std::chrono::seconds(30);
+  // Longer than the time after which a target that no longer announces itself is dropped.
+  static constexpr Duration kDeadEjection = std::chrono::seconds(5);
 
   // The targets that count towards the limit of half: those not draining. Forgets the
   // ejections of all others and ends those that end soonest while there are too many.
@@ -27,6 +29,11 @@
   bool RecordFailure(TimePoint now, std::string_view address, std::uint32_t consecutive_failures);
   void RecordSuccess(TimePoint now, std::string_view address);
 
+  // The target has died; nothing is known of its restart. Counts towards the limit of half.
+  void EjectDead(TimePoint now, std::string_view address);
+  // A new start of the target has announced itself.
+  void NoteRestarted(std::string_view address);
+
   bool IsEjected(TimePoint now, std::string_view address) const;
 
   // Whether the target has returned from an ejection and has not succeeded since.
--- a/Source/Routing/target_selector.cc
+++ b/Source/Routing/target_selector.cc
@@ -59,6 +59,13 @@
   }
 }
 
+void TargetSelector::ReportDead(TimePoint now, std::string_view address) {
+  const auto found = this->entries.find(address);
+  if (found != this->entries.end() && found->second.known && !found->second.endpoint.draining) {
+    this->ejector.EjectDead(now, address);
+  }
+}
+
 bool TargetSelector::ReportFinish(TimePoint now, std::string_view address, TargetOutcome outcome,
                                   Duration latency) {
   const auto found = this->entries.find(address);
--- a/Source/Routing/target_selector.h
+++ b/Source/Routing/target_selector.h
@@ -50,6 +50,11 @@
   bool ReportFinish(TimePoint now, std::string_view address, TargetOutcome outcome,
                     Duration latency);
 
+  // The target has died, as this daemon or another one has found out.
+  void ReportDead(TimePoint now, std::string_view address);
+  // A new start of the target has announced itself.
+  void ReportRestarted(std::string_view address) { this->ejector.NoteRestarted(address); }
+
   // Sum of the usable slots of the targets that may receive work.
   std::uint32_t CountUsableSlots(TimePoint now) const;
   // Moving latency of the target, zero if it is not known.
--- a/Tests/test_node_containment.cc
+++ b/Tests/test_node_containment.cc
@@ -1,6 +1,5 @@
 // Guards against a request that takes down one target after the other while its caller
 // sends it again through any daemon, and against innocent requests that suffer from it.
-#include <criterion/criterion.h>
 
 #include <memory>
 #include <random>
@@ -10,6 +9,9 @@
 #include "Proxy/crash_containment.h"
 #include "Proxy/recent_requests.h"
 
+// Criterion defines macros that break headers of Boost.Intrusive, so it comes last.
+#include <criterion/criterion.h>
+
 using namespace lacewingbridge;  // NOLINT(google-build-using-namespace)
 using std::chrono::milliseconds;
 using std::chrono::seconds;
--- a/Tests/test_node_log.cc
+++ b/Tests/test_node_log.cc
@@ -1,6 +1,5 @@
 // Guards against requests that wait for the reader of standard output, and against a
 // process that cannot end because nobody reads it.
-#include <criterion/criterion.h>
 #include <fcntl.h>
 #include <unistd.h>
 
@@ -10,6 +9,9 @@
 #include "Http/boot_clock.h"
 #include "Observe/event_log.h"
 
+// Criterion defines macros that break headers of Boost.Intrusive, so it comes last.
+#include <criterion/criterion.h>
+
 using namespace lacewingbridge;  // NOLINT(google-build-using-namespace)
 using std::chrono::milliseconds;
 using std::chrono::seconds;
--- a/Tests/test_node_mesh.cc
+++ b/Tests/test_node_mesh.cc
@@ -1,7 +1,6 @@
 // Guards, with whole daemons and sockets, against answers that are not the target's whole
 // answer, requests that run twice, false words that a request has not run, and callers that
 // are kept waiting. The store and the targets are fakes.
-#include <criterion/criterion.h>
 
 #include <algorithm>
 #include <chrono>
@@ -11,6 +10,9 @@
 
 #include "Fakes/fake_platform.h"
 
+// Criterion defines macros that break headers of Boost.Intrusive, so it comes last.
+#include <criterion/criterion.h>
+
 using namespace lacewingbridge;  // NOLINT(google-build-using-namespace)
 using std::chrono::milliseconds;
 
--- a/Tests/test_node_store_sync.cc
+++ b/Tests/test_node_store_sync.cc
@@ -1,6 +1,5 @@
 // Guards against a daemon that goes back to an older configuration, loses its place in the
 // list of hosts, or calls a store without need, when the store misbehaves.
-#include <criterion/criterion.h>
 
 #include <string>
 
@@ -10,6 +9,9 @@
 #include "Proxy/target_gate.h"
 #include "Store/store_sync.h"
 
+// Criterion defines macros that break headers of Boost.Intrusive, so it comes last.
+#include <criterion/criterion.h>
+
 using namespace lacewingbridge;  // NOLINT(google-build-using-namespace)
 using std::chrono::milliseconds;
 using std::chrono::seconds;
--- a/Tests/test_routing_selector.cc
+++ b/Tests/test_routing_selector.cc
@@ -141,6 +141,26 @@
   cr_assert(FindDump(selector, kWarm + milliseconds(2), "b").ejected);
 }
 
+// A request through a daemon that had only heard of the crashes was refused: its attempts
+// went to the dead targets.
+Test(routing_selector, a_dead_target_gets_nothing_until_it_has_restarted) {
+  const std::vector<TargetEndpoint> targets = {MakeTarget("a"), MakeTarget("b"), MakeTarget("c"),
+                                               MakeTarget("d"), MakeTarget("e")};
+  TargetSelector selector = MakeSelector(targets);
+  selector.ReportDead(kWarm, "a");
+  selector.ReportDead(kWarm, "b");
+  // No more than half are given up, whatever is reported.
+  selector.ReportDead(kWarm, "c");
+  selector.ReportDead(kWarm, "unknown");
+  std::map<std::string, int> counts = CountChoices(selector, kWarm + seconds(2), 200);
+  cr_assert_eq(counts["a"] + counts["b"], 0);
+  cr_assert_gt(counts["c"], 0);
+  selector.ReportRestarted("a");
+  counts = CountChoices(selector, kWarm + seconds(2), 200);
+  cr_assert_gt(counts["a"], 0);
+  cr_assert_eq(counts["b"], 0);
+}
+
 Test(routing_selector, reports_only_lower_a_weight) {
   std::vector<TargetEndpoint> targets = {MakeTarget("idle"), MakeTarget("busy")};
   targets[1].reported_load_permille = 1000;
--- a/Utilities/DocsGenerator/docs_generator.cc
+++ b/Utilities/DocsGenerator/docs_generator.cc
@@ -20,7 +20,7 @@
 void PrintEvents() {
   fmt::print("# Log events\n\n{}", kNote);
   fmt::print(
-      "The daemon writes one line an event to standard error: time (UTC), host, level, `LW` and "
+      "The daemon writes one line an event to standard output: time (UTC), host, level, `LW` and "
       "the number, the text, and particulars. The number of an event never changes its "
       "meaning.\n\n| number | level | text | what to do |\n|---|---|---|---|\n");
   for (const EventDescription& event : kEventCatalogue) {
--- a/Utilities/fleet.sh
+++ b/Utilities/fleet.sh
@@ -59,7 +59,7 @@
     for setting in "$@"; do echo "$setting"; done
   } >"$file"
   "$FLEET_BIN/Source/lacewingbridged" --settings "$file" \
-    2>>"$FLEET_DIR/daemon-$number.log" &
+    >>"$FLEET_DIR/daemon-$number.log" 2>&1 &
   FLEET_PIDS[daemon-$number]=$!
 }
 
