--- /dev/null
+++ b/Tests/stress_node_log.cc
@@ -0,0 +1,56 @@
+// Guards against requests that wait for the reader of standard output, and against a
+// process that cannot end because nobody reads it. A plain program: the thread that writes
+// stays blocked, so the process has to end by _exit.
+#include <unistd.h>
+
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+
+#include "Http/boot_clock.h"
+#include "Observe/event_log.h"
+
+using namespace lacewingbridge;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+int Check(bool passed, const char* what) {
+  if (!passed) {
+    std::fprintf(stderr, "FAILED: %s\n", what);
+  }
+  return passed ? 0 : 1;
+}
+
+// Makes standard output a pipe that nobody reads.
+bool StopStandardOutput() {
+  std::array<int, 2> ends{};
+  return pipe(ends.data()) == 0 && dup2(ends[1], STDOUT_FILENO) >= 0;
+}
+
+}  // namespace
+
+int main() {
+  if (!StopStandardOutput()) {
+    std::perror("pipe");
+    return EXIT_FAILURE;
+  }
+  EventLog::Configure("h1", "info");
+  const std::string padding(500, 'x');
+  int failures = 0;
+  const TimePoint begin = GetNow();
+  // Events of several kinds, so that more passes the bounds on the rate than a pipe holds.
+  for (int i = 0; i < 2000; ++i) {
+    EventLog::Write(Event::kRequestEnded, "request={} {}", i, padding);
+    EventLog::Write(Event::kHopEnded, "request={} {}", i, padding);
+    EventLog::Write(Event::kTargetHopEnded, "request={} {}", i, padding);
+  }
+  failures += Check(GetNow() - begin < seconds(1), "writing does not wait for the reader");
+  const TimePoint flush_begin = GetNow();
+  failures += Check(!EventLog::Flush(milliseconds(200)), "the pipe held all lines");
+  failures += Check(GetNow() - flush_begin < seconds(1), "the end does not wait for the reader");
+  _exit(failures == 0 ? EXIT_SUCCESS : EXIT_FAILURE);
+}
