store: Make pending watches anew after an outage

All daemons wait in watches of 29 s, and an outage can swallow them without a reset; peers cannot help when all are behind. Change: when the renewal of the lease reaches the store again, the pending watches are cancelled and read anew.

--- a/Source/Store/lease_store.h
+++ b/Source/Store/lease_store.h
@@ -43,6 +43,8 @@
   { client.GrantLease(duration) } -> std::same_as<Awaitable<Result<std::uint64_t>>>;
   { client.KeepLease(number) } -> std::same_as<Awaitable<Status>>;
   { client.EndLease(number) } -> std::same_as<Awaitable<Status>>;
+  // Pending watches return an error at once.
+  client.CancelWatches();
 };
 
 }  // namespace lacewingbridge
--- a/Source/Store/store_sync.h
+++ b/Source/Store/store_sync.h
@@ -374,6 +374,10 @@
     while (!this->ended) {
       const Status status = co_await this->RenewOrWrite();
       if (IsOk(status)) {
+        if (!reached) {
+          // An outage may have swallowed what a pending watch waits for.
+          this->client.CancelWatches();
+        }
         this->NoteReached("keep_record", reached, backoff);
         co_await this->WaitForRenewal(GetNow() + this->lease_time / kRenewalsPerLease);
       } else if (GetError(status).kind != ErrorKind::kLeaseEnded) {
--- a/Tests/Fakes/fake_lease_store.h
+++ b/Tests/Fakes/fake_lease_store.h
@@ -44,6 +44,15 @@
     const std::lock_guard guard(this->mutex);
     this->history_from = this->revision;
   }
+  // Watches that are pending now hear nothing more.
+  void SilenceWatches() {
+    const std::lock_guard guard(this->mutex);
+    ++this->watch_generation;
+  }
+  std::uint64_t GetWatchGeneration() {
+    const std::lock_guard guard(this->mutex);
+    return this->watch_generation;
+  }
   // Leases end, and their keys disappear without an event.
   void EndLeases() {
     const std::lock_guard guard(this->mutex);
@@ -122,6 +131,7 @@
   std::uint64_t history_from = 0;
   std::uint64_t first_lease = 0;
   std::uint64_t last_lease = 0;
+  std::uint64_t watch_generation = 0;
   int answers_to_lose = 0;
   int calls = 0;
   bool refusing = false;
@@ -156,7 +166,18 @@
       co_return MakeRefused();
     }
     asio::steady_timer timer(this->shard.GetContext());
+    const std::uint64_t generation = GetStore().GetWatchGeneration();
+    const int cancelled_before = this->cancelled;
     while (true) {
+      if (this->cancelled != cancelled_before) {
+        co_return MakeRefused();
+      }
+      if (generation != GetStore().GetWatchGeneration() && GetNow() < until) {
+        ErrorCode ignored;
+        timer.expires_after(kLookInterval);
+        co_await timer.async_wait(AwaitInto(ignored));
+        continue;
+      }
       if (GetStore().IsForgotten(after)) {
         co_return Error{ErrorKind::kStoreHistoryGone, "forgotten"};
       }
@@ -197,11 +218,13 @@
     co_return MakeOkStatus();
   }
   Awaitable<Status> EndLease(std::uint64_t) { co_return MakeOkStatus(); }
+  void CancelWatches() { ++this->cancelled; }
 
  private:
   static Error MakeRefused() { return {ErrorKind::kStoreUnavailable, "refused"}; }
 
   IoShard& shard;
+  int cancelled = 0;
 };
 
 }  // namespace lacewingbridge
--- a/Tests/test_node_store_sync.cc
+++ b/Tests/test_node_store_sync.cc
@@ -115,6 +115,21 @@
   cr_assert(daemon.GetStore().Has(kOwnKey));
 }
 
+// Found by a hunt (pruitt-loom, deploy/days/store.toml, seed 946118037201): a silent outage
+// swallowed the pending watches of all daemons, and a version came into force 30 s late.
+Test(store_sync, watches_that_an_outage_swallowed_are_made_again) {
+  SyncedDaemon daemon;
+  daemon.GetStore().Put("table", MakeTable(5));
+  daemon.RunFor(milliseconds(300));
+  daemon.GetStore().SilenceWatches();
+  daemon.GetStore().SetRefusing(true);
+  daemon.RunFor(seconds(2));
+  daemon.GetStore().Put("table", MakeTable(6));
+  daemon.GetStore().SetRefusing(false);
+  daemon.RunFor(seconds(2));
+  cr_assert_eq(daemon.state.GetTableVersion(), 6);
+}
+
 Test(store_sync, lists_its_host_once_and_again_when_its_lease_has_ended) {
   SyncedDaemon daemon;
   daemon.RunFor(milliseconds(200));
