--- a/Source/Proxy/caller_request.cc
+++ b/Source/Proxy/caller_request.cc
@@ -329,12 +329,15 @@
 
 void CallerRequest::LogEnd(unsigned status, std::string_view reason) const {
   const TimePoint now = GetNow();
+  std::string_view route_name = "none";
+  if (this->route != nullptr) {
+    route_name = this->route->name;
+  }
   EventLog::Write(
       Event::kRequestEnded,
       "request={} path={} route={} version={} service={} status={} reason={} last={} refused={} "
       "time_left_ms={} age_ms={} after_ms={}",
-      this->head.request_id, this->exchange.GetTarget(),
-      this->route == nullptr ? std::string_view("none") : std::string_view(this->route->name),
+      this->head.request_id, this->exchange.GetTarget(), route_name,
       this->index == nullptr ? 0 : this->index->GetTable().version, this->service, status, reason,
       this->last_reason, this->refused_by.size(),
       CountMilliseconds(this->head.time_left.value_or(Duration{0}) -
--- a/Source/Store/store_sync.h
+++ b/Source/Store/store_sync.h
@@ -18,6 +18,7 @@
 #include "Proxy/target_gate.h"
 #include "Store/lease_store.h"
 #include "Store/store_backoff.h"
+#include "Store/store_bounds.h"
 #include "Store/table_offer_log.h"
 #include "Store/table_pause.h"
 #include "mesh_codec.h"
@@ -31,15 +32,6 @@
   { Source::Decode(bytes) } -> std::same_as<Result<RouteTable>>;
 };
 
-struct StoreBounds {
-  // Shortest lease that the store grants.
-  Duration min_lease{0};
-  // A version has to be in force this long after it was written.
-  Duration table_bound{0};
-  // Rate of this host's link; 0 when it is not known.
-  std::uint64_t link_bytes_per_second = 0;
-};
-
 // Keeps this daemon in step with the store: takes over the newest route table and the list
 // of hosts, and lists this host under a lease. Runs on one shard's thread.
 template <LeaseStore Client, TableSource Source>
--- a/Tests/Fakes/fake_platform.h
+++ b/Tests/Fakes/fake_platform.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "Fakes/fake_lease_store.h"
+#include "Fakes/fake_table_source.h"
 #include "Fakes/raw_target.h"
 #include "Node/mesh_node.h"
 #include "mesh_codec.h"
@@ -49,16 +50,7 @@
 
   using StoreClient = FakeStoreClient;
 
-  struct Source {
-    static std::string_view GetKey() { return "table"; }
-    static Result<RouteTable> Decode(std::string_view bytes) {
-      RouteTable table;
-      if (!lacewingbridge::Decode(bytes, table)) {
-        return Error{ErrorKind::kRulesInvalid, "not a table"};
-      }
-      return table;
-    }
-  };
+  using Source = FakeTableSource;
 
   // Every request to the control address says that the target t1 is ready.
   class ControlHandler {
--- a/Tests/test_node_store_sync.cc
+++ b/Tests/test_node_store_sync.cc
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "Fakes/fake_lease_store.h"
+#include "Fakes/fake_table_source.h"
 #include "Http/io_shard.h"
 #include "Proxy/mesh_state.h"
 #include "Proxy/target_gate.h"
@@ -18,17 +19,6 @@
 
 namespace {
 
-struct FakeSource {
-  static std::string_view GetKey() { return "table"; }
-  static Result<RouteTable> Decode(std::string_view bytes) {
-    RouteTable table;
-    if (!lacewingbridge::Decode(bytes, table)) {
-      return Error{ErrorKind::kRulesInvalid, "not a table"};
-    }
-    return table;
-  }
-};
-
 std::string MakeTable(std::uint64_t version) {
   RouteTable table;
   table.version = version;
@@ -62,7 +52,7 @@
   MeshState state;
   TargetGate gate;
   FakeStoreClient client;
-  StoreSync<FakeStoreClient, FakeSource> sync;
+  StoreSync<FakeStoreClient, FakeTableSource> sync;
 };
 
 constexpr char kOwnKey[] = "lacewingbridge/hosts/h1";
