routing: Use the existing freshness check and pass the typical service time alone

Cause: the read-through of the whole change: the test whether a report is fresh stood twice, and a draw was made up only to carry one duration. Behaviour is unchanged.

--- a/Source/Routing/hop_placement.cc
+++ b/Source/Routing/hop_placement.cc
@@ -120,10 +120,10 @@
   return count == 0 ? kInitialServiceTime : sum / count;
 }
 
-Duration HopPlacement::GetServiceTime(const Candidate& candidate, const Draw& draw) const {
+Duration HopPlacement::GetServiceTime(const Candidate& candidate, Duration typical) {
   return candidate.has_report && candidate.report.service_time_ms > 0
              ? FromMilliseconds(candidate.report.service_time_ms)
-             : draw.typical_service_time;
+             : typical;
 }
 
 std::int64_t HopPlacement::CountOccupied(TimePoint now, const Candidate& candidate) {
@@ -173,7 +173,7 @@
   const Candidate& candidate = this->candidates[position];
   const double jitter = draw.jitters[position];
   const auto distance = static_cast<std::size_t>(candidate.distance);
-  const Duration service_time = this->GetServiceTime(candidate, draw);
+  const Duration service_time = GetServiceTime(candidate, draw.typical_service_time);
   Duration wait =
       Scale(this->EstimateWait(now, candidate, service_time), jitter) + kRoundTrips[distance];
   wait += EstimateLinkTime(now, need, candidate, wait + service_time);
@@ -196,8 +196,7 @@
   Duration best_cost{0};
   for (std::size_t i = 0; i < this->candidates.size(); ++i) {
     const Candidate& candidate = this->candidates[i];
-    const bool refusing = candidate.has_report && !candidate.report.accepting &&
-                          now - candidate.report_at < kReportLifetime;
+    const bool refusing = IsFresh(now, candidate) && !candidate.report.accepting;
     if (!candidate.accepting || refusing || now < candidate.paused_until ||
         std::find(excluded.begin(), excluded.end(), candidate.peer_address) != excluded.end()) {
       continue;
@@ -222,7 +221,7 @@
       continue;
     }
     const Duration pause = std::max(candidate.paused_until - now, Duration{0});
-    const Duration service_time = this->GetServiceTime(candidate, {{}, false, typical});
+    const Duration service_time = GetServiceTime(candidate, typical);
     const Duration wait = std::max(this->EstimateWait(now, candidate, service_time), pause);
     if (!least.has_value() || wait < *least) {
       least = wait;
--- a/Source/Routing/hop_placement.h
+++ b/Source/Routing/hop_placement.h
@@ -138,7 +138,8 @@
                                      std::span<const std::string> excluded, const Draw& draw) const;
   // Mean of the service times that are known.
   Duration ComputeTypicalServiceTime() const;
-  Duration GetServiceTime(const Candidate& candidate, const Draw& draw) const;
+  // The typical one for a candidate that has not reported.
+  static Duration GetServiceTime(const Candidate& candidate, Duration typical);
   Candidate* Find(std::string_view peer_address);
   Distance GetDistance(const HostRecord& record) const;
   static bool IsFresh(TimePoint now, const Candidate& candidate) {
