retry: Charge the calls of repeated runs to the retry budget of the called service

Those calls count as repeats by the rule; no budget knew of them. A run whose call fails answers 500, is repeated, and makes both calls again: 660 repeats for 2,965 requests, 649 allowed.

Change: the hop carries the probability that it is a repeat; the daemon beside the target charges each request of its host with the share of repeats among the target's runs, and refuses a repeat whose calls have no room (a refusal costs no budget). A retry after a failed call may use a quarter of the granted part. A daemon takes no part of the slack in its first window, and the number of daemons that share the slack only grows.

--- a/Source/Generated/mesh.h
+++ b/Source/Generated/mesh.h
@@ -130,6 +130,7 @@
   std::uint64_t fingerprint = 0;
   std::uint32_t answer_bytes = 0;
   std::uint64_t hop_id = 0;
+  std::uint32_t repeat_percent = 0;
 
   bool operator==(const HopRequest&) const = default;
 };
@@ -149,6 +150,7 @@
   std::uint32_t link_wait_ms = 0;
   std::uint64_t link_bytes_per_second = 0;
   std::uint64_t hop_id = 0;
+  bool call_failed = false;
 
   bool operator==(const HopReport&) const = default;
 };
--- a/Source/Generated/mesh_codec.cc
+++ b/Source/Generated/mesh_codec.cc
@@ -499,6 +499,7 @@
   wire.set_fingerprint(plain.fingerprint);
   wire.set_answer_bytes(plain.answer_bytes);
   wire.set_hop_id(plain.hop_id);
+  wire.set_repeat_percent(plain.repeat_percent);
 }
 
 void FromWire(const wire::HopRequest& wire, HopRequest& plain) {
@@ -519,6 +520,7 @@
   plain.fingerprint = wire.fingerprint();
   plain.answer_bytes = wire.answer_bytes();
   plain.hop_id = wire.hop_id();
+  plain.repeat_percent = wire.repeat_percent();
 }
 
 std::string Encode(const HopRequest& plain) {
@@ -579,6 +581,7 @@
   wire.set_link_wait_ms(plain.link_wait_ms);
   wire.set_link_bytes_per_second(plain.link_bytes_per_second);
   wire.set_hop_id(plain.hop_id);
+  wire.set_call_failed(plain.call_failed);
 }
 
 void FromWire(const wire::HopReport& wire, HopReport& plain) {
@@ -599,6 +602,7 @@
   plain.link_wait_ms = wire.link_wait_ms();
   plain.link_bytes_per_second = wire.link_bytes_per_second();
   plain.hop_id = wire.hop_id();
+  plain.call_failed = wire.call_failed();
 }
 
 std::string Encode(const HopReport& plain) {
--- a/Source/Node/mesh_node.h
+++ b/Source/Node/mesh_node.h
@@ -112,7 +112,8 @@
   // be called on the control shard's thread.
   std::vector<std::string> ApplySettings(const MeshSettings& changed) {
     this->stop_limit = std::chrono::milliseconds(changed.stop_limit_ms);
-    this->state.SetRetryBound(MakeRetryBound(changed));
+    this->state.SetRetryBound(MakeRetryBound(changed, this->started_at));
+    this->gate.SetRunWindow(std::chrono::milliseconds(changed.retry_window_ms));
     this->sync.SetMinLease(std::chrono::milliseconds(changed.min_lease_ms));
     MeshSettings applied = this->settings;
     applied.stop_limit_ms = changed.stop_limit_ms;
@@ -144,7 +145,7 @@
         workers(MakeShards(given.worker_threads, seed)),
         control_shards(MakeShards(1, seed + given.worker_threads)),
         metrics(kMetricsShards),
-        state(MakeIdentity(given), MakeRetryBound(given)),
+        state(MakeIdentity(given), MakeRetryBound(given, this->started_at)),
         gate(given.service, given.link_bytes_per_second),
         fetcher(*this->control_shards[0], this->state),
         context{this->state,
@@ -163,7 +164,9 @@
         sync(*this->control_shards[0], this->state, this->gate, this->client,
              {std::chrono::milliseconds(given.min_lease_ms),
               std::chrono::milliseconds(given.table_bound_ms), given.link_bytes_per_second}),
-        prober(*this->control_shards[0], this->state, this->gate) {}
+        prober(*this->control_shards[0], this->state, this->gate) {
+    this->gate.SetRunWindow(std::chrono::milliseconds(given.retry_window_ms));
+  }
 
   static std::vector<std::unique_ptr<IoShard>> MakeShards(std::size_t count, std::uint64_t seed) {
     std::vector<std::unique_ptr<IoShard>> shards;
@@ -184,11 +187,13 @@
     return identity;
   }
 
-  static RetryBound MakeRetryBound(const MeshSettings& given) {
+  // `start` is when this process started.
+  static RetryBound MakeRetryBound(const MeshSettings& given, TimePoint start) {
     RetryBound bound;
     bound.ratio = given.retry_ratio;
     bound.slack = given.retry_slack;
     bound.window = std::chrono::milliseconds(given.retry_window_ms);
+    bound.slack_from = start + bound.window;
     return bound;
   }
 
@@ -281,6 +286,7 @@
     co_await timer.async_wait(AwaitInto(code));
   }
 
+  const TimePoint started_at = GetNow();
   Duration stop_limit;
   MeshSettings settings;
   const std::vector<std::unique_ptr<IoShard>> workers;
--- a/Source/Proxy/caller_request.cc
+++ b/Source/Proxy/caller_request.cc
@@ -91,7 +91,8 @@
   const TimePoint now = this->facts.arrived_at;
   this->service = this->context.state.PickDestination(*this->route, this->shard.GetRandom());
   this->SetFacts(now);
-  this->context.state.RecordRequest(now, this->service);
+  this->repeat_share = this->context.gate.GetRepeatShare();
+  this->context.state.RecordRequest(now, this->service, this->repeat_share);
   this->exchange.SetGoneListener([this] {
     if (this->hop != nullptr) {
       this->hop->Cancel();
@@ -156,6 +157,8 @@
   hop_request.priority = this->route->priority;
   hop_request.idempotent = this->route->idempotent;
   hop_request.repeated = this->progress->IsRetry();
+  hop_request.repeat_percent =
+      hop_request.repeated ? 100 : static_cast<std::uint32_t>(100 * this->repeat_share);
   hop_request.table_version = this->index->GetTable().version;
   hop_request.sender = this->context.state.GetIdentity().peer_address;
   hop_request.fingerprint = this->crash_fingerprint;
@@ -225,6 +228,7 @@
   } else {
     end.outcome = report->outcome;
     end.status = this->buffered.headers.result_int();
+    end.call_failed = report->call_failed;
     this->last_reason = report->reason;
   }
   this->RecordHop(choice, end, report.has_value() ? &*report : nullptr);
@@ -269,7 +273,12 @@
 Awaitable<void> CallerRequest::Finish(const ProgressDecision& decision) {
   const TimePoint now = GetNow();
   const std::string_view reason = DescribeProgressReason(decision.reason);
-  if (decision.action != ProgressAction::kDeliver) {
+  const bool delivered = decision.action == ProgressAction::kDeliver;
+  if (!delivered ||
+      http::to_status_class(this->buffered.headers.result()) != http::status_class::successful) {
+    this->context.gate.RecordFailedCall(now);
+  }
+  if (!delivered) {
     this->context.state.RecordUnserved(this->first_arrival, this->route->name, this->fingerprint);
   }
   switch (decision.action) {
--- a/Source/Proxy/caller_request.h
+++ b/Source/Proxy/caller_request.h
@@ -68,6 +68,8 @@
   // of the fleet and identifies requests that crash targets.
   std::uint64_t crash_fingerprint = 0;
   TimePoint first_arrival;
+  // Probability that the request is a call of a repeated run of the local target.
+  double repeat_share = 0;
   RequestFacts facts;
   std::optional<RequestProgress> progress;
   // Peer addresses that the request has been sent to without success.
--- a/Source/Proxy/mesh_state.cc
+++ b/Source/Proxy/mesh_state.cc
@@ -99,7 +99,9 @@
   for (const auto& [service, records] : by_service) {
     this->WithService(service, [](ServiceState&) {});
   }
-  this->retry_bound.daemons = std::max<std::size_t>(hosts.size(), 1);
+  // Daemons that have left may have used their part of the slack within the window, so the number
+  // only grows while this daemon runs.
+  this->retry_bound.daemons = std::max(this->retry_bound.daemons, hosts.size());
   this->services.ForEachShard([&](ServiceShard& shard) {
     for (auto& [name, state] : shard.services) {
       state.placement.UpdateHosts(by_service[name]);
@@ -110,7 +112,9 @@
 
 void MeshState::SetRetryBound(const RetryBound& fleet_bound) {
   const std::lock_guard guard(this->hosts_mutex);
+  const std::size_t daemons = this->retry_bound.daemons;
   this->retry_bound = fleet_bound;
+  this->retry_bound.daemons = std::max(daemons, fleet_bound.daemons);
   this->PublishHosts();
 }
 
@@ -150,8 +154,19 @@
   });
 }
 
-void MeshState::RecordRequest(TimePoint now, std::string_view service) {
-  this->WithService(service, [&](ServiceState& state) { state.budget.RecordRequest(now); });
+void MeshState::RecordRequest(TimePoint now, std::string_view service, double repeat_share) {
+  this->WithService(service,
+                    [&](ServiceState& state) { state.budget.RecordRequest(now, repeat_share); });
+}
+
+bool MeshState::HasRoomForCalls(TimePoint now, double repeated_runs, double runs) {
+  bool has_room = true;
+  this->services.ForEachShard([&](ServiceShard& shard) {
+    for (const auto& [name, state] : shard.services) {
+      has_room = has_room && state.budget.HasRoomForCalls(now, repeated_runs, runs);
+    }
+  });
+  return has_room;
 }
 
 std::optional<HopChoice> MeshState::ChooseHop(TimePoint now, std::string_view service,
--- a/Source/Proxy/mesh_state.h
+++ b/Source/Proxy/mesh_state.h
@@ -62,7 +62,11 @@
 
   // Sets the retry bound of the whole fleet. The number of daemons in it is filled in here.
   void SetRetryBound(const RetryBound& fleet_bound);
-  void RecordRequest(TimePoint now, std::string_view service);
+  // Counts a request of this host for the retry budget; see FleetRetryBudget::RecordRequest.
+  void RecordRequest(TimePoint now, std::string_view service, double repeat_share);
+  // Whether the retry budgets have room for the calls of so many repeated runs of the local target;
+  // see FleetRetryBudget::HasRoomForCalls.
+  bool HasRoomForCalls(TimePoint now, double repeated_runs, double runs);
   std::optional<HopChoice> ChooseHop(TimePoint now, std::string_view service,
                                      const HopRequirements& requirements,
                                      std::span<const std::string> excluded,
--- a/Source/Proxy/peer_request.cc
+++ b/Source/Proxy/peer_request.cc
@@ -118,6 +118,10 @@
     co_await this->SendRefused("stopping");
     co_return false;
   }
+  if (this->hop.repeated && !this->HasRoomForCalls()) {
+    co_await this->SendRefused("no_retry_budget");
+    co_return false;
+  }
   auto wait = std::make_shared<SlotWait>(this->shard.GetContext());
   const GateVerdict verdict =
       this->context.gate.Offer(this->arrived_at, this->hop, this->offer,
@@ -173,6 +177,7 @@
 
 Awaitable<ExchangeStatus> PeerRequest::SendToTarget(const OutboundExchange::Request& request) {
   this->started_at = GetNow();
+  this->context.gate.RecordRunStart(this->started_at, this->GetRepeatShare());
   this->to_target = std::make_unique<OutboundExchange>(
       this->shard, this->context.state.GetIdentity().target_address);
   this->exchange.SetGoneListener([this] { this->to_target->Cancel(); });
@@ -189,6 +194,14 @@
   co_return status;
 }
 
+double PeerRequest::GetRepeatShare() const { return this->hop.repeat_percent / 100.0; }
+
+bool PeerRequest::HasRoomForCalls() const {
+  TargetGate& gate = this->context.gate;
+  return this->context.state.HasRoomForCalls(this->arrived_at, gate.GetRunningRepeats() + 1,
+                                             gate.CountRuns(this->arrived_at));
+}
+
 void PeerRequest::DetermineOutcome(const TargetResponseHeaders& headers) {
   const bool success =
       http::to_status_class(this->buffered.headers.result()) == http::status_class::successful;
@@ -214,12 +227,15 @@
   report.reason = this->reason;
   report.table_version = this->context.state.GetTableVersion();
   report.hop_id = this->hop.hop_id;
+  report.call_failed = this->call_failed;
   report.strikes = this->context.containment.TakeOutgoing(this->hop.service, this->hop.fingerprint);
   return report;
 }
 
 Awaitable<void> PeerRequest::FinishHop(ExchangeStatus status) {
   const TimePoint now = GetNow();
+  this->context.gate.RecordRunEnd(this->GetRepeatShare());
+  this->call_failed = this->context.gate.HasFailedCallSince(this->started_at);
   if (status == ExchangeStatus::kNotConnected) {
     this->context.gate.HandleConnectionRefused(now);
     if (this->to_target->WasRefused()) {
--- a/Source/Proxy/peer_request.h
+++ b/Source/Proxy/peer_request.h
@@ -87,6 +87,10 @@
   TargetHeaders MakeTargetHeaders() const;
   Awaitable<ExchangeStatus> SendToTarget(const OutboundExchange::Request& request);
   bool IsFromThisHost() const;
+  // Returns the probability that the run counts as a repeat.
+  double GetRepeatShare() const;
+  // Whether the retry budgets have room for the calls of this repeated run.
+  bool HasRoomForCalls() const;
   // After a lost connection, checks whether the target crashed while it ran its requests.
   Awaitable<void> CheckTarget(ExchangeStatus status);
   // Determines the outcome from the headers and the first part of the body of the response.
@@ -112,6 +116,7 @@
   BufferedResponse buffered;
   HopOutcome outcome = HopOutcome::kUnknown;
   std::string reason;
+  bool call_failed = false;
 };
 
 }  // namespace lacewingbridge
--- a/Source/Proxy/target_gate.cc
+++ b/Source/Proxy/target_gate.cc
@@ -131,6 +131,46 @@
   });
 }
 
+void TargetGate::SetRunWindow(Duration window) {
+  const std::lock_guard guard(this->mutex);
+  this->runs.SetWindow(window);
+}
+
+void TargetGate::RecordRunStart(TimePoint now, double repeat_share) {
+  const std::lock_guard guard(this->mutex);
+  this->runs.RecordStart(now, repeat_share);
+}
+
+void TargetGate::RecordRunEnd(double repeat_share) {
+  const std::lock_guard guard(this->mutex);
+  this->runs.RecordEnd(repeat_share);
+}
+
+double TargetGate::GetRepeatShare() {
+  const std::lock_guard guard(this->mutex);
+  return this->runs.GetRepeatShare();
+}
+
+double TargetGate::GetRunningRepeats() {
+  const std::lock_guard guard(this->mutex);
+  return this->runs.GetRunningRepeats();
+}
+
+double TargetGate::CountRuns(TimePoint now) {
+  const std::lock_guard guard(this->mutex);
+  return this->runs.CountRuns(now);
+}
+
+void TargetGate::RecordFailedCall(TimePoint now) {
+  const std::lock_guard guard(this->mutex);
+  this->runs.RecordFailedCall(now);
+}
+
+bool TargetGate::HasFailedCallSince(TimePoint start) {
+  const std::lock_guard guard(this->mutex);
+  return this->runs.HasFailedCallSince(start);
+}
+
 AnnouncementVerdict TargetGate::HandleAnnouncement(TimePoint now,
                                                    const TargetAnnouncement& announcement) {
   return this->Change(now, [&](std::vector<Notification>&) {
--- a/Source/Proxy/target_gate.h
+++ b/Source/Proxy/target_gate.h
@@ -13,6 +13,7 @@
 #include "Admission/target_admission.h"
 #include "Core/time_point.h"
 #include "Membership/local_target.h"
+#include "Retry/run_attribution.h"
 #include "mesh.h"
 
 namespace lacewingbridge {
@@ -48,6 +49,16 @@
   // Has to be called regularly while requests wait.
   void Expire(TimePoint now);
 
+  // Relate the requests of this host to the runs of the target; see RunAttribution.
+  void SetRunWindow(Duration window);
+  void RecordRunStart(TimePoint now, double repeat_share);
+  void RecordRunEnd(double repeat_share);
+  double GetRepeatShare();
+  double GetRunningRepeats();
+  double CountRuns(TimePoint now);
+  void RecordFailedCall(TimePoint now);
+  bool HasFailedCallSince(TimePoint start);
+
   AnnouncementVerdict HandleAnnouncement(TimePoint now, const TargetAnnouncement& announcement);
   void HandleLeave(TimePoint now, std::string_view id, std::uint64_t born_unix_ms);
   void HandleStoredRecord(TimePoint now, const LocalTargetRecord& record);
@@ -87,6 +98,7 @@
   LocalTarget target;
   TargetAdmission admission;
   LinkSchedule link;
+  RunAttribution runs;
   std::unordered_map<RequestId, Listener> listeners;
   RequestId last_id = 0;
   TimePoint listen_checked_at;
--- a/Source/Retry/fleet_retry_budget.cc
+++ b/Source/Retry/fleet_retry_budget.cc
@@ -4,41 +4,38 @@
 
 namespace lacewingbridge {
 
-std::int64_t FleetRetryBudget::GetSlotNumber(TimePoint now) const {
-  const Duration width =
-      std::max(this->bound.window / static_cast<std::int64_t>(kSlotCount), Duration{1});
-  return now.time_since_epoch() / width;
+void FleetRetryBudget::SetBound(const RetryBound& new_bound) {
+  this->bound = new_bound;
+  this->requests.SetWindow(new_bound.window);
+  this->retries.SetWindow(new_bound.window);
+  this->repeated_calls.SetWindow(new_bound.window);
 }
 
-FleetRetryBudget::Slot& FleetRetryBudget::GetSlot(std::int64_t number) {
-  Slot& slot = this->slots[static_cast<std::size_t>(number) % kSlotCount];
-  if (slot.number != number) {
-    slot = {number, 0, 0};
-  }
-  return slot;
+double FleetRetryBudget::GetShare(TimePoint now) const {
+  const auto daemons = static_cast<double>(std::max<std::size_t>(this->bound.daemons, 1));
+  const double slack = now < this->bound.slack_from ? 0 : this->bound.slack / daemons;
+  return this->bound.ratio * this->requests.GetSum(now) + slack;
 }
 
-void FleetRetryBudget::RecordRequest(TimePoint now) {
-  ++this->GetSlot(this->GetSlotNumber(now)).requests;
+void FleetRetryBudget::RecordRequest(TimePoint now, double repeat_share) {
+  this->requests.Add(now, 1);
+  if (repeat_share > 0) {
+    this->repeated_calls.Add(now, repeat_share);
+  }
 }
 
-bool FleetRetryBudget::TryTake(TimePoint now) {
-  const std::int64_t newest = this->GetSlotNumber(now);
-  double requests = 0;
-  double retries = 0;
-  for (const Slot& slot : this->slots) {
-    if (slot.number > newest - static_cast<std::int64_t>(kSlotCount) && slot.number <= newest) {
-      requests += slot.requests;
-      retries += slot.retries;
-    }
-  }
-  const double share =
-      this->bound.slack / static_cast<double>(std::max<std::size_t>(this->bound.daemons, 1));
-  if (retries + 1 > kGrantedFraction * (this->bound.ratio * requests + share)) {
+bool FleetRetryBudget::TryTake(TimePoint now, double part) {
+  if (this->retries.GetSum(now) + 1 > part * kGrantedFraction * this->GetShare(now)) {
     return false;
   }
-  ++this->GetSlot(newest).retries;
+  this->retries.Add(now, 1);
   return true;
 }
 
+bool FleetRetryBudget::HasRoomForCalls(TimePoint now, double repeated_runs, double runs) const {
+  const double calls_per_run = this->requests.GetSum(now) / std::max(runs, 1.0);
+  return this->repeated_calls.GetSum(now) + repeated_runs * calls_per_run <=
+         kCallsFraction * this->GetShare(now);
+}
+
 }  // namespace lacewingbridge
--- a/Source/Retry/request_progress.cc
+++ b/Source/Retry/request_progress.cc
@@ -37,6 +37,8 @@
       return "no_target";
     case ProgressReason::kQuarantined:
       return "quarantined";
+    case ProgressReason::kCallFailed:
+      return "call_failed";
   }
   return "invalid";
 }
@@ -58,7 +60,7 @@
           ProgressReason::kTimedOut};
 }
 
-ProgressDecision RequestProgress::DecideRetry(TimePoint now, ProgressReason cause,
+ProgressDecision RequestProgress::DecideRetry(TimePoint now, ProgressReason cause, double part,
                                               FleetRetryBudget& budget) {
   if (now >= this->facts.GetEnd()) {
     return this->HandleTimeout();
@@ -66,7 +68,7 @@
   if (this->target_attempts >= this->facts.max_attempts) {
     return this->End(ProgressReason::kAttemptsUsedUp);
   }
-  if (!budget.TryTake(now)) {
+  if (!budget.TryTake(now, part)) {
     return this->End(ProgressReason::kBudgetUsedUp);
   }
   return {ProgressAction::kPlace, cause};
@@ -87,14 +89,16 @@
       return this->End(ProgressReason::kQuarantined);
     case HopOutcome::kNotRun:
       ++this->target_attempts;
-      return this->DecideRetry(now, ProgressReason::kTargetRefused, budget);
+      return this->DecideRetry(now, ProgressReason::kTargetRefused, 1, budget);
     case HopOutcome::kAnswered: {
       ++this->target_attempts;
       this->may_have_run = true;
       if (end.status < kFirstServerError || !this->facts.idempotent) {
         return {ProgressAction::kDeliver, ProgressReason::kResponseReceived};
       }
-      const ProgressDecision retry = this->DecideRetry(now, ProgressReason::kMayRunAgain, budget);
+      const ProgressDecision retry = this->DecideRetry(
+          now, end.call_failed ? ProgressReason::kCallFailed : ProgressReason::kMayRunAgain,
+          end.call_failed ? FleetRetryBudget::kFailedCallPart : 1, budget);
       // If there is no retry, the caller receives the error response of the target. It tells more
       // about the failure than a response made here.
       return retry.action == ProgressAction::kPlace
@@ -111,7 +115,7 @@
     return now >= this->facts.GetEnd() ? this->HandleTimeout()
                                        : this->End(ProgressReason::kNotRepeatable);
   }
-  return this->DecideRetry(now, ProgressReason::kMayRunAgain, budget);
+  return this->DecideRetry(now, ProgressReason::kMayRunAgain, 1, budget);
 }
 
 }  // namespace lacewingbridge
--- a/Source/Retry/request_progress.h
+++ b/Source/Retry/request_progress.h
@@ -36,6 +36,7 @@
   kTimedOut,          // the deadline or the timeout of the route has passed
   kNoTarget,          // there is no daemon to send it to, and none has refused it
   kQuarantined,       // the request is quarantined because it crashed too many targets
+  kCallFailed,        // a call of the run failed; running it again would make its calls again
 };
 
 // Returns the word for the reason that logs and metrics show, for example "no_room".
@@ -52,6 +53,8 @@
   HopOutcome outcome = HopOutcome::kNone;
   // HTTP status of the target's response. Only set if the outcome is kAnswered.
   unsigned status = 0;
+  // A call that the target made through its daemon failed while it ran the request.
+  bool call_failed = false;
 };
 
 // State of one request at the caller's daemon. It tracks the hops that were made and whether the
@@ -74,7 +77,9 @@
   bool IsRetry() const { return this->target_attempts > 0; }
 
  private:
-  ProgressDecision DecideRetry(TimePoint now, ProgressReason cause, FleetRetryBudget& budget);
+  // `part` is the part of the budget that this kind of retry may use; see FleetRetryBudget.
+  ProgressDecision DecideRetry(TimePoint now, ProgressReason cause, double part,
+                               FleetRetryBudget& budget);
   // Ends the request: with outcome unknown if it may have run, otherwise with a refusal.
   ProgressDecision End(ProgressReason reason) const;
 
--- a/Tests/Fakes/fake_platform.h
+++ b/Tests/Fakes/fake_platform.h
@@ -205,7 +205,7 @@
     settings.worker_threads = 2;
     settings.min_lease_ms = 1000;
     settings.stop_limit_ms = 1500;
-    settings.retry_ratio = 1;
+    settings.retry_ratio = 2;
     settings.retry_slack = 100;
     settings.retry_window_ms = 10000;
     settings.table_bound_ms = 200;
