routing: Weigh the bytes between regions by what a late response costs

Change: a kilobyte between regions costs a quarter of a late response, between data centres a twentieth. In units of the time left, so that it holds for short and long requests.

Test: hop_placement, stays_in_the_region_while_a_target_there_is_in_time; fails before.

--- a/Source/Routing/hop_placement.cc
+++ b/Source/Routing/hop_placement.cc
@@ -189,8 +189,8 @@
   return wait +
          Scale(service_time,
                jitter + kLoadPenalty * utilization * utilization * utilization * utilization) +
-         Scale(requirements.time_left, late_fraction * kLatePenalty) +
-         Scale(kCostPerKilobyte[distance], kilobytes);
+         Scale(requirements.time_left,
+               kLatePenalty * (late_fraction + kCostPerKilobyte[distance] * kilobytes));
 }
 
 bool HopPlacement::IsEligible(TimePoint now, const Candidate& candidate,
--- a/Source/Routing/hop_placement.h
+++ b/Source/Routing/hop_placement.h
@@ -111,12 +111,9 @@
   static constexpr std::array<Duration, 4> kRoundTrips = {
       std::chrono::microseconds(200), std::chrono::microseconds(600),
       std::chrono::microseconds(2500), std::chrono::microseconds(17000)};
-  // Cost of a kilobyte, indexed by Distance and expressed as the wait that a caller accepts to
-  // save that kilobyte. Bytes between regions are billed at about four times the price of bytes
-  // between data centres.
-  static constexpr std::array<Duration, 4> kCostPerKilobyte = {
-      std::chrono::microseconds(0), std::chrono::microseconds(0), std::chrono::microseconds(4000),
-      std::chrono::microseconds(15000)};
+  // Cost of a kilobyte, indexed by Distance, as a fraction of the cost of a late response. Bytes
+  // between regions are billed at about four to five times the price of bytes between data centres.
+  static constexpr std::array<double, 4> kCostPerKilobyte = {0, 0, 0.05, 0.25};
   // Size of the headers of a request and its response, which are billed with every hop.
   static constexpr double kHeaderKilobytes = 0.8;
   // Cost of a late response, as a fraction of the time until the deadline. A late response has lost
--- a/Tests/test_hop_placement.cc
+++ b/Tests/test_hop_placement.cc
@@ -176,3 +176,22 @@
   }
   cr_assert_eq(busy, 0);
 }
+
+// Guards against requests that leave their region for a faster target although a near one would
+// respond in time: the bytes between regions are billed, and a response before the objective is not
+// worth more.
+Test(hop_placement, stays_in_the_region_while_a_target_there_is_in_time) {
+  Fleet fleet;
+  for (const char* peer : {"near", "beside", "far"}) {
+    HopReport report;
+    report.slots = 9;
+    report.running = std::string(peer) == "far" ? 0 : 6;
+    report.service_time_ms = std::string(peer) == "far" ? 100 : 190;
+    report.accepting = true;
+    fleet.placement.RecordReport(kNow, peer, report);
+  }
+  const HopRequirements lookup{milliseconds(600), milliseconds(4000), 400};
+  for (int i = 0; i < 100; ++i) {
+    cr_assert_neq(fleet.Choose(lookup), "far");
+  }
+}
