--- a/Source/Store/store_sync.h
+++ b/Source/Store/store_sync.h
@@ -72,9 +72,12 @@
   static constexpr std::string_view kHostPrefix = "lacewingbridge/hosts/";
   // Duration of a watch call. Each watch counts as a call, and the store allows 30 s at most.
   static constexpr Duration kWatchTime = std::chrono::seconds(29);
-  // Delay after a change of the host list, so that the changes of many restarts at once arrive
-  // together: each read of the list is a call from every daemon.
-  static constexpr Duration kHostsPause = std::chrono::milliseconds(1000);
+  // Delay after a change of the host list, so that changes in quick succession arrive together: a
+  // change is a call from every daemon. Meanwhile refusals of the hosts themselves show what has
+  // changed. After a start the list is still incomplete, as other hosts may have started too.
+  static constexpr Duration kHostsPause = std::chrono::milliseconds(2000);
+  static constexpr Duration kInitialHostsPause = std::chrono::milliseconds(1000);
+  static constexpr Duration kInitialTime = std::chrono::seconds(10);
   // Maximum wait for the target's state before this host is listed. A record that is written and
   // then changed at once would wake up every daemon twice. Until the host is listed, other daemons
   // send no work to the target.
@@ -264,7 +267,8 @@
         this->ApplyHostChanges(GetValue(view));
       }
       if (!GetValue(view).items.empty()) {
-        co_await this->Pause(kHostsPause);
+        const bool initial = GetNow() < this->started_at + kInitialTime;
+        co_await this->Pause(initial ? kInitialHostsPause : kHostsPause);
       }
     }
   }
@@ -389,6 +393,7 @@
   Duration lease_time;
   const StoreBounds bounds;
   AsyncSignal record_changed;
+  const TimePoint started_at = GetNow();
   std::uint64_t lease = 0;
   // The record that the store holds under the lease.
   std::optional<HostRecord> written;
