admission: Pass few requests on to a target that fails all of them

Cause: a target that answers errors at once and passes its health check looks like the fastest of its service: the short time of its failures entered the service time that daemons place by, and nothing counted its failures.

Change: the daemon beside the target counts failures in a row; from 8 on it passes on one request in 12 until one succeeds, refuses the others as not run, and reports the target as failing, which makes it a late choice for 3 s. Failures of a run whose call failed don't count. Requests that were not served no longer shorten the service time. As the limit counts requests and not time, a service whose targets all fail is still tried.

--- a/Source/Admission/target_admission.cc
+++ b/Source/Admission/target_admission.cc
@@ -76,15 +76,22 @@
   this->running.emplace(offer.id, Running{offer.priority, now});
 }
 
-AdmissionRelease TargetAdmission::Finish(TimePoint now, RequestId id) {
+void TargetAdmission::RecordServiceTime(std::uint32_t priority, Duration taken) {
+  auto [of_priority, added] = this->service_times.try_emplace(priority, taken);
+  UpdateMovingAverage(of_priority->second, taken, kServiceTimeDivisor);
+  UpdateMovingAverage(this->service_time, taken, kServiceTimeDivisor);
+}
+
+AdmissionRelease TargetAdmission::Finish(TimePoint now, RequestId id, bool served) {
   const auto found = this->running.find(id);
   if (found == this->running.end()) {
     return {};
   }
   const Duration taken = now - found->second.started_at;
-  auto [of_priority, added] = this->service_times.try_emplace(found->second.priority, taken);
-  UpdateMovingAverage(of_priority->second, taken, kServiceTimeDivisor);
-  UpdateMovingAverage(this->service_time, taken, kServiceTimeDivisor);
+  const std::uint32_t priority = found->second.priority;
+  if (served || taken > this->GetServiceTimeOf(priority)) {
+    this->RecordServiceTime(priority, taken);
+  }
   this->running.erase(found);
   return this->Release(now);
 }
--- a/Source/Admission/target_admission.h
+++ b/Source/Admission/target_admission.h
@@ -67,8 +67,10 @@
   // Predicts when the response to a request that arrives now has left this host.
   TimePoint PredictEnd(TimePoint now, const WorkOffer& offer) const;
 
-  // Frees the slot of an admitted request that has ended. Ignores an unknown id.
-  AdmissionRelease Finish(TimePoint now, RequestId id);
+  // Frees the slot of an admitted request that has ended. Ignores an unknown id. A request that was
+  // not served enters the service time only if it took longer than the average: a target that fails
+  // or rejects requests at once is not a fast one.
+  AdmissionRelease Finish(TimePoint now, RequestId id, bool served = true);
 
   // Removes a waiting request that its caller has given up. Ignores an unknown id.
   void Cancel(RequestId id);
@@ -122,6 +124,7 @@
   // Whether the left request starts before the right one.
   bool GoesBefore(TimePoint now, const Waiting& left, const Waiting& right) const;
   void Start(TimePoint now, const WorkOffer& offer);
+  void RecordServiceTime(std::uint32_t priority, Duration taken);
   // Refuses what Expire refuses and starts waiting requests while slots are free.
   AdmissionRelease Release(TimePoint now);
 
--- a/Source/Generated/mesh.h
+++ b/Source/Generated/mesh.h
@@ -151,6 +151,7 @@
   std::uint64_t link_bytes_per_second = 0;
   std::uint64_t hop_id = 0;
   bool call_failed = false;
+  bool failing = false;
 
   bool operator==(const HopReport&) const = default;
 };
--- a/Source/Generated/mesh_codec.cc
+++ b/Source/Generated/mesh_codec.cc
@@ -582,6 +582,7 @@
   wire.set_link_bytes_per_second(plain.link_bytes_per_second);
   wire.set_hop_id(plain.hop_id);
   wire.set_call_failed(plain.call_failed);
+  wire.set_failing(plain.failing);
 }
 
 void FromWire(const wire::HopReport& wire, HopReport& plain) {
@@ -603,6 +604,7 @@
   plain.link_bytes_per_second = wire.link_bytes_per_second();
   plain.hop_id = wire.hop_id();
   plain.call_failed = wire.call_failed();
+  plain.failing = wire.failing();
 }
 
 std::string Encode(const HopReport& plain) {
--- a/Source/Proxy/peer_request.cc
+++ b/Source/Proxy/peer_request.cc
@@ -160,7 +160,7 @@
   if (this->exchange.IsCallerGone()) {
     const bool refused = wait->admitted.has_value() && !*wait->admitted;
     if (!refused && this->context.gate.Cancel(GetNow(), this->offer.id)) {
-      this->context.gate.Finish(GetNow(), this->offer.id);
+      this->context.gate.Finish(GetNow(), this->offer.id, RunResult::kNoResult);
     }
     co_return false;
   }
@@ -232,6 +232,20 @@
   return report;
 }
 
+RunResult PeerRequest::GetRunResult(ExchangeStatus status) const {
+  if (this->outcome == HopOutcome::kAnswered) {
+    const bool failed =
+        http::to_status_class(this->buffered.headers.result()) == http::status_class::server_error;
+    if (!failed) {
+      return RunResult::kServed;
+    }
+    return this->call_failed ? RunResult::kNoResult : RunResult::kFailed;
+  }
+  const bool lost = this->outcome == HopOutcome::kUnknown && status != ExchangeStatus::kTimedOut &&
+                    status != ExchangeStatus::kCancelled && !this->exchange.IsCallerGone();
+  return lost ? RunResult::kFailed : RunResult::kNoResult;
+}
+
 Awaitable<void> PeerRequest::FinishHop(ExchangeStatus status) {
   const TimePoint now = GetNow();
   this->context.gate.RecordRunEnd(this->GetRepeatShare());
@@ -246,6 +260,7 @@
   } else if (status != ExchangeStatus::kOk) {
     this->reason = status == ExchangeStatus::kTimedOut ? "target_timed_out" : "target_lost";
   }
+  const RunResult result = this->GetRunResult(status);
   const bool streaming =
       this->outcome == HopOutcome::kAnswered && this->buffered.status == BodyStatus::kMore;
   if (streaming) {
@@ -254,7 +269,7 @@
   }
   if (!streaming) {
     this->to_target->Finish();
-    this->context.gate.Finish(now, this->offer.id);
+    this->context.gate.Finish(now, this->offer.id, result);
   }
   if (!this->exchange.IsCallerGone()) {
     HopReport report = this->MakeReport();
@@ -281,7 +296,7 @@
   }
   if (streaming) {
     this->to_target->Finish();
-    this->context.gate.Finish(GetNow(), this->offer.id);
+    this->context.gate.Finish(GetNow(), this->offer.id, result);
   }
   this->exchange.SetGoneListener(nullptr);
 }
--- a/Source/Proxy/peer_request.h
+++ b/Source/Proxy/peer_request.h
@@ -95,6 +95,8 @@
   Awaitable<void> CheckTarget(ExchangeStatus status);
   // Determines the outcome from the headers and the first part of the body of the response.
   void DetermineOutcome(const TargetResponseHeaders& headers);
+  // Returns what the end of the request says about the target.
+  RunResult GetRunResult(ExchangeStatus status) const;
   // Frees the slot and sends the response and the report to the caller's daemon.
   Awaitable<void> FinishHop(ExchangeStatus status);
   Awaitable<void> SendRefused(std::string_view why);
--- a/Source/Proxy/target_gate.cc
+++ b/Source/Proxy/target_gate.cc
@@ -19,6 +19,8 @@
       return "no_room";
     case GateVerdict::kTimedOut:
       return "time_over";
+    case GateVerdict::kFailing:
+      return "target_failing";
   }
   return "invalid";
 }
@@ -79,6 +81,9 @@
     if (!this->target.IsAccepting(now)) {
       return GateVerdict::kNotAccepting;
     }
+    if (!this->throttle.TryAdmit()) {
+      return GateVerdict::kFailing;
+    }
     offer.id = ++this->last_id;
     offer.transfer = this->link.GetTransferTime(hop.answer_bytes);
     offer.link_free_at = now + this->link.EstimateWait(now);
@@ -103,10 +108,13 @@
   });
 }
 
-void TargetGate::Finish(TimePoint now, RequestId id) {
+void TargetGate::Finish(TimePoint now, RequestId id, RunResult result) {
   this->Change(now, [&](std::vector<Notification>& notifications) {
     this->link.RemoveExpectedResponse(id);
-    this->Collect(this->admission.Finish(now, id), notifications);
+    if (result != RunResult::kNoResult) {
+      this->throttle.RecordEnd(result == RunResult::kFailed);
+    }
+    this->Collect(this->admission.Finish(now, id, result == RunResult::kServed), notifications);
     return true;
   });
 }
@@ -174,7 +182,12 @@
 AnnouncementVerdict TargetGate::HandleAnnouncement(TimePoint now,
                                                    const TargetAnnouncement& announcement) {
   return this->Change(now, [&](std::vector<Notification>&) {
-    return this->target.HandleAnnouncement(announcement);
+    const std::uint64_t earlier_start = this->target.GetStartUnixMs();
+    const AnnouncementVerdict verdict = this->target.HandleAnnouncement(announcement);
+    if (this->target.GetStartUnixMs() != earlier_start) {
+      this->throttle.Reset();
+    }
+    return verdict;
   });
 }
 
@@ -240,6 +253,7 @@
   report.target_id = this->target.GetId();
   report.link_wait_ms = static_cast<std::uint32_t>(CountMilliseconds(this->link.EstimateWait(now)));
   report.link_bytes_per_second = this->link.GetRate();
+  report.failing = this->throttle.IsThrottling();
   return report;
 }
 
--- a/Source/Proxy/target_gate.h
+++ b/Source/Proxy/target_gate.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <unordered_map>
 
+#include "Admission/failure_throttle.h"
 #include "Admission/link_schedule.h"
 #include "Admission/target_admission.h"
 #include "Core/time_point.h"
@@ -19,7 +20,22 @@
 namespace lacewingbridge {
 
 // Whether a request may be sent to the local target, and if not, why.
-enum class GateVerdict { kAdmitted, kQueued, kWrongTarget, kNotAccepting, kNoCapacity, kTimedOut };
+enum class GateVerdict {
+  kAdmitted,
+  kQueued,
+  kWrongTarget,
+  kNotAccepting,
+  kNoCapacity,
+  kTimedOut,
+  kFailing,  // the target fails all requests; see FailureThrottle
+};
+
+// How a request at the local target ended.
+enum class RunResult {
+  kServed,
+  kFailed,   // the target failed it, or was lost while it ran
+  kNoResult  // the end says nothing about the target, for example after a failed call
+};
 
 std::string_view DescribeGateVerdict(GateVerdict verdict);
 
@@ -37,7 +53,7 @@
   // Sets the id of the offer and decides on it. The listener is called at most once, and only if
   // the verdict is kQueued.
   GateVerdict Offer(TimePoint now, const HopRequest& hop, WorkOffer& offer, Listener listener);
-  void Finish(TimePoint now, RequestId id);
+  void Finish(TimePoint now, RequestId id, RunResult result);
   // Reserves time on the link for a response of the target. Returns the time until its first byte
   // may be sent.
   Duration ReserveLink(TimePoint now, std::uint64_t bytes);
@@ -99,6 +115,7 @@
   TargetAdmission admission;
   LinkSchedule link;
   RunAttribution runs;
+  FailureThrottle throttle;
   std::unordered_map<RequestId, Listener> listeners;
   RequestId last_id = 0;
   TimePoint listen_checked_at;
--- a/Source/Routing/hop_placement.cc
+++ b/Source/Routing/hop_placement.cc
@@ -180,6 +180,8 @@
   const double late_fraction =
       EstimateLateFraction(requirements.objective_left - wait, service_time);
   const double kilobytes = requirements.response_bytes / 1024 + kHeaderKilobytes;
+  const bool failing = candidate.has_report && candidate.report.failing &&
+                       now - candidate.report_at < kFailingLifetime;
   if (random_values.trial && !candidate.has_report && candidate.in_flight == 0 &&
       kilobytes <= kMaxTrialKilobytes) {
     return kRoundTrips[distance];
@@ -190,7 +192,8 @@
          Scale(service_time,
                jitter + kLoadPenalty * utilization * utilization * utilization * utilization) +
          Scale(requirements.time_left,
-               kLatePenalty * (late_fraction + kCostPerKilobyte[distance] * kilobytes));
+               kLatePenalty * (late_fraction + kCostPerKilobyte[distance] * kilobytes) +
+                   (failing ? kFailingPenalty : 0));
 }
 
 bool HopPlacement::IsEligible(TimePoint now, const Candidate& candidate,
--- a/Source/Routing/hop_placement.h
+++ b/Source/Routing/hop_placement.h
@@ -119,6 +119,10 @@
   // Cost of a late response, as a fraction of the time until the deadline. A late response has lost
   // about seven tenths of its value; the unit is the same as that of the cost of bytes.
   static constexpr double kLatePenalty = 0.25;
+  // Cost of a target that fails all requests, as a fraction of the time until the deadline, and the
+  // time for which a report of it counts. A failure costs more than a late response.
+  static constexpr double kFailingPenalty = 0.5;
+  static constexpr Duration kFailingLifetime = std::chrono::seconds(3);
   // Additional cost of a full target, as a multiple of its service time. Its reports are already
   // slightly out of date, the next request would wait for a slot or be refused, and many targets
   // slow down when they are nearly full. A target that is half full costs a sixteenth of this.
--- a/Tests/Fakes/fleet_simulation.cc
+++ b/Tests/Fakes/fleet_simulation.cc
@@ -22,7 +22,7 @@
     : load(fleet_load), random(seed) {
   std::vector<HostRecord> hosts;
   for (std::size_t i = 0; i < load.targets; ++i) {
-    Target target{TargetAdmission(), LinkSchedule(load.link_bytes_per_second),
+    Target target{TargetAdmission(), LinkSchedule(load.link_bytes_per_second), FailureThrottle(),
                   load.speeds[(i / load.data_centres) % load.speeds.size()]};
     target.admission.SetSlots(TimePoint(), load.slots);
     this->targets.push_back(std::move(target));
@@ -48,6 +48,10 @@
   return record;
 }
 
+bool FleetSimulation::IsFailing(std::size_t target) const {
+  return target < this->load.failing_targets && this->now >= TimePoint() + this->load.failing_from;
+}
+
 std::uint64_t FleetSimulation::DrawResponseBytes() {
   const double spread = this->load.response_spread;
   std::lognormal_distribution<double> factor(-spread * spread / 2, spread);
@@ -79,6 +83,7 @@
     request.arrived_at = at;
     request.deadline = at + this->load.deadline;
     request.resends_left = this->load.resends;
+    this->result.arrived_later += at >= TimePoint() + this->load.later_from ? 1 : 0;
     this->requests.emplace(id, std::move(request));
     this->Schedule(at, [this, id] { this->Place(id); });
   }
@@ -123,6 +128,10 @@
 void FleetSimulation::Offer(RequestId id) {
   Request& request = this->requests.at(id);
   Target& target = this->targets[request.target];
+  if (!target.throttle.TryAdmit()) {
+    this->Refuse(id);
+    return;
+  }
   WorkOffer offer;
   offer.id = id;
   offer.priority = 2;
@@ -143,6 +152,11 @@
 }
 
 void FleetSimulation::Begin(RequestId id) {
+  if (this->IsFailing(this->requests.at(id).target)) {
+    this->requests.at(id).fails = true;
+    this->Schedule(this->now + this->load.failure_time, [this, id] { this->End(id); });
+    return;
+  }
   const Target& target = this->targets[this->requests.at(id).target];
   std::lognormal_distribution<double> spread(-this->load.work_spread * this->load.work_spread / 2,
                                              this->load.work_spread);
@@ -158,7 +172,8 @@
   target.link.RemoveExpectedResponse(id);
   const Duration on_link = target.link.Reserve(this->now, request.response_bytes) +
                            target.link.GetTransferTime(request.response_bytes);
-  this->Apply(target.admission.Finish(this->now, id));
+  target.throttle.RecordEnd(request.fails);
+  this->Apply(target.admission.Finish(this->now, id, !request.fails));
   const HopReport report = this->MakeReport(request.target);
   this->Schedule(this->now + on_link + this->GetNetworkDelay(request.caller, request.target),
                  [this, id, report] {
@@ -174,7 +189,10 @@
 void FleetSimulation::Deliver(RequestId id) {
   const Request& request = this->requests.at(id);
   const Duration taken = this->now - request.arrived_at;
-  if (taken <= this->load.objective) {
+  if (request.fails) {
+    ++this->result.failed;
+    this->result.failed_later += this->now >= TimePoint() + this->load.later_from ? 1 : 0;
+  } else if (taken <= this->load.objective) {
     ++this->result.on_time;
   } else if (taken <= this->load.deadline) {
     ++this->result.late;
@@ -242,6 +260,7 @@
   report.service_time_ms =
       static_cast<std::uint32_t>(CountMilliseconds(target.admission.GetServiceTime()));
   report.accepting = true;
+  report.failing = target.throttle.IsThrottling();
   report.link_wait_ms =
       static_cast<std::uint32_t>(CountMilliseconds(target.link.EstimateWait(this->now)));
   report.link_bytes_per_second = target.link.GetRate();
--- a/Tests/Fakes/fleet_simulation.h
+++ b/Tests/Fakes/fleet_simulation.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "Admission/failure_throttle.h"
 #include "Admission/link_schedule.h"
 #include "Admission/target_admission.h"
 #include "Routing/hop_placement.h"
@@ -41,6 +42,13 @@
   double response_spread = 0.6;
   // How often a refused caller resends its request.
   int resends = 2;
+  // Number of targets that fail every request at once from failing_from on, and how long a failure
+  // takes.
+  std::size_t failing_targets = 0;
+  Duration failing_from{0};
+  Duration failure_time = std::chrono::milliseconds(2);
+  // Start of the time in which FleetResult::failed_later and arrived_later are counted.
+  Duration later_from{0};
 };
 
 // Numbers of requests by outcome, of refused hops, and of responses by target.
@@ -51,6 +59,11 @@
   std::uint32_t refused = 0;
   // Hops that the daemon beside a target refused.
   std::uint32_t refused_hops = 0;
+  // Requests that a failing target has failed: from failing_from on, and from later_from on.
+  std::uint32_t failed = 0;
+  std::uint32_t failed_later = 0;
+  // Requests that arrived from later_from on.
+  std::uint32_t arrived_later = 0;
   std::vector<std::uint32_t> responses_by_target;
 };
 
@@ -67,6 +80,7 @@
   struct Target {
     TargetAdmission admission;
     LinkSchedule link;
+    FailureThrottle throttle;
     double speed = 1;
   };
   struct Request {
@@ -78,6 +92,7 @@
     std::vector<std::string> refused_by;
     std::uint32_t refused_hops = 0;
     int resends_left = 0;
+    bool fails = false;
   };
   struct Event {
     TimePoint at;
@@ -92,6 +107,8 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
   }
   HostRecord MakeHost(std::size_t number) const;
+  // Whether the target fails the requests that it gets now.
+  bool IsFailing(std::size_t target) const;
   std::uint64_t DrawResponseBytes();
   // Returns the one-way network delay between the hosts of a caller and a target.
   Duration GetNetworkDelay(std::size_t caller, std::size_t target) const;
--- a/Tests/test_fleet_replay.cc
+++ b/Tests/test_fleet_replay.cc
@@ -1,5 +1,6 @@
-// Guards against two failures of a fleet under load: all daemons choose the same fast targets, and
-// links are fully used by responses that arrive shortly after their objective.
+// Guards against three failures of a fleet under load: all daemons choose the same fast targets,
+// links are fully used by responses that arrive shortly after their objective, and targets that
+// fail at once draw the work of the others.
 #include <criterion/criterion.h>
 
 #include <algorithm>
@@ -72,3 +73,35 @@
                   result.on_time, result.late, result.refused, result.arrived);
   }
 }
+
+// Guards against targets that respond with an error at once, while their health checks pass: they
+// looked like the fastest of their service, and 4 of 51 of them took a third of all requests. Two
+// seconds after they begin to fail they may draw a tenth of their equal share, and of the requests
+// that arrive from then on at most 2 in 100 may fail.
+Test(fleet_replay, targets_that_fail_at_once_do_not_draw_the_work) {
+  for (const std::uint64_t seed : {1U, 2U, 3U}) {
+    FleetLoad load = MakeLookups(1150);
+    load.targets = 51;
+    load.failing_targets = 4;
+    load.failing_from = seconds(5);
+    load.later_from = seconds(7);
+    const FleetResult result = FleetSimulation(load, seed).Run(seconds(15));
+    const double share = 4.0 / 51;
+    cr_assert_leq(result.failed, share * result.arrived, "%u failed of %u", result.failed,
+                  result.arrived);
+    cr_assert_leq(result.failed_later, 0.1 * share * result.arrived_later, "%u failed of %u",
+                  result.failed_later, result.arrived_later);
+    cr_assert_leq(result.failed_later, 0.02 * result.arrived_later);
+  }
+}
+
+// A service whose targets all fail most requests must not be shut off by the daemons beside them.
+Test(fleet_replay, a_service_that_fails_everywhere_is_still_tried) {
+  FleetLoad load = MakeLookups(600);
+  load.failing_targets = load.targets;
+  load.failing_from = seconds(2);
+  load.later_from = seconds(4);
+  const FleetResult result = FleetSimulation(load, 1).Run(seconds(8));
+  cr_assert_geq(result.failed_later, 0.1 * result.arrived_later, "%u tried of %u",
+                result.failed_later, result.arrived_later);
+}
