node: Refuse requests that a stopping daemon may have to cut

Cause (operators' report): a stopping daemon took every request until 48% of the time before it is killed and ended at 93%. With a grace of 10 s a request of a route with a time limit over 4.5 s that came late was passed on and cut without an answer, also when it must not run twice.

Change: a stopping daemon takes a request if its deadline and time limit end before the daemon does. Until callers have seen that it is not ready (2.6 s) it also takes longer requests that may be repeated. Others are refused as not run with a short Retry-After, by the caller's daemon and by the one beside the target.

Ruled out: that processes which outlive the grace are stuck in their drain.

--- a/Source/Node/mesh_node.h
+++ b/Source/Node/mesh_node.h
@@ -97,7 +97,8 @@
     if (this->stage.IsStopping()) {
       return;
     }
-    this->stage.BeginStop();
+    const TimePoint now = GetNow();
+    this->stage.BeginStop(now + kMinDrain, now + this->stop_limit * kEndPercent / 100);
     this->gate.SetLeaving();
     this->sync.Leave();
     EventLog::Write(Event::kStopping, "requests={} connections={}", this->stage.GetRequestCount(),
@@ -132,9 +133,9 @@
   // Minimum duration of the drain. Callers check readiness once a second and need up to two checks
   // to see that this daemon is not ready; until then they open new connections.
   static constexpr Duration kMinDrain = std::chrono::milliseconds(2600);
-  // Fractions of the stop limit, the time until the process is killed, in percent. Requests are
-  // accepted until the first, so that the rest is enough for their timeouts of one or two seconds.
-  // The process ends by the second.
+  // Fractions of the stop limit, the time until the process is killed, in percent. Requests that
+  // can be finished are accepted until the first; see DaemonStage::MayTake. The process ends by the
+  // second.
   static constexpr int kAcceptPercent = 48;
   static constexpr int kEndPercent = 93;
   static constexpr std::size_t kMetricsShards = 4;
--- a/Source/Proxy/caller_request.cc
+++ b/Source/Proxy/caller_request.cc
@@ -91,6 +91,10 @@
   const TimePoint now = this->facts.arrived_at;
   this->service = this->context.state.PickDestination(*this->route, this->shard.GetRandom());
   this->SetFacts(now);
+  if (!this->context.stage.MayTake(now, this->facts.GetEnd(), this->facts.idempotent)) {
+    co_await this->SendRefusal(http::status::service_unavailable, "stopping", kStoppingResendDelay);
+    co_return;
+  }
   this->repeat_share = this->context.gate.GetRepeatShare();
   this->context.state.RecordRequest(now, this->service, this->repeat_share);
   this->exchange.SetGoneListener([this] {
--- a/Source/Proxy/daemon_stage.h
+++ b/Source/Proxy/daemon_stage.h
@@ -4,15 +4,35 @@
 #include <atomic>
 #include <cstddef>
 
+#include "Core/time_point.h"
+
 namespace lacewingbridge {
 
 // Whether the daemon accepts new connections and requests, and how many of them are open. All
 // methods may be called from any thread.
 class DaemonStage {
  public:
-  void BeginStop() { this->stopping.store(true); }
+  // `callers_informed` is when callers have seen that the daemon is not ready, and `ends` when it
+  // ends even if requests are open.
+  void BeginStop(TimePoint callers_informed, TimePoint ends) {
+    this->informed_at.store(callers_informed.time_since_epoch());
+    this->ends_at.store(ends.time_since_epoch());
+    this->stopping.store(true);
+  }
   bool IsStopping() const { return this->stopping.load(); }
 
+  // Whether a request is taken that arrives now and ends by that time at the latest. A stopping
+  // daemon takes a request if it can finish it. Until callers are informed it also takes requests
+  // that may be repeated and are likely to be shorter than their time limit.
+  bool MayTake(TimePoint now, TimePoint latest_end, bool idempotent) const {
+    if (!this->IsStopping()) {
+      return true;
+    }
+    const bool fits = latest_end.time_since_epoch() <= this->ends_at.load();
+    const bool informed = now.time_since_epoch() >= this->informed_at.load();
+    return !this->IsClosing() && (fits || (idempotent && !informed));
+  }
+
   // From now on new requests are refused as not run, because they could not finish before the
   // daemon stops.
   void BeginClosing() { this->closing.store(true); }
@@ -27,6 +47,8 @@
   std::size_t GetConnectionCount() const { return this->connections.load(); }
 
  private:
+  std::atomic<Duration> informed_at{Duration{0}};
+  std::atomic<Duration> ends_at{Duration{0}};
   std::atomic<bool> stopping{false};
   std::atomic<bool> closing{false};
   std::atomic<std::size_t> requests{0};
--- a/Source/Proxy/peer_request.cc
+++ b/Source/Proxy/peer_request.cc
@@ -114,7 +114,7 @@
 }
 
 Awaitable<bool> PeerRequest::WaitForSlot() {
-  if (this->context.stage.IsClosing()) {
+  if (!this->context.stage.MayTake(this->arrived_at, this->offer.deadline, this->hop.idempotent)) {
     co_await this->SendRefused("stopping");
     co_return false;
   }
--- a/Tests/test_node_mesh.cc
+++ b/Tests/test_node_mesh.cc
@@ -150,6 +150,21 @@
   cr_assert(response.find("Connection: close") != std::string::npos);
 }
 
+// Guards against requests that a stopping daemon takes and then cuts at the end of the stop limit
+// of 1.5 s, which leaves the outcome of a request that must not run twice unknown. The deadline of
+// one second fits at first and no longer after half a second.
+Test(mesh, a_stopping_daemon_refuses_a_request_that_it_may_have_to_cut) {
+  Mesh mesh(MakeResponse("200 OK", kHealthy, "hello"));
+  mesh.GetFront().Stop();
+  std::this_thread::sleep_for(milliseconds(50));
+  cr_assert(HasStatus(mesh.Send("POST", "/write/1"), "200"));
+  std::this_thread::sleep_for(milliseconds(500));
+  const std::string response = mesh.Send("POST", "/write/2");
+  cr_assert(HasStatus(response, "503"), "%s", response.c_str());
+  cr_assert(response.find("Retry-After") != std::string::npos, "%s", response.c_str());
+  cr_assert_eq(mesh.CountRuns("/write/2"), 0);
+}
+
 Test(mesh, changed_settings_take_effect_or_are_returned_by_name) {
   Mesh mesh(MakeResponse("200 OK", kHealthy, "hello"));
   MeshSettings changed = mesh.GetFront().GetSettings();
