store: Refuse odd records of hosts and deeply nested messages

One under another key replaced the record of a sound host; a huge number of slots drew all requests of the service; an address such as 999.0.0.1:80 was connected to as 0.0.0.0. A host did not notice that its own record was spoilt.

An address that cannot be parsed fails the connection. A host writes its record again if the stored one cannot be read.

Test: store_sync, odd_entries_change_no_other_host_and_are_not_used and writes_its_record_again_when_another_writer_spoilt_it; platform_decoding, refuses_deep_nesting_and_numbers_that_are_too_large.

--- a/Source/Http/outbound_exchange.cc
+++ b/Source/Http/outbound_exchange.cc
@@ -78,6 +78,9 @@
   ErrorCode code;
   const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(GetValue(parsed).GetIp(), code),
                                          GetValue(parsed).GetPort());
+  if (code) {
+    co_return ExchangeStatus::kNotConnected;
+  }
   SocketTimer connect_timer(this->shard.GetContext());
   connect_timer.Start(this->connection->socket, options.connect_limit);
   co_await this->connection->socket.async_connect(endpoint, AwaitInto(code));
--- a/Source/Store/store_sync.h
+++ b/Source/Store/store_sync.h
@@ -13,6 +13,7 @@
 #include "Http/async_signal.h"
 #include "Http/boot_clock.h"
 #include "Http/io_shard.h"
+#include "Membership/host_record_check.h"
 #include "Observe/event_log.h"
 #include "Proxy/mesh_state.h"
 #include "Proxy/target_gate.h"
@@ -177,8 +178,13 @@
 
   std::optional<HostRecord> DecodeRecord(const StoreItem& item) {
     HostRecord record;
-    if (!Decode(*item.value, record) || record.host.empty() || record.peer_address.empty()) {
-      EventLog::Write(Event::kRecordUnreadable, "key={} revision={}", item.key, item.revision);
+    Status status = Error{ErrorKind::kMalformedMessage, "the value is not a record of a host"};
+    if (Decode(*item.value, record)) {
+      status = CheckHostRecord(record, item.key.substr(kHostPrefix.size()));
+    }
+    if (!IsOk(status)) {
+      EventLog::Write(Event::kRecordUnreadable, "key={} revision={} reason=\"{}\"", item.key,
+                      item.revision, GetError(status).GetMessage());
       return std::nullopt;
     }
     record.revision = item.revision;
@@ -194,6 +200,8 @@
       if (item.value.has_value()) {
         if (const std::optional<HostRecord> record = this->DecodeRecord(item)) {
           this->state.MergeHost(GetNow(), *record);
+        } else {
+          this->CheckOwnRecord(item.key != this->GetOwnKey());
         }
       } else {
         this->state.RemoveHost(GetNow(), item.key.substr(kHostPrefix.size()));
@@ -208,7 +216,7 @@
     for (const StoreItem& item : view.items) {
       std::optional<HostRecord> record = this->DecodeRecord(item);
       if (item.key == this->GetOwnKey()) {
-        own_listed = true;
+        own_listed = record.has_value();
         this->ApplyEarlierRecord(record);
       }
       if (record.has_value()) {
@@ -229,7 +237,8 @@
     }
   }
 
-  // Makes MaintainRecord write the record again if the store no longer lists this host.
+  // Makes MaintainRecord write the record again if the store no longer lists this host, or another
+  // writer has replaced the record by one that cannot be read.
   void CheckOwnRecord(bool listed) {
     if (!listed && this->written.has_value()) {
       EventLog::Write(Event::kLeaseLost, "lease={} cause=record_removed", this->lease);
--- a/Tests/test_node_store_sync.cc
+++ b/Tests/test_node_store_sync.cc
@@ -170,3 +170,41 @@
   cr_assert_eq(hosts.size(), 1);
   cr_assert_eq(hosts[0].host, "h2");
 }
+
+// Guards against entries of another writer that replace the record of a sound host, attract all
+// requests, or have an address to which no connection can be made.
+Test(store_sync, odd_entries_change_no_other_host_and_are_not_used) {
+  HostRecord sound;
+  sound.host = "h2";
+  sound.peer_address = "127.0.0.1:9";
+  sound.target = LocalTargetRecord{"book", "t2", 1, 9, true};
+  FakeStoreClient::GetStore().Put("lacewingbridge/hosts/h2", Encode(sound));
+  HostRecord odd = sound;
+  odd.peer_address = "127.0.0.1:10";
+  FakeStoreClient::GetStore().Put("lacewingbridge/hosts/h3", Encode(odd));
+  odd.host = "h4";
+  odd.peer_address = "127.0.0.1:99999";
+  FakeStoreClient::GetStore().Put("lacewingbridge/hosts/h4", Encode(odd));
+  odd.host = "h5";
+  odd.peer_address = "127.0.0.1:11";
+  odd.target->slots = 4'000'000'000;
+  FakeStoreClient::GetStore().Put("lacewingbridge/hosts/h5", Encode(odd));
+  FakeStoreClient::GetStore().Put("lacewingbridge/hosts/h6", std::string(100'000, '\x0a'));
+  SyncedDaemon daemon;
+  daemon.RunFor(milliseconds(100));
+  std::vector<HostRecord> hosts = daemon.state.GetHosts();
+  std::erase_if(hosts, [](const HostRecord& record) { return record.host == "h1"; });
+  cr_assert_eq(hosts.size(), 1);
+  cr_assert_eq(hosts[0].peer_address, "127.0.0.1:9");
+}
+
+// Guards against a host that others no longer find because another writer has replaced its record.
+Test(store_sync, writes_its_record_again_when_another_writer_spoilt_it) {
+  SyncedDaemon daemon;
+  daemon.RunFor(milliseconds(200));
+  daemon.GetStore().Put(kOwnKey, "\xff odd");
+  daemon.RunFor(seconds(3));
+  HostRecord record;
+  cr_assert(Decode(*daemon.GetStore().Get(kOwnKey).value, record));
+  cr_assert_eq(record.host, "h1");
+}
--- a/Tests/test_platform_decoding.cc
+++ b/Tests/test_platform_decoding.cc
@@ -145,6 +145,31 @@
   }
 }
 
+// Guards against entries of another writer that end the process: the parser must not use stack for
+// each level of nesting, and numbers must fit the fields that they are read into.
+Test(platform_decoding, refuses_deep_nesting_and_numbers_that_are_too_large) {
+  for (const std::string& open : {std::string("["), std::string("{\"a\":")}) {
+    std::string deep;
+    for (int i = 0; i < 1'000'000; ++i) {
+      deep += open;
+    }
+    cr_assert(!IsOk(DecodeAnnouncement("i-1", deep)));
+    cr_assert(!IsOk(TableDecoder::Decode(deep)));
+  }
+  const std::string closed =
+      "{\"x\":" + std::string(1'000'000, '[') + std::string(1'000'000, ']') + "}";
+  cr_assert(!IsOk(DecodeAnnouncement("i-1", closed)));
+  cr_assert(!IsOk(TableDecoder::Decode(closed)));
+  const std::string text = R"({"info":{"service":"book","slots":9},)"
+                           R"("status":{"state":"ready","sequence":4},"born":1})";
+  cr_assert(IsOk(DecodeAnnouncement("i-1", text)));
+  for (const char* slots : {"10001", "4294967295", "4294967296", "1e400", "-1", "9.5",
+                            "123456789012345678901234567890"}) {
+    const std::string wrong = Replace(text, ":9}", std::string(":") + slots + "}");
+    cr_assert(!IsOk(DecodeAnnouncement("i-1", wrong)), "%s", slots);
+  }
+}
+
 Test(platform_decoding, translates_headers) {
   http::fields fields;
   fields.set("Lacewingbridge-Deadline-Ms", "1500");
