store: Let the pause between reads of the hosts grow with the fleet

Cause: the hosts of a fleet of n change n times as often as one host, and each change wakes all n daemons, so the store calls of the fleet grew with its square up to the pause.

--- a/Source/Store/store_sync.h
+++ b/Source/Store/store_sync.h
@@ -17,6 +17,7 @@
 #include "Observe/event_log.h"
 #include "Proxy/mesh_state.h"
 #include "Proxy/target_gate.h"
+#include "Store/hosts_pause.h"
 #include "Store/lease_store.h"
 #include "Store/store_backoff.h"
 #include "Store/store_bounds.h"
@@ -73,12 +74,6 @@
   static constexpr std::string_view kHostPrefix = "lacewingbridge/hosts/";
   // Duration of a watch call. Each watch counts as a call, and the store allows 30 s at most.
   static constexpr Duration kWatchTime = std::chrono::seconds(29);
-  // Delay after a change of the host list, so that changes in quick succession arrive together: a
-  // change is a call from every daemon. Meanwhile refusals of the hosts themselves show what has
-  // changed. After a start the list is still incomplete, as other hosts may have started too.
-  static constexpr Duration kHostsPause = std::chrono::milliseconds(2000);
-  static constexpr Duration kInitialHostsPause = std::chrono::milliseconds(1000);
-  static constexpr Duration kInitialTime = std::chrono::seconds(10);
   // Maximum wait for the target's state before this host is listed. A record that is written and
   // then changed at once would wake up every daemon twice. Until the host is listed, other daemons
   // send no work to the target.
@@ -276,8 +271,9 @@
         this->ApplyHostChanges(GetValue(view));
       }
       if (!GetValue(view).items.empty()) {
-        const bool initial = GetNow() < this->started_at + kInitialTime;
-        co_await this->Pause(initial ? kInitialHostsPause : kHostsPause);
+        const Duration pause =
+            ComputeHostsPause(this->state.GetHosts().size(), GetNow() - this->started_at);
+        co_await this->Pause(pause);
       }
     }
   }
