review: Replace case 4 by a page refused after two crashes

Two crashes of upstreams quarantine a page that many clients ask for, on all machines and for ten minutes (CONFIG).

--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -1,7 +1,10 @@
-// A planned stop of a daemon whose client sends lookups one behind the other on a connection.
+// Two of seven upstreams crash one after the other, each for a few seconds, under lookups of which
+// many ask for the same page.
 
-#include <csignal>
+#include <algorithm>
+#include <atomic>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "stand_ins/case_runner.h"
@@ -9,82 +12,114 @@
 namespace lacewingbridge::review {
 namespace {
 
+constexpr int kUpstreams = 7;
+// The dose is a share of 0.15 of a service's upstreams; here one of seven is down at a time.
+constexpr Milliseconds kDown{3000};
+constexpr Milliseconds kBetween{4000};
+constexpr Milliseconds kStabilityWindow{3000};
+constexpr Milliseconds kObserved{8000};
 constexpr Milliseconds kDeadline{2000};
 constexpr Milliseconds kWork{90};
-// Time between the SIGTERM and the requests. The platform asks for readiness once a second, so
-// clients learn of the stop after one to two seconds.
-constexpr Milliseconds kAfterStop{300};
-constexpr int kRequests = 4;
+// They keep about four of the nine slots of each upstream busy.
+constexpr int kClientsOfFirst = 8;
+constexpr int kClientsOfLater = 24;
+constexpr Milliseconds kPauseAfterFailure{100};
+
+// Requests on one route that were sent in the steady state.
+struct Count {
+  std::atomic<int> sent{0};
+  std::atomic<int> served{0};
+};
+
+// Sends lookups one after the other until the case ends. The paths differ if `differ` is true.
+void SendLookups(CaseRunner& runner, const MachineOptions& machine, const std::string& prefix,
+                 bool differ, const std::atomic<bool>& steady, const std::atomic<bool>& ended,
+                 Count& count) {
+  static std::atomic<int> last_id{0};
+  while (!ended) {
+    const std::string id = "lookup-" + std::to_string(++last_id);
+    HttpMessage request =
+        MakeRequest("GET", prefix + (differ ? id : std::string("home")), CaseRunner::kHost);
+    request.headers.emplace_back("Lacewingbridge-Request-Id", id);
+    request.headers.emplace_back("Lacewingbridge-Deadline-Ms", std::to_string(kDeadline.count()));
+    const bool counts = steady;
+    HttpMessage answer;
+    const auto stream = HttpStream::Connect(machine.GetOutbound(), Milliseconds(1000));
+    const bool served = stream != nullptr && stream->Write(request.Format()) &&
+                        stream->Read(answer, kDeadline) == ReadEnd::kWhole &&
+                        answer.GetStatus() == 200;
+    count.sent += counts ? 1 : 0;
+    count.served += counts && served ? 1 : 0;
+    if (!served) {
+      runner.GetRecord().Write("client: " + id + " " + request.GetTarget() + " is answered \"" +
+                               answer.start_line + "\"");
+      runner.Sleep(kPauseAfterFailure);
+    }
+  }
+}
 
 int RunCase(const char* record_path) {
   CaseRunner runner(record_path);
-  const MachineOptions front = runner.MakeMachine(1, "huvo11a");
-  const MachineOptions other = runner.MakeMachine(2, "huvo11a");
-  const MachineOptions third = runner.MakeMachine(3, "huvo11a");
-  DaemonProcess& daemon = runner.AddDaemon(front);
-  runner.AddDaemon(other);
-  runner.AddDaemon(third);
-  runner.GetStore().Put(
-      "op/config",
-      MakeConfiguration(4, {{"r-look", "/lepu270/", "safe", "huvo11a", "1000ms"}}, {"huvo11a"}));
+  const MachineOptions shop = runner.MakeMachine(1, "wuno96b");
+  DaemonProcess& daemon = runner.AddDaemon(shop);
+  std::vector<MachineOptions> books;
+  for (int i = 0; i < kUpstreams; ++i) {
+    books.push_back(runner.MakeMachine(2 + i, "huvo11a"));
+    runner.AddDaemon(books.back());
+  }
+  const std::vector<std::string> services = {"huvo11a", "wuno96b"};
+  const RouteRow first{"r-first", "/lepu270/", "safe", "huvo11a", "1000ms"};
+  const RouteRow later{"r-later", "/miva31/", "safe", "huvo11a", "1000ms"};
+  runner.GetStore().Put("op/config", MakeConfiguration(4, {first}, services));
   runner.StartDaemons();
-  std::vector<UpstreamStandIn*> upstreams = {
-      &runner.AddUpstream(front, "i-7f3a91c2", UpstreamStandIn::MakeSuccess, kWork),
-      &runner.AddUpstream(other, "i-02d9e6b4", UpstreamStandIn::MakeSuccess, kWork),
-      &runner.AddUpstream(third, "i-5d00e1f7", UpstreamStandIn::MakeSuccess, kWork)};
+  std::vector<UpstreamStandIn*> upstreams;
+  for (int i = 0; i < kUpstreams; ++i) {
+    upstreams.push_back(&runner.AddUpstream(books[i], "i-00d9e6b" + std::to_string(i),
+                                            UpstreamStandIn::MakeSuccess, kWork));
+  }
   runner.WaitUntilServed(daemon, {"/lepu270/1"});
-  runner.Sleep(Milliseconds(3500));
+  runner.GetStore().Put("op/config", MakeConfiguration(7, {first, later}, services));
+  runner.WaitUntilServed(daemon, {"/miva31/1"});
 
-  // The connection is in use before the stop.
-  const auto stream = HttpStream::Connect(front.GetOutbound(), Milliseconds(1000));
-  HttpMessage answer;
-  if (stream == nullptr ||
-      !stream->Write(runner.MakeClientRequest("GET", "/lepu270/2", kDeadline).Format()) ||
-      stream->Read(answer, kDeadline) != ReadEnd::kWhole) {
-    runner.GiveUp("no answer before the stop");
+  std::atomic<bool> steady{false};
+  std::atomic<bool> ended{false};
+  Count on_first;
+  Count on_later;
+  std::vector<std::thread> clients;
+  for (int i = 0; i < kClientsOfFirst; ++i) {
+    clients.emplace_back(
+        [&] { SendLookups(runner, shop, first.prefix, true, steady, ended, on_first); });
   }
-  if (CaseRunner::HasTrouble()) {
-    daemon.Signal(SIGTERM);
+  for (int i = 0; i < kClientsOfLater; ++i) {
+    clients.emplace_back(
+        [&] { SendLookups(runner, shop, later.prefix, false, steady, ended, on_later); });
   }
-  runner.Sleep(kAfterStop);
-
-  std::vector<std::string> ids;
-  std::string bytes;
-  for (int i = 0; i < kRequests; ++i) {
-    const HttpMessage request =
-        runner.MakeClientRequest("GET", "/lepu270/p" + std::to_string(i), kDeadline);
-    ids.push_back(request.GetHeader("Lacewingbridge-Request-Id"));
-    bytes += request.Format();
-    runner.GetRecord().Write("client: sends " + ids.back() + " on the same connection");
-  }
-  stream->Write(bytes);
-  std::size_t answered = 0;
-  ReadEnd end = ReadEnd::kWhole;
-  while (answered < ids.size()) {
-    end = stream->Read(answer, kDeadline);
-    if (end != ReadEnd::kWhole) {
-      break;
+  for (int i = 0; i < 2; ++i) {
+    runner.Sleep(kBetween);
+    if (CaseRunner::HasTrouble()) {
+      runner.CrashUpstream(*upstreams[i]);
+      runner.Sleep(kDown);
+      runner.AddUpstream(books[i], "i-11d9e6b" + std::to_string(i), UpstreamStandIn::MakeSuccess,
+                         kWork);
     }
-    runner.GetRecord().Write("client: the answer to " + ids[answered] + " is \"" +
-                             answer.start_line + "\", Connection \"" +
-                             answer.GetHeader("Connection") + "\"");
-    ++answered;
   }
-  runner.GetRecord().Write("client: the connection ends: " + std::string(GetName(end)));
-  int broken = 0;
-  for (std::size_t i = answered; i < ids.size(); ++i) {
-    for (const UpstreamStandIn* upstream : upstreams) {
-      if (upstream->HasRun(ids[i])) {
-        ++broken;
-        runner.GetRecord().Write("LOST: " + ids[i] + " was passed on to " +
-                                 upstream->GetOptions().id + " and has no answer");
-        break;
-      }
-    }
+  runner.Sleep(kStabilityWindow + Milliseconds(2000));
+  steady = true;
+  runner.Sleep(kObserved);
+  ended = true;
+  for (std::thread& client : clients) {
+    client.join();
   }
-  return runner.Conclude(broken > 0,
-                         std::to_string(broken) + " of " + std::to_string(kRequests) +
-                             " requests were passed on to an upstream and ended without an answer");
+  const double first_share =
+      static_cast<double>(on_first.served) / std::max(on_first.sent.load(), 1);
+  const double later_share =
+      static_cast<double>(on_later.served) / std::max(on_later.sent.load(), 1);
+  const bool broken = on_later.sent >= 20 && later_share * 4 < first_share;
+  return runner.Conclude(
+      broken, "in steady state " + std::to_string(on_first.served) + " of " +
+                  std::to_string(on_first.sent) + " requests on the first route and " +
+                  std::to_string(on_later.served) + " of " + std::to_string(on_later.sent) +
+                  " on the later one were served");
 }
 
 }  // namespace
--- a/review/stand_ins/case_runner.cc
+++ b/review/stand_ins/case_runner.cc
@@ -78,6 +78,11 @@
   return *this->upstreams.back();
 }
 
+void CaseRunner::CrashUpstream(const UpstreamStandIn& upstream) {
+  this->record.Write("upstream " + upstream.GetOptions().id + ": crashes");
+  std::erase_if(this->upstreams, [&](const auto& entry) { return entry.get() == &upstream; });
+}
+
 void CaseRunner::StartDaemons() {
   for (const auto& daemon : this->daemons) {
     daemon->Start();
--- a/review/stand_ins/case_runner.h
+++ b/review/stand_ins/case_runner.h
@@ -44,6 +44,8 @@
   DaemonProcess& AddDaemon(const MachineOptions& machine);
   UpstreamStandIn& AddUpstream(const MachineOptions& machine, const std::string& id,
                                UpstreamStandIn::Work work, Milliseconds work_time);
+  // Crashes the upstream: its connections end, and its address refuses new ones.
+  void CrashUpstream(const UpstreamStandIn& upstream);
   void StartDaemons();
   // Waits until a request to each of the paths is answered with success, which ends the start of
   // the deployment; ends the program if that does not happen.
