retry: Deliver no status that promises "not run" after a run

Callers saw: an order that an upstream had run and failed by its own 503 came back as that 503, which is the promise that it has not run and never will.

Cause: RequestProgress decided to deliver every response of a run. It did not compare the status with what it had noted itself, that the request may have run. Of the four statuses, 408, 429 and 503 without the statement "not run" come from a run; 421 is by definition no run and was handled before. The decision is made at the caller's daemon, so the fault was the same through one daemon and through two, and for requests that are idempotent the last such response was delivered as well.

Change: such a response ends the request with outcome unknown, 502 without the signature of the target, for every kind of route. An idempotent request is first sent again within its budget, also after 408 and 429.

Ruled out: the connection between the daemons and the beside-target daemon; the hop is reported as answered, which is right.

--- a/Source/Retry/request_progress.cc
+++ b/Source/Retry/request_progress.cc
@@ -39,6 +39,8 @@
       return "quarantined";
     case ProgressReason::kCallFailed:
       return "call_failed";
+    case ProgressReason::kFalseRefusal:
+      return "false_refusal";
   }
   return "invalid";
 }
@@ -74,6 +76,30 @@
   return {ProgressAction::kPlace, cause};
 }
 
+ProgressDecision RequestProgress::HandleResponse(TimePoint now, const HopEnd& end,
+                                                 FleetRetryBudget& budget) {
+  ++this->target_attempts;
+  this->may_have_run = true;
+  const bool false_refusal = PromisesNoRun(end.status);
+  const bool failed = end.status >= kFirstServerError || false_refusal;
+  ProgressReason reason = ProgressReason::kResponseReceived;
+  if (failed && this->facts.idempotent) {
+    const ProgressDecision retry = this->DecideRetry(
+        now, end.call_failed ? ProgressReason::kCallFailed : ProgressReason::kMayRunAgain,
+        end.call_failed ? FleetRetryBudget::kFailedCallPart : 1, budget);
+    if (retry.action == ProgressAction::kPlace) {
+      return retry;
+    }
+    reason = retry.reason;
+  }
+  if (false_refusal) {
+    return {ProgressAction::kFailUnknown, ProgressReason::kFalseRefusal};
+  }
+  // Without a retry, the caller receives the error response of the target. It tells more about the
+  // failure than a response made here.
+  return {ProgressAction::kDeliver, reason};
+}
+
 ProgressDecision RequestProgress::HandleHopEnd(TimePoint now, const HopEnd& end,
                                                FleetRetryBudget& budget) {
   switch (end.outcome) {
@@ -90,21 +116,8 @@
     case HopOutcome::kNotRun:
       ++this->target_attempts;
       return this->DecideRetry(now, ProgressReason::kTargetRefused, 1, budget);
-    case HopOutcome::kAnswered: {
-      ++this->target_attempts;
-      this->may_have_run = true;
-      if (end.status < kFirstServerError || !this->facts.idempotent) {
-        return {ProgressAction::kDeliver, ProgressReason::kResponseReceived};
-      }
-      const ProgressDecision retry = this->DecideRetry(
-          now, end.call_failed ? ProgressReason::kCallFailed : ProgressReason::kMayRunAgain,
-          end.call_failed ? FleetRetryBudget::kFailedCallPart : 1, budget);
-      // If there is no retry, the caller receives the error response of the target. It tells more
-      // about the failure than a response made here.
-      return retry.action == ProgressAction::kPlace
-                 ? retry
-                 : ProgressDecision{ProgressAction::kDeliver, retry.reason};
-    }
+    case HopOutcome::kAnswered:
+      return this->HandleResponse(now, end, budget);
     case HopOutcome::kNone:
     case HopOutcome::kUnknown:
       break;
--- a/Source/Retry/request_progress.h
+++ b/Source/Retry/request_progress.h
@@ -37,8 +37,20 @@
   kNoTarget,          // there is no daemon to send it to, and none has refused it
   kQuarantined,       // the request is quarantined because it crashed too many targets
   kCallFailed,        // a call of the run failed; running it again would make its calls again
+  kFalseRefusal,      // the target ran it and responded with a status that means "not run"
 };
 
+// Whether callers take a response with this status as the promise that the request has not run and
+// never will, so that they send even a request again that must not run twice.
+constexpr bool PromisesNoRun(unsigned status) {
+  constexpr unsigned kRequestTimeout = 408;
+  constexpr unsigned kMisdirectedRequest = 421;
+  constexpr unsigned kTooManyRequests = 429;
+  constexpr unsigned kServiceUnavailable = 503;
+  return status == kRequestTimeout || status == kMisdirectedRequest || status == kTooManyRequests ||
+         status == kServiceUnavailable;
+}
+
 // Returns the word for the reason that logs and metrics show, for example "no_room".
 std::string_view DescribeProgressReason(ProgressReason reason);
 
@@ -59,7 +71,8 @@
 
 // State of one request at the caller's daemon. It tracks the hops that were made and whether the
 // request may have run, and decides the next action. It decides kRefuse only if no hop can have
-// run the request.
+// run the request. For the same reason it does not decide kDeliver for a target's response that
+// promises that a request has not run although it has.
 class RequestProgress {
  public:
   explicit RequestProgress(const RequestFacts& request_facts) : facts(request_facts) {}
@@ -80,6 +93,8 @@
   // `part` is the part of the budget that this kind of retry may use; see FleetRetryBudget.
   ProgressDecision DecideRetry(TimePoint now, ProgressReason cause, double part,
                                FleetRetryBudget& budget);
+  // Decides what follows the response of a target that ran the request.
+  ProgressDecision HandleResponse(TimePoint now, const HopEnd& end, FleetRetryBudget& budget);
   // Ends the request: with outcome unknown if it may have run, otherwise with a refusal.
   ProgressDecision End(ProgressReason reason) const;
 
--- a/Tests/Fakes/fake_mesh.h
+++ b/Tests/Fakes/fake_mesh.h
@@ -41,7 +41,13 @@
   // Sends one request with a deadline of one second and returns the whole response.
   std::string Send(const std::string& method, const std::string& path,
                    const std::string& id = "r1") {
-    RawClient client(this->front.GetSettings().caller_address);
+    return this->SendFrom(this->front, method, path, id);
+  }
+
+  // The same as a caller on the host of one of the daemons.
+  std::string SendFrom(const MeshDaemon& daemon, const std::string& method, const std::string& path,
+                       const std::string& id = "r1") {
+    RawClient client(daemon.GetSettings().caller_address);
     client.Write(method + " " + path + " HTTP/1.1\r\nHost: a\r\nX-Id: " + id +
                  "\r\nX-Time-Left-Ms: 1000\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
     std::string response = client.ReadFor(std::chrono::milliseconds(2500));
@@ -53,6 +59,7 @@
   bool WasComplete() const { return this->complete; }
   Target& GetTarget() { return this->target; }
   MeshDaemon& GetFront() { return this->front; }
+  MeshDaemon& GetBack() { return this->back; }
 
  private:
   // Resets the shared store. Destroyed last, after the daemons have ended.
--- a/Tests/test_node_mesh.cc
+++ b/Tests/test_node_mesh.cc
@@ -77,6 +77,21 @@
   cr_assert_leq(mesh.CountRuns("/write/1"), 2);
 }
 
+// Guards against a target's own 503 after a run, which callers take as "not run" (review/1). The
+// caller is beside the target or on another host.
+Test(mesh, a_status_that_promises_no_run_is_not_delivered_after_a_run) {
+  for (const std::string status : {"408 Request Timeout", "429 Too Many Requests", "503 Failed"}) {
+    Mesh mesh(MakeResponse(status, kHealthy, "entered"));
+    for (const std::string& response :
+         {mesh.Send("POST", "/write/1"), mesh.SendFrom(mesh.GetBack(), "POST", "/write/1"),
+          mesh.Send("GET", "/read/1"), mesh.SendFrom(mesh.GetBack(), "GET", "/read/1")}) {
+      cr_assert(HasStatus(response, "502"), "%s", response.c_str());
+      cr_assert(response.find("X-Signature") == std::string::npos, "%s", response.c_str());
+    }
+    cr_assert_eq(mesh.CountRuns("/write/1"), 2);
+  }
+}
+
 Test(mesh, a_response_to_another_request_is_not_delivered) {
   Mesh mesh(MakeResponse("200 OK", "X-Id: other\r\nX-Target: t1\r\nX-Signature: s\r\n", "wrong"));
   const std::string response = mesh.Send("POST", "/write/1");
--- a/Tests/test_request_progress.cc
+++ b/Tests/test_request_progress.cc
@@ -50,23 +50,28 @@
     TimePoint now = kStart;
     bool may_have_run = false;
     std::uint32_t target_attempts = 0;
+    unsigned last_status = 0;
     ProgressDecision decision;
     for (int hop = 0; decision.action == ProgressAction::kPlace; ++hop) {
       RC_ASSERT(hop < 10);
       RC_ASSERT(idempotent || !may_have_run);
       const HopOutcome outcome = kOutcomes[*rc::gen::inRange<std::size_t>(0, kOutcomes.size())];
-      const unsigned status = *rc::gen::element(200U, 404U, 500U);
+      const unsigned status = *rc::gen::element(200U, 404U, 429U, 500U, 503U);
       now += milliseconds(*rc::gen::inRange(0, 400));
       if (outcome != HopOutcome::kRefused && outcome != HopOutcome::kQuarantined) {
         ++target_attempts;
         may_have_run = may_have_run || outcome != HopOutcome::kNotRun;
       }
       RC_ASSERT(target_attempts <= attempts);
+      last_status = status;
       decision = progress.HandleHopEnd(now, {outcome, status}, budget);
     }
     if (decision.action == ProgressAction::kRefuse) {
       RC_ASSERT(!may_have_run);
     }
+    if (decision.action == ProgressAction::kDeliver) {
+      RC_ASSERT(!PromisesNoRun(last_status));
+    }
     if (decision.action == ProgressAction::kFailUnknown ||
         decision.action == ProgressAction::kTimeout) {
       RC_ASSERT(may_have_run);
@@ -74,6 +79,39 @@
   }));
 }
 
+// Guards against an order that has run and is answered with the target's own 503, which callers
+// take as "not run": they send the order again, and it runs twice (review/1).
+Test(request_progress, delivers_no_status_that_promises_that_a_run_request_has_not_run) {
+  for (const bool idempotent : {false, true}) {
+    for (const unsigned status : {408U, 421U, 429U, 503U}) {
+      FleetRetryBudget budget = MakeBudget(0);
+      RequestProgress progress(MakeFacts(idempotent, 2));
+      const ProgressDecision decision =
+          progress.HandleHopEnd(kStart, {HopOutcome::kAnswered, status}, budget);
+      cr_assert(decision.action == ProgressAction::kFailUnknown, "status %u", status);
+      cr_assert(decision.reason == ProgressReason::kFalseRefusal, "status %u", status);
+    }
+    for (const unsigned status : {200U, 302U, 404U, 409U, 500U, 502U, 504U}) {
+      FleetRetryBudget budget = MakeBudget(0);
+      RequestProgress progress(MakeFacts(idempotent, 2));
+      const ProgressDecision decision =
+          progress.HandleHopEnd(kStart, {HopOutcome::kAnswered, status}, budget);
+      cr_assert(decision.action == ProgressAction::kDeliver, "status %u", status);
+    }
+  }
+}
+
+Test(request_progress, sends_an_idempotent_request_again_after_a_false_refusal) {
+  for (const unsigned status : {408U, 429U, 503U}) {
+    FleetRetryBudget budget = MakeBudget(100);
+    RequestProgress progress(MakeFacts(true, 2));
+    cr_assert(progress.HandleHopEnd(kStart, {HopOutcome::kAnswered, status}, budget).action ==
+              ProgressAction::kPlace);
+    cr_assert(progress.HandleHopEnd(kStart, {HopOutcome::kAnswered, 200}, budget).action ==
+              ProgressAction::kDeliver);
+  }
+}
+
 Test(request_progress, refuses_after_the_maximum_of_refused_hops) {
   FleetRetryBudget budget = MakeBudget(0);
   RequestProgress progress(MakeFacts(false, 2));
