proxy: Drop a target's false "not-run" from a delivered response

There the promise is the header Lacewing-Outcome, not the status. A response that counts as one of a run, for example a 500, was delivered with this header as the target had set it. After an earlier attempt that ran, and for a key that is then recorded as run, the statement is untrue.

Change: only a refusal (429 or 503 with the header), which is not delivered but decided on by RetryPolicy, keeps the statement. The new test fails without the change and passes with it.

--- a/Source/Daemon/proxy_exchange.cc
+++ b/Source/Daemon/proxy_exchange.cc
@@ -147,7 +147,10 @@
   attempt.outcome = ClassifyResponse(attempt.response.status, std::string(header[kOutcomeHeader]));
   attempt.marked_do_not_retry = headers.count(kDoNotRetryHeader) > 0;
   for (const auto& [name, value] : headers) {
-    if (!IsNamedByConnection(headers, name)) {
+    // The request counts as run, so the caller must not be told that it has not.
+    const bool false_refusal = attempt.outcome != TargetOutcome::kShed &&
+                               EqualsIgnoringCase(name, kOutcomeHeader) && value == kNotRunOutcome;
+    if (!IsNamedByConnection(headers, name) && !false_refusal) {
       attempt.response.headers.emplace_back(name, value);
     }
   }
--- a/Tests/test_daemon_proxy_exchange.cc
+++ b/Tests/test_daemon_proxy_exchange.cc
@@ -167,6 +167,17 @@
   cr_assert_not(Contains(exchange.sent, "forged"));
 }
 
+// Guards against a response of a run that promises its caller that the request has not run.
+Test(proxy_exchange, a_response_that_is_no_refusal_does_not_state_that_the_request_has_not_run) {
+  const Exchange exchange =
+      Send(MakeRequest("POST", "/orders"),
+           "HTTP/1.1 500 Failed\r\nLacewing-Outcome: not-run\r\nContent-Length: 0\r\n\r\n");
+  cr_assert_eq(exchange.attempt.outcome, TargetOutcome::kFailed);
+  for (const auto& [name, value] : exchange.attempt.response.headers) {
+    cr_assert_neq(name, "Lacewing-Outcome");
+  }
+}
+
 Test(proxy_exchange, delivers_large_bodies_both_ways) {
   const std::string large(6 << 20, 'x');
   httplib::Request request = MakeRequest("POST", "/orders");
