store: Find watches of the store whose response was lost

Cause: the response to the pending watch fell into the silence. The connection stays open and returns nothing further, and only a failed call of another kind restarted watches. Renewals are 1.33 s apart, so a silence of 1 s fits between two of them. Other daemons have the version, but say so only with a request, and here no request left the host.

Change: each daemon asks one random other daemon every 700 ms how new its state is (PeerChecker): the version, and the newest record of a host. A newer version is fetched as before. A watch that is still pending 2 s after another daemon knew a change that it should have returned is started again (WatchSilence), which also covers the list of hosts. If the responses to all daemons are lost in one moment, a renewal of some daemon finds it in a large fleet, the more so as renewals now differ by up to an eighth; in a fleet of less than ten hosts, watches last 2 s to 3 s times the number of hosts. The control shard's idle connections are now dropped like those of the workers.

Only the two watches could wait longer.

Cost: no further calls to the store in a fleet of ten or more, except one at the start of each daemon.

Ruled out: shorter watches for every fleet, which cost a call per daemon and interval; stale reads of the configuration, which return all of it; a conditional transaction at each renewal, ten times the price of the renewal.

--- a/Source/Generated/events.h
+++ b/Source/Generated/events.h
@@ -36,6 +36,7 @@
   kLeaseLost = 311,
   kStoreHistoryGone = 312,
   kRecordUnreadable = 313,
+  kWatchSilent = 314,
   kMemberJoined = 400,
   kMemberSuspect = 401,
   kMemberDead = 402,
@@ -110,6 +111,8 @@
       return "store_history_gone";
     case Event::kRecordUnreadable:
       return "record_unreadable";
+    case Event::kWatchSilent:
+      return "watch_silent";
     case Event::kMemberJoined:
       return "member_joined";
     case Event::kMemberSuspect:
@@ -163,7 +166,7 @@
   std::string_view action;
 };
 
-inline constexpr std::array<EventDescription, 45> kEventCatalogue = {{
+inline constexpr std::array<EventDescription, 46> kEventCatalogue = {{
     {Event::kNone, "info",
      "no event",
      ""},
@@ -236,6 +239,9 @@
     {Event::kRecordUnreadable, "warning",
      "store entry cannot be read and names no host",
      "Find out who writes below the prefix of the hosts."},
+    {Event::kWatchSilent, "warning",
+     "watch of the store did not return a change that another daemon knows; starting it again",
+     "None if it is rare; otherwise look for a store that loses responses to this host."},
     {Event::kMemberJoined, "info",
      "member joined",
      ""},
--- a/Source/Generated/mesh.h
+++ b/Source/Generated/mesh.h
@@ -115,6 +115,13 @@
   bool operator==(const PeerSnapshot&) const = default;
 };
 
+struct PeerProgress {
+  std::uint64_t table_version = 0;
+  std::uint64_t hosts_revision = 0;
+
+  bool operator==(const PeerProgress&) const = default;
+};
+
 struct HopRequest {
   std::string service;
   std::string target_id;
--- a/Source/Generated/mesh_codec.cc
+++ b/Source/Generated/mesh_codec.cc
@@ -482,6 +482,57 @@
   return true;
 }
 
+void ToWire(const PeerProgress& plain, wire::PeerProgress& wire) {
+  wire.set_table_version(plain.table_version);
+  wire.set_hosts_revision(plain.hosts_revision);
+}
+
+void FromWire(const wire::PeerProgress& wire, PeerProgress& plain) {
+  plain.table_version = wire.table_version();
+  plain.hosts_revision = wire.hosts_revision();
+}
+
+std::string Encode(const PeerProgress& plain) {
+  wire::PeerProgress wire;
+  ToWire(plain, wire);
+  return wire.SerializeAsString();
+}
+
+bool Decode(std::string_view bytes, PeerProgress& plain) {
+  wire::PeerProgress wire;
+  if (!wire.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
+std::string EncodeJson(const PeerProgress& plain) {
+  wire::PeerProgress wire;
+  ToWire(plain, wire);
+  std::string text;
+  google::protobuf::util::JsonPrintOptions options;
+  options.preserve_proto_field_names = true;
+  options.always_print_primitive_fields = true;
+  if (!google::protobuf::util::MessageToJsonString(wire, &text, options).ok()) {
+    return {};
+  }
+  return text;
+}
+
+bool DecodeJson(std::string_view text, PeerProgress& plain) {
+  wire::PeerProgress wire;
+  if (!google::protobuf::util::JsonStringToMessage(
+           google::protobuf::StringPiece(text.data(), text.size()), &wire)
+           .ok()) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
 void ToWire(const HopRequest& plain, wire::HopRequest& wire) {
   wire.set_service(plain.service);
   wire.set_target_id(plain.target_id);
--- a/Source/Membership/host_directory.cc
+++ b/Source/Membership/host_directory.cc
@@ -75,4 +75,12 @@
   return hosts;
 }
 
+std::uint64_t HostDirectory::GetNewestRevision() const {
+  std::uint64_t newest = 0;
+  for (const auto& [host, entry] : this->entries) {
+    newest = std::max(newest, entry.record.revision);
+  }
+  return newest;
+}
+
 }  // namespace lacewingbridge
--- a/Source/Membership/host_directory.h
+++ b/Source/Membership/host_directory.h
@@ -1,6 +1,7 @@
 #ifndef LACEWINGBRIDGE_SOURCE_MEMBERSHIP_HOST_DIRECTORY_H_
 #define LACEWINGBRIDGE_SOURCE_MEMBERSHIP_HOST_DIRECTORY_H_
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <span>
@@ -39,6 +40,8 @@
   bool DropRemoved(TimePoint now);
 
   std::vector<HostRecord> GetHosts() const;
+  // Returns the newest revision among the records; 0 without any.
+  std::uint64_t GetNewestRevision() const;
 
  private:
   struct Entry {
--- a/Source/Node/mesh_node.h
+++ b/Source/Node/mesh_node.h
@@ -17,6 +17,7 @@
 #include "Http/io_shard.h"
 #include "Http/stream_listener.h"
 #include "Node/operator_handler.h"
+#include "Node/peer_checker.h"
 #include "Node/setting_differences.h"
 #include "Node/snapshot_fetcher.h"
 #include "Node/target_prober.h"
@@ -72,6 +73,7 @@
     this->ready->Start();
     this->operator_listener->Start();
     this->sync.Start();
+    this->checker.Start();
     asio::co_spawn(
         this->GetControlContext(), [this]() -> Awaitable<void> { co_await this->Tick(); },
         asio::detached);
@@ -165,6 +167,10 @@
         sync(*this->control_shards[0], this->state, this->gate, this->client,
              {std::chrono::milliseconds(given.min_lease_ms),
               std::chrono::milliseconds(given.table_bound_ms), given.link_bytes_per_second}),
+        checker(*this->control_shards[0], this->state,
+                [this](const std::string& peer, const PeerProgress& progress) {
+                  this->HandlePeerProgress(peer, progress);
+                }),
         prober(*this->control_shards[0], this->state, this->gate) {
     this->gate.SetRunWindow(std::chrono::milliseconds(given.retry_window_ms));
   }
@@ -238,6 +244,13 @@
     asio::post(this->GetControlContext(), [this, peer] { this->fetcher.Request(peer); });
   }
 
+  void HandlePeerProgress(const std::string& peer, const PeerProgress& progress) {
+    if (progress.table_version > this->state.GetTableVersion()) {
+      this->fetcher.Request(peer);
+    }
+    this->sync.HandlePeerProgress(GetNow(), progress);
+  }
+
   Awaitable<void> Tick() {
     asio::steady_timer timer(this->GetControlContext());
     ErrorCode code;
@@ -248,6 +261,7 @@
       if (probed) {
         this->sync.OnRecordChanged();
       }
+      this->control_shards[0]->GetPool().DropExpired(GetNow());
       for (const std::unique_ptr<IoShard>& worker : this->workers) {
         asio::post(worker->GetContext(),
                    [&shard = *worker] { shard.GetPool().DropExpired(GetNow()); });
@@ -307,6 +321,7 @@
   typename Platform::ReadyHandler ready_handler;
   typename Platform::StoreClient client;
   StoreSync<typename Platform::StoreClient, typename Platform::Source> sync;
+  PeerChecker checker;
   TargetProber<typename Platform::Wire> prober;
   std::unique_ptr<StreamListener<CallerHandler<typename Platform::Wire>>> callers;
   std::unique_ptr<StreamListener<PeerHandler<typename Platform::Wire>>> peers;
--- /dev/null
+++ b/Source/Node/peer_checker.cc
@@ -0,0 +1,72 @@
+#include "Node/peer_checker.h"
+
+#include <random>
+#include <utility>
+#include <vector>
+
+#include "Http/io_shard.h"
+#include "Http/outbound_exchange.h"
+#include "Proxy/mesh_state.h"
+#include "Proxy/peer_handler.h"
+#include "mesh_codec.h"
+
+namespace lacewingbridge {
+
+PeerChecker::PeerChecker(IoShard& io_shard, MeshState& mesh_state, Listener progress_listener)
+    : shard(io_shard), state(mesh_state), listener(std::move(progress_listener)) {}
+
+void PeerChecker::Start() {
+  asio::co_spawn(
+      this->shard.GetContext(), [this]() -> Awaitable<void> { co_await this->Run(); },
+      asio::detached);
+}
+
+Awaitable<void> PeerChecker::Run() {
+  asio::steady_timer timer(this->shard.GetContext());
+  ErrorCode code;
+  while (!code) {
+    timer.expires_after(kCheckInterval);
+    co_await timer.async_wait(AwaitInto(code));
+    const std::string peer_address = this->ChoosePeer();
+    if (peer_address.empty()) {
+      continue;
+    }
+    const std::optional<PeerProgress> progress = co_await this->Ask(peer_address);
+    if (progress.has_value()) {
+      this->listener(peer_address, *progress);
+    }
+  }
+}
+
+std::string PeerChecker::ChoosePeer() {
+  std::vector<HostRecord> hosts = this->state.GetHosts();
+  std::erase_if(hosts, [this](const HostRecord& record) {
+    return record.host == this->state.GetIdentity().host || record.peer_address.empty();
+  });
+  if (hosts.empty()) {
+    return {};
+  }
+  std::uniform_int_distribution<std::size_t> pick(0, hosts.size() - 1);
+  return hosts[pick(this->shard.GetRandom())].peer_address;
+}
+
+Awaitable<std::optional<PeerProgress>> PeerChecker::Ask(const std::string& peer_address) {
+  OutboundExchange exchange(this->shard, peer_address);
+  OutboundExchange::Request request(http::verb::get, kProgressPath, 11);
+  request.set(http::field::host, peer_address);
+  const OutboundOptions options{kConnectLimit, kPeerIdleLimit, kPeerIdleLimit};
+  const ExchangeStatus status = co_await exchange.Start(request, nullptr, kResponseLimit, options);
+  std::optional<PeerProgress> progress;
+  if (status == ExchangeStatus::kOk && exchange.GetHead().result() == http::status::ok) {
+    std::string body;
+    const BodyStatus read = co_await exchange.ReadBody(body, kMaxBytes);
+    PeerProgress decoded;
+    if (read == BodyStatus::kComplete && Decode(body, decoded)) {
+      progress = decoded;
+    }
+  }
+  exchange.Finish();
+  co_return progress;
+}
+
+}  // namespace lacewingbridge
--- a/Source/Proxy/mesh_state.cc
+++ b/Source/Proxy/mesh_state.cc
@@ -88,6 +88,14 @@
   return this->directory.GetHosts();
 }
 
+PeerProgress MeshState::GetProgress() const {
+  PeerProgress progress;
+  progress.table_version = this->GetTableVersion();
+  const std::lock_guard guard(this->hosts_mutex);
+  progress.hosts_revision = this->directory.GetNewestRevision();
+  return progress;
+}
+
 void MeshState::PublishHosts() {
   const std::vector<HostRecord> hosts = this->directory.GetHosts();
   std::map<std::string, std::vector<HostRecord>, std::less<>> by_service;
--- a/Source/Proxy/mesh_state.h
+++ b/Source/Proxy/mesh_state.h
@@ -50,6 +50,8 @@
   // Has to be called regularly.
   void DropRemovedHosts(TimePoint now);
   std::vector<HostRecord> GetHosts() const;
+  // Returns what another daemon compares with its own state.
+  PeerProgress GetProgress() const;
 
   // Chooses the service that runs the next request of the route.
   std::string PickDestination(const HostRoute& route, std::mt19937_64& random);
--- a/Source/Proxy/peer_handler.h
+++ b/Source/Proxy/peer_handler.h
@@ -21,9 +21,11 @@
 
 // Path from which other daemons fetch the version in force and the hosts.
 inline constexpr char kSnapshotPath[] = "/lacewingbridge/snapshot";
+// Path from which other daemons read how much of the store's state this daemon knows.
+inline constexpr char kProgressPath[] = "/lacewingbridge/progress";
 
 // Handles the requests of other daemons: requests for the local target, and requests for the
-// version and hosts that this daemon has.
+// version and hosts that this daemon has, or how new they are.
 template <ProxyWire Wire>
 class PeerHandler {
  public:
@@ -59,7 +61,10 @@
   Awaitable<void> HandleDaemonRequest(ServerExchange& exchange) {
     ServerExchange::Answer response(http::status::bad_request, 11);
     const std::shared_ptr<const RouteIndex> index = this->context.state.GetIndex();
-    if (exchange.GetTarget() == kSnapshotPath && index != nullptr) {
+    if (exchange.GetTarget() == kProgressPath) {
+      response.result(http::status::ok);
+      response.body() = Encode(this->context.state.GetProgress());
+    } else if (exchange.GetTarget() == kSnapshotPath && index != nullptr) {
       PeerSnapshot snapshot;
       snapshot.table = index->GetTable();
       snapshot.hosts = this->context.state.GetHosts();
--- a/Source/Store/store_sync.h
+++ b/Source/Store/store_sync.h
@@ -4,6 +4,7 @@
 #include <concepts>
 #include <cstdint>
 #include <optional>
+#include <random>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -23,6 +24,8 @@
 #include "Store/store_bounds.h"
 #include "Store/table_offer_log.h"
 #include "Store/table_pause.h"
+#include "Store/watch_silence.h"
+#include "Store/watch_time.h"
 #include "mesh_codec.h"
 
 namespace lacewingbridge {
@@ -62,6 +65,20 @@
   // the shard's thread.
   void OnRecordChanged() { this->record_changed.Notify(); }
 
+  // Has to be called regularly with the state of other daemons, on the shard's thread. Starts the
+  // watches again if one of them should have returned by now.
+  void HandlePeerProgress(TimePoint now, const PeerProgress& progress) {
+    // The version in force may have come from another daemon.
+    this->table_watch.RecordChange(now,
+                                   std::max(progress.table_version, this->state.GetTableVersion()));
+    this->hosts_watch.RecordChange(now, progress.hosts_revision);
+    const bool table_silent = this->TakeSilence(now, this->table_watch, "table");
+    const bool hosts_silent = this->TakeSilence(now, this->hosts_watch, "hosts");
+    if (table_silent || hosts_silent) {
+      this->client.CancelWatches();
+    }
+  }
+
   // Removes this host from the list. If the store is unreachable, the process ends without waiting
   // for it, and the lease expires by itself.
   void Leave() {
@@ -72,8 +89,6 @@
 
  private:
   static constexpr std::string_view kHostPrefix = "lacewingbridge/hosts/";
-  // Duration of a watch call. Each watch counts as a call, and the store allows 30 s at most.
-  static constexpr Duration kWatchTime = std::chrono::seconds(29);
   // Maximum wait for the target's state before this host is listed. A record that is written and
   // then changed at once would wake up every daemon twice. Until the host is listed, other daemons
   // send no work to the target.
@@ -116,6 +131,26 @@
     backoff.Reset();
   }
 
+  static bool TakeSilence(TimePoint now, WatchSilence& watch, std::string_view name) {
+    const bool silent = watch.TakeSilence(now);
+    if (silent) {
+      EventLog::Write(Event::kWatchSilent, "watch={} after={} known={}", name,
+                      watch.GetWatchedAfter(), watch.GetNewestChange());
+    }
+    return silent;
+  }
+
+  // Watches the prefix for changes after the revision. `position` is what other daemons' state is
+  // compared with; see WatchSilence.
+  Awaitable<Result<StoreView>> Watch(std::string_view prefix, std::uint64_t revision,
+                                     std::uint64_t position, WatchSilence& watch) {
+    const Duration time = ComputeWatchTime(this->state.GetHosts().size(), this->shard.GetRandom());
+    watch.Begin(GetNow(), position);
+    Result<StoreView> view = co_await this->client.Watch(prefix, revision, time);
+    watch.End();
+    co_return view;
+  }
+
   void ApplyTable(const StoreItem& item) {
     if (!item.value.has_value()) {
       return;
@@ -126,6 +161,7 @@
                       GetError(decoded).GetMessage());
       return;
     }
+    this->store_version = std::max(this->store_version, GetValue(decoded).version);
     OfferAndLog(this->state, std::move(GetValue(decoded)), "store");
   }
 
@@ -136,7 +172,8 @@
     while (!this->ended) {
       Result<StoreView> view = StoreView();
       if (known.has_value()) {
-        view = co_await this->client.Watch(Source::GetKey(), *known, kWatchTime);
+        view =
+            co_await this->Watch(Source::GetKey(), *known, this->store_version, this->table_watch);
       } else {
         Result<StoreItem> item = co_await this->client.Get(Source::GetKey());
         if (IsOk(item)) {
@@ -252,7 +289,7 @@
       if (listing) {
         view = co_await this->client.List(kHostPrefix);
       } else {
-        view = co_await this->client.Watch(kHostPrefix, *known, kWatchTime);
+        view = co_await this->Watch(kHostPrefix, *known, *known, this->hosts_watch);
       }
       if (!IsOk(view)) {
         if (GetError(view).kind == ErrorKind::kStoreHistoryGone) {
@@ -372,6 +409,15 @@
     }
   }
 
+  // Daemons that were started together do not renew together, so that even a short silence of the
+  // store makes the renewal of some daemon fail.
+  Duration ComputeRenewalPause() {
+    constexpr Duration::rep kJitterDivisor = 8;
+    const Duration longest = this->lease_time / kRenewalsPerLease;
+    std::uniform_int_distribution<Duration::rep> shorter(0, longest.count() / kJitterDivisor);
+    return longest - Duration(shorter(this->shard.GetRandom()));
+  }
+
   Awaitable<void> MaintainRecord() {
     StoreBackoff backoff;
     bool reached = true;
@@ -384,7 +430,7 @@
           this->client.CancelWatches();
         }
         this->RecordReached("keep_record", reached, backoff);
-        co_await this->WaitForRenewal(GetNow() + this->lease_time / kRenewalsPerLease);
+        co_await this->WaitForRenewal(GetNow() + this->ComputeRenewalPause());
       } else if (GetError(status).kind != ErrorKind::kLeaseEnded) {
         co_await this->PauseAfterError(GetError(status), "keep_record", reached, backoff);
       }
@@ -399,6 +445,10 @@
   const StoreBounds bounds;
   AsyncSignal record_changed;
   const TimePoint started_at = GetNow();
+  WatchSilence table_watch;
+  WatchSilence hosts_watch;
+  // Newest version that the store has returned to this daemon.
+  std::uint64_t store_version = 0;
   std::uint64_t lease = 0;
   // The record that the store holds under the lease.
   std::optional<HostRecord> written;
--- a/Tests/Fakes/fake_lease_store.h
+++ b/Tests/Fakes/fake_lease_store.h
@@ -49,9 +49,14 @@
     const std::lock_guard guard(this->mutex);
     ++this->watch_generation;
   }
-  std::uint64_t GetWatchGeneration() {
+  // The same for the watches of the clients with this store address only.
+  void SilenceWatchesOf(const std::string& address) {
     const std::lock_guard guard(this->mutex);
-    return this->watch_generation;
+    ++this->watch_generations[address];
+  }
+  std::uint64_t GetWatchGeneration(const std::string& address) {
+    const std::lock_guard guard(this->mutex);
+    return this->watch_generation + this->watch_generations[address];
   }
   // Ends all leases and removes their keys without an event.
   void EndLeases() {
@@ -132,6 +137,7 @@
   std::uint64_t first_lease = 0;
   std::uint64_t last_lease = 0;
   std::uint64_t watch_generation = 0;
+  std::map<std::string, std::uint64_t> watch_generations;
   int responses_to_lose = 0;
   int calls = 0;
   bool refusing = false;
@@ -140,7 +146,8 @@
 // A client of the fake store that all daemons of the test share.
 class FakeStoreClient {
  public:
-  FakeStoreClient(IoShard& io_shard, std::string_view) : shard(io_shard) {}
+  FakeStoreClient(IoShard& io_shard, std::string_view store_address)
+      : shard(io_shard), address(store_address) {}
 
   static FakeLeaseStore& GetStore() {
     static FakeLeaseStore store;
@@ -166,13 +173,13 @@
       co_return MakeRefused();
     }
     asio::steady_timer timer(this->shard.GetContext());
-    const std::uint64_t generation = GetStore().GetWatchGeneration();
+    const std::uint64_t generation = GetStore().GetWatchGeneration(this->address);
     const int cancelled_before = this->cancelled;
     while (true) {
       if (this->cancelled != cancelled_before) {
         co_return MakeRefused();
       }
-      if (generation != GetStore().GetWatchGeneration() && GetNow() < until) {
+      if (generation != GetStore().GetWatchGeneration(this->address) && GetNow() < until) {
         ErrorCode ignored;
         timer.expires_after(kPollInterval);
         co_await timer.async_wait(AwaitInto(ignored));
@@ -224,6 +231,7 @@
   static Error MakeRefused() { return {ErrorKind::kStoreUnavailable, "refused"}; }
 
   IoShard& shard;
+  const std::string address;
   int cancelled = 0;
 };
 
--- a/Tests/Fakes/fake_platform.h
+++ b/Tests/Fakes/fake_platform.h
@@ -201,7 +201,7 @@
     settings.control_address = FindFreeAddress();
     settings.ready_address = FindFreeAddress();
     settings.metrics_address = FindFreeAddress();
-    settings.store_address = "127.0.0.1:1";
+    settings.store_address = "store-of-" + host;
     settings.worker_threads = 2;
     settings.min_lease_ms = 1000;
     settings.stop_limit_ms = 1500;
--- a/Tests/test_node_mesh.cc
+++ b/Tests/test_node_mesh.cc
@@ -124,6 +124,21 @@
   cr_assert(mesh.WasComplete());
 }
 
+// Guards against a daemon that keeps an old version because the response to its watch was lost, and
+// that no request takes to a daemon with the new one (review/2).
+Test(mesh, a_version_that_the_store_did_not_deliver_comes_from_another_daemon) {
+  Mesh mesh(MakeResponse("200 OK", kHealthy, "hello"));
+  FakeStoreClient::GetStore().SilenceWatchesOf(mesh.GetFront().GetSettings().store_address);
+  RouteTable table;
+  table.version = 2;
+  FakeStoreClient::GetStore().Put("table", Encode(table));
+  // The version has to be in force within two seconds.
+  std::this_thread::sleep_for(milliseconds(2000));
+  const std::string dump =
+      mesh.GetFront().SendGetRequest(mesh.GetFront().GetSettings().metrics_address, "/dump");
+  cr_assert(dump.find("\"table_version\":\"2\"") != std::string::npos, "%s", dump.c_str());
+}
+
 Test(mesh, a_failed_request_is_found_by_its_id) {
   Mesh mesh(MakeResponse("503 Full", std::string(kHealthy) + "X-Not-Run: 1\r\n", ""));
   mesh.Send("POST", "/write/1");
--- a/Tests/test_node_store_sync.cc
+++ b/Tests/test_node_store_sync.cc
@@ -121,6 +121,46 @@
   cr_assert_eq(daemon.state.GetTableVersion(), 6);
 }
 
+// Guards against a version that comes into force half a minute late because the response to the
+// watch of the only daemon was lost while all its other calls succeeded (review/2).
+Test(store_sync, a_watch_of_a_single_daemon_that_lost_its_event_ends_soon) {
+  SyncedDaemon daemon;
+  daemon.GetStore().Put("table", MakeTable(5));
+  daemon.RunFor(milliseconds(500));
+  daemon.GetStore().SilenceWatches();
+  daemon.GetStore().Put("table", MakeTable(6));
+  daemon.RunFor(seconds(4));
+  cr_assert_eq(daemon.state.GetTableVersion(), 6);
+}
+
+// Guards against watches that stay silent after another daemon has told of the missed change.
+Test(store_sync, watches_are_restarted_if_another_daemon_knows_a_change_that_they_missed) {
+  SyncedDaemon daemon;
+  // In a fleet of this size watches last half a minute.
+  for (int host = 2; host <= 20; ++host) {
+    HostRecord record;
+    record.host = "h" + std::to_string(host);
+    record.peer_address = "127.0.0.1:" + std::to_string(host + 10);
+    daemon.GetStore().Put("lacewingbridge/hosts/" + record.host, Encode(record));
+  }
+  daemon.GetStore().Put("table", MakeTable(5));
+  daemon.RunFor(seconds(4));
+  cr_assert_eq(daemon.state.GetHosts().size(), 20);
+  daemon.GetStore().SilenceWatches();
+  HostRecord joined;
+  joined.host = "h21";
+  joined.peer_address = "127.0.0.1:9";
+  daemon.GetStore().Put("lacewingbridge/hosts/h21", Encode(joined));
+  PeerProgress progress;
+  progress.table_version = 5;
+  progress.hosts_revision = daemon.GetStore().Get("lacewingbridge/hosts/h21").revision;
+  for (int check = 0; check < 5; ++check) {
+    daemon.sync.HandlePeerProgress(GetNow(), progress);
+    daemon.RunFor(milliseconds(700));
+  }
+  cr_assert_eq(daemon.state.GetHosts().size(), 21);
+}
+
 Test(store_sync, lists_its_host_once_and_again_after_its_lease_has_ended) {
   SyncedDaemon daemon;
   daemon.RunFor(milliseconds(200));
