quarantine: Let responses excuse crashes that a request did not cause

Cause: each request that is in flight on a target that dies gets a strike, and two strikes quarantine it. That a run got a response was noted, but only to let the request run on several targets at once. It removed no strike, did not keep a later one from counting, and was not sent to the daemons that the strikes reached.

Change: a request that crashes targets crashes each one that runs it, so one complete response below 500 proves that it was not the cause. It excuses the strikes before it and those within 5 s after it, which covers several crashes in the same moment. The response travels like a strike, in the same messages (QuarantineEvidence, which now also has the age of what it tells), so that a daemon compares the times of both whatever arrives first. A daemon that has excused a strike and receives it again sends the response back. The caller's daemon counts the response as well. lacewingbridged spreads both by gossip.

It is even tighter: "not run" by the target no longer lets such a request run on several targets at once.

Ruled out: a higher strike limit, which costs a target for each step; a shorter quarantine, which lets a crashing request back; trials of quarantined requests, for the same reason.

--- a/Source/Daemon/cluster_action.h
+++ b/Source/Daemon/cluster_action.h
@@ -23,7 +23,7 @@
 
 // Quarantine strikes that were received from another daemon.
 struct ClusterStrikesReceived {
-  std::vector<QuarantineStrike> strikes;
+  std::vector<QuarantineEvidence> strikes;
 };
 
 // An action that the daemon has to perform after an input to ClusterNode.
--- a/Source/Daemon/cluster_node.cc
+++ b/Source/Daemon/cluster_node.cc
@@ -189,7 +189,7 @@
   return result;
 }
 
-void ClusterNode::AppendReceivedStrikes(std::span<const QuarantineStrike> received,
+void ClusterNode::AppendReceivedStrikes(std::span<const QuarantineEvidence> received,
                                         ClusterActions& result) {
   if (!received.empty()) {
     result.emplace_back(ClusterStrikesReceived{{received.begin(), received.end()}});
@@ -268,7 +268,7 @@
   return this->strikes.empty() || this->strikes_sent;
 }
 
-void ClusterNode::SetStrikes(std::vector<QuarantineStrike> outgoing, TimePoint now) {
+void ClusterNode::SetStrikes(std::vector<QuarantineEvidence> outgoing, TimePoint now) {
   const std::lock_guard guard(this->mutex);
   this->strike_relay.Add(now, outgoing);
   this->strikes = std::move(outgoing);
@@ -366,7 +366,7 @@
       datagram.progress.push_back(std::move(*entry));
     }
   }
-  for (const QuarantineStrike& strike : this->strikes) {
+  for (const QuarantineEvidence& strike : this->strikes) {
     if (datagram.strikes.size() < kMaxStrikesPerDatagram) {
       datagram.strikes.push_back(strike);
     }
--- a/Source/Daemon/cluster_node.h
+++ b/Source/Daemon/cluster_node.h
@@ -85,7 +85,7 @@
   // carried those that are.
   bool NeedsStrikes();
   // Sets the strikes that the next datagrams carry.
-  void SetStrikes(std::vector<QuarantineStrike> outgoing, TimePoint now);
+  void SetStrikes(std::vector<QuarantineEvidence> outgoing, TimePoint now);
 
   // Whether the join is complete.
   bool IsReady();
@@ -140,7 +140,7 @@
   void CheckOwnerMap(std::uint64_t epoch, std::string_view address, ClusterActions& result);
   void UpdateTargets(const std::vector<TargetRegistry::Change>& changes, ClusterActions& result);
   void CheckMembersChanged(ClusterActions& result);
-  static void AppendReceivedStrikes(std::span<const QuarantineStrike> received,
+  static void AppendReceivedStrikes(std::span<const QuarantineEvidence> received,
                                     ClusterActions& result);
   // Computes the hash of all members and updates centre_hash.
   std::uint64_t HashMembers();
@@ -157,7 +157,7 @@
   JoinProcess join;
   SpreadRelayRole role;
   std::uint64_t claim_epoch = 0;
-  std::vector<QuarantineStrike> strikes;
+  std::vector<QuarantineEvidence> strikes;
   // Whether a datagram has carried the strikes.
   bool strikes_sent = false;
   // Whether the members may have changed since members_hash was computed.
--- a/Source/Daemon/daemon.cc
+++ b/Source/Daemon/daemon.cc
@@ -249,7 +249,7 @@
   this->cluster->SetRole(role);
   this->cluster->SetClaimEpoch(this->claims->GetEpoch());
   if (this->cluster->NeedsStrikes()) {
-    this->cluster->SetStrikes(this->services.TakeStrikes(kStrikesPerDatagram), now);
+    this->cluster->SetStrikes(this->services.TakeEvidence(now, kStrikesPerDatagram), now);
   }
   this->Perform(this->cluster->Tick(now));
   this->services.ExpireQueues(now);
@@ -387,7 +387,7 @@
 }
 
 void Daemon::PerformOne(const ClusterStrikesReceived& action) {
-  const std::size_t quarantined = this->services.MergeStrikes(action.strikes, GetNow());
+  const std::size_t quarantined = this->services.MergeEvidence(action.strikes, GetNow());
   if (quarantined > 0) {
     EventLog::Write(Event::kRequestQuarantined, "count={}", quarantined);
   }
--- a/Source/Daemon/proxy_request.cc
+++ b/Source/Daemon/proxy_request.cc
@@ -286,8 +286,7 @@
                                        this->GetTimeLeft(), this->depth);
   this->tried.push_back(choice.address);
   const bool lost = attempt.outcome == TargetOutcome::kLostMidRequest && !attempt.timed_out;
-  const bool has_response =
-      attempt.outcome == TargetOutcome::kOk || attempt.outcome == TargetOutcome::kFailed;
+  const bool has_response = attempt.outcome == TargetOutcome::kOk;
   const milliseconds probe_limit(this->environment.settings.connect_timeout_ms);
   if (lost) {
     std::this_thread::sleep_for(kSocketCloseTime);
@@ -307,7 +306,7 @@
     if (lost && refused) {
       runtime.selector.ReportDead(now, choice.address);
     }
-    runtime.quarantine.Finish(this->fingerprint, choice.address, has_response);
+    runtime.quarantine.Finish(now, this->fingerprint, choice.address, has_response);
     ServiceTable::NotifyWaiters(
         runtime, runtime.queue.SetSlots(now, runtime.selector.CountUsableSlots(now)));
   });
--- a/Source/Daemon/service_table.cc
+++ b/Source/Daemon/service_table.cc
@@ -66,11 +66,12 @@
 // Ejects the targets that have a strike in their current incarnation, since a strike proves that
 // the target died. Requests go to other targets until the target announces itself again or is
 // removed.
-void EjectCrashedTargets(ServiceRuntime& runtime, std::span<const QuarantineStrike> strikes,
+void EjectCrashedTargets(ServiceRuntime& runtime, std::span<const QuarantineEvidence> strikes,
                          TimePoint now) {
-  for (const QuarantineStrike& strike : strikes) {
+  for (const QuarantineEvidence& strike : strikes) {
     const auto known = runtime.incarnations.find(strike.target_address);
-    if (known != runtime.incarnations.end() && known->second == strike.target_incarnation) {
+    if (!strike.target_responded && known != runtime.incarnations.end() &&
+        known->second == strike.target_incarnation) {
       runtime.selector.ReportDead(now, strike.target_address);
     }
   }
@@ -163,28 +164,30 @@
   }
 }
 
-std::size_t ServiceTable::MergeStrikes(std::span<const QuarantineStrike> strikes, TimePoint now) {
+std::size_t ServiceTable::MergeEvidence(std::span<const QuarantineEvidence> strikes,
+                                        TimePoint now) {
   std::size_t quarantined = 0;
   this->shards.ForEachShard([&](Shard& shard) {
     for (auto& [name, runtime] : shard.services) {
       // A target belongs to one service, so only that service stores the strike.
-      std::vector<QuarantineStrike> own;
+      std::vector<QuarantineEvidence> own;
       std::copy_if(strikes.begin(), strikes.end(), std::back_inserter(own),
-                   [&runtime = runtime](const QuarantineStrike& strike) {
+                   [&runtime = runtime](const QuarantineEvidence& strike) {
                      return runtime.incarnations.contains(strike.target_address);
                    });
-      quarantined += own.empty() ? 0 : runtime.quarantine.MergeStrikes(now, own);
+      quarantined += own.empty() ? 0 : runtime.quarantine.MergeEvidence(now, own);
       EjectCrashedTargets(runtime, own, now);
     }
   });
   return quarantined;
 }
 
-std::vector<QuarantineStrike> ServiceTable::TakeStrikes(std::size_t max_count) {
-  std::vector<QuarantineStrike> strikes;
+std::vector<QuarantineEvidence> ServiceTable::TakeEvidence(TimePoint now, std::size_t max_count) {
+  std::vector<QuarantineEvidence> strikes;
   this->shards.ForEachShard([&](Shard& shard) {
     for (auto& [name, runtime] : shard.services) {
-      for (QuarantineStrike& strike : runtime.quarantine.TakeStrikes(max_count - strikes.size())) {
+      for (QuarantineEvidence& strike :
+           runtime.quarantine.TakeEvidence(now, max_count - strikes.size())) {
         strikes.push_back(std::move(strike));
       }
     }
--- a/Source/Daemon/service_table.h
+++ b/Source/Daemon/service_table.h
@@ -53,10 +53,11 @@
   // Wakes the threads of the requests that a change of the queue has admitted or refused.
   static void NotifyWaiters(ServiceRuntime& runtime, const AdmissionRelease& release);
 
-  // Adds strikes received from other daemons. Returns how many requests they quarantined.
-  std::size_t MergeStrikes(std::span<const QuarantineStrike> strikes, TimePoint now);
-  // Takes up to max_count strikes that are to be sent to other daemons.
-  std::vector<QuarantineStrike> TakeStrikes(std::size_t max_count);
+  // Adds strikes and responses received from other daemons. Returns how many requests they
+  // quarantined.
+  std::size_t MergeEvidence(std::span<const QuarantineEvidence> strikes, TimePoint now);
+  // Takes up to max_count strikes and responses that are to be sent to other daemons.
+  std::vector<QuarantineEvidence> TakeEvidence(TimePoint now, std::size_t max_count);
 
   std::vector<ServiceDump> DumpServices(TimePoint now);
   std::uint64_t CountQuarantineEntries();
--- a/Source/Generated/membership.h
+++ b/Source/Generated/membership.h
@@ -86,12 +86,14 @@
   bool operator==(const MemberRecord&) const = default;
 };
 
-struct QuarantineStrike {
+struct QuarantineEvidence {
   std::uint64_t fingerprint = 0;
   std::string target_address;
   std::uint64_t target_incarnation = 0;
+  bool target_responded = false;
+  std::uint64_t age_ms = 0;
 
-  bool operator==(const QuarantineStrike&) const = default;
+  bool operator==(const QuarantineEvidence&) const = default;
 };
 
 struct DataCentreProgress {
@@ -124,7 +126,7 @@
   VersionStamp held;
   std::vector<DataCentreProgress> progress;
   std::vector<MemberRecord> members;
-  std::vector<QuarantineStrike> strikes;
+  std::vector<QuarantineEvidence> strikes;
   std::optional<RulesDeltaScript> delta;
   std::vector<MemberSuspicion> suspicions;
   std::uint64_t claim_epoch = 0;
--- a/Source/Generated/membership_codec.cc
+++ b/Source/Generated/membership_codec.cc
@@ -135,26 +135,30 @@
   return true;
 }
 
-void ToWire(const QuarantineStrike& plain, wire::QuarantineStrike& wire) {
+void ToWire(const QuarantineEvidence& plain, wire::QuarantineEvidence& wire) {
   wire.set_fingerprint(plain.fingerprint);
   wire.set_target_address(plain.target_address);
   wire.set_target_incarnation(plain.target_incarnation);
+  wire.set_target_responded(plain.target_responded);
+  wire.set_age_ms(plain.age_ms);
 }
 
-void FromWire(const wire::QuarantineStrike& wire, QuarantineStrike& plain) {
+void FromWire(const wire::QuarantineEvidence& wire, QuarantineEvidence& plain) {
   plain.fingerprint = wire.fingerprint();
   plain.target_address = wire.target_address();
   plain.target_incarnation = wire.target_incarnation();
+  plain.target_responded = wire.target_responded();
+  plain.age_ms = wire.age_ms();
 }
 
-std::string Encode(const QuarantineStrike& plain) {
-  wire::QuarantineStrike wire;
+std::string Encode(const QuarantineEvidence& plain) {
+  wire::QuarantineEvidence wire;
   ToWire(plain, wire);
   return wire.SerializeAsString();
 }
 
-bool Decode(std::string_view bytes, QuarantineStrike& plain) {
-  wire::QuarantineStrike wire;
+bool Decode(std::string_view bytes, QuarantineEvidence& plain) {
+  wire::QuarantineEvidence wire;
   if (!wire.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
     return false;
   }
@@ -163,8 +167,8 @@
   return true;
 }
 
-std::string EncodeJson(const QuarantineStrike& plain) {
-  wire::QuarantineStrike wire;
+std::string EncodeJson(const QuarantineEvidence& plain) {
+  wire::QuarantineEvidence wire;
   ToWire(plain, wire);
   std::string text;
   google::protobuf::util::JsonPrintOptions options;
@@ -176,8 +180,8 @@
   return text;
 }
 
-bool DecodeJson(std::string_view text, QuarantineStrike& plain) {
-  wire::QuarantineStrike wire;
+bool DecodeJson(std::string_view text, QuarantineEvidence& plain) {
+  wire::QuarantineEvidence wire;
   if (!google::protobuf::util::JsonStringToMessage(
            google::protobuf::StringPiece(text.data(), text.size()), &wire)
            .ok()) {
--- a/Source/Generated/mesh.h
+++ b/Source/Generated/mesh.h
@@ -133,7 +133,7 @@
   bool repeated = false;
   std::uint64_t table_version = 0;
   std::string sender;
-  std::vector<QuarantineStrike> strikes;
+  std::vector<QuarantineEvidence> strikes;
   std::uint64_t fingerprint = 0;
   std::uint32_t answer_bytes = 0;
   std::uint64_t hop_id = 0;
@@ -153,7 +153,7 @@
   std::string target_id;
   std::uint64_t table_version = 0;
   std::string reason;
-  std::vector<QuarantineStrike> strikes;
+  std::vector<QuarantineEvidence> strikes;
   std::uint32_t link_wait_ms = 0;
   std::uint64_t link_bytes_per_second = 0;
   std::uint64_t hop_id = 0;
--- a/Source/Generated/peer.h
+++ b/Source/Generated/peer.h
@@ -125,7 +125,7 @@
 };
 
 struct RelayExchangeRequest {
-  std::vector<QuarantineStrike> strikes;
+  std::vector<QuarantineEvidence> strikes;
   std::string data_centre;
   VersionStamp held;
   std::vector<DataCentreDigest> digests;
@@ -137,7 +137,7 @@
 
 struct RelayExchangeReply {
   std::uint64_t claim_epoch = 0;
-  std::vector<QuarantineStrike> strikes;
+  std::vector<QuarantineEvidence> strikes;
   VersionStamp held;
   std::vector<DataCentreDigest> digests;
   std::vector<DataCentreProgress> progress;
--- a/Source/Proxy/caller_request.cc
+++ b/Source/Proxy/caller_request.cc
@@ -169,7 +169,7 @@
   hop_request.answer_bytes =
       static_cast<std::uint32_t>(this->context.state.GetResponseBytes(this->route->name));
   hop_request.strikes =
-      this->context.containment.TakeOutgoing(this->service, this->crash_fingerprint);
+      this->context.containment.TakeOutgoing(now, this->service, this->crash_fingerprint);
   this->hop_id = this->shard.GetRandom()();
   hop_request.hop_id = this->hop_id;
   SetHopRequest(request, hop_request);
@@ -233,6 +233,9 @@
     end.outcome = report->outcome;
     end.status = this->buffered.headers.result_int();
     end.call_failed = report->call_failed;
+    if (ProvesNoCrash(end)) {
+      this->context.containment.RecordResponse(GetNow(), this->service, this->crash_fingerprint);
+    }
     this->last_reason = report->reason;
   }
   this->RecordHop(choice, end, report.has_value() ? &*report : nullptr);
--- a/Source/Proxy/crash_containment.cc
+++ b/Source/Proxy/crash_containment.cc
@@ -10,7 +10,7 @@
 CrashContainment::CrashContainment()
     : shards(kShardCount, [] {
         QuarantineLimits limits;
-        limits.sends_per_strike = kMessagesPerStrike;
+        limits.sends_per_evidence = kMessagesPerEvidence;
         return Shard{QuarantineTable(limits), TimePoint()};
       }) {}
 
@@ -43,13 +43,20 @@
   return decision;
 }
 
-void CrashContainment::RecordRunEnd(std::string_view service, std::uint64_t fingerprint,
-                                    const TargetStart& target, bool answered) {
+void CrashContainment::RecordRunEnd(TimePoint now, std::string_view service,
+                                    std::uint64_t fingerprint, const TargetStart& target,
+                                    bool responded) {
   this->shards.WithShard(HashBytes(service), [&](Shard& shard) {
-    shard.table.Finish(fingerprint, target.address, answered);
+    shard.table.Finish(now, fingerprint, target.address, responded);
   });
 }
 
+void CrashContainment::RecordResponse(TimePoint now, std::string_view service,
+                                      std::uint64_t fingerprint) {
+  this->shards.WithShard(HashBytes(service),
+                         [&](Shard& shard) { shard.table.RecordResponse(now, fingerprint, {}); });
+}
+
 void CrashContainment::RecordLostConnection(TimePoint now, std::string_view service,
                                             std::uint64_t fingerprint, const TargetStart& target) {
   const std::size_t contained = this->shards.WithShard(HashBytes(service), [&](Shard& shard) {
@@ -74,23 +81,24 @@
 }
 
 void CrashContainment::Merge(TimePoint now, std::string_view service,
-                             std::span<const QuarantineStrike> strikes) {
-  if (strikes.empty()) {
+                             std::span<const QuarantineEvidence> received) {
+  if (received.empty()) {
     return;
   }
   const std::size_t contained = this->shards.WithShard(
-      HashBytes(service), [&](Shard& shard) { return shard.table.MergeStrikes(now, strikes); });
+      HashBytes(service), [&](Shard& shard) { return shard.table.MergeEvidence(now, received); });
   LogContained(service, contained);
 }
 
-std::vector<QuarantineStrike> CrashContainment::TakeOutgoing(std::string_view service,
-                                                             std::uint64_t fingerprint) {
+std::vector<QuarantineEvidence> CrashContainment::TakeOutgoing(TimePoint now,
+                                                               std::string_view service,
+                                                               std::uint64_t fingerprint) {
   return this->shards.WithShard(HashBytes(service), [&](Shard& shard) {
-    std::vector<QuarantineStrike> strikes = shard.table.ListStrikes(fingerprint);
-    for (QuarantineStrike& strike : shard.table.TakeStrikes(kStrikesPerMessage)) {
-      strikes.push_back(std::move(strike));
+    std::vector<QuarantineEvidence> evidence = shard.table.ListEvidence(now, fingerprint);
+    for (QuarantineEvidence& item : shard.table.TakeEvidence(now, kEvidencePerMessage)) {
+      evidence.push_back(std::move(item));
     }
-    return strikes;
+    return evidence;
   });
 }
 
--- a/Source/Proxy/crash_containment.h
+++ b/Source/Proxy/crash_containment.h
@@ -26,10 +26,10 @@
 // guards against this failure: a caller sends such a request again and again, through any daemon,
 // and crashes one target after the other.
 //
-// QuarantineTable makes the decisions. Strikes, the records of crashes, travel with the requests
-// and responses between daemons. A message about a request carries the strikes of that request, so
-// that the next hop is decided with them, and a few strikes of other requests, so that every daemon
-// soon receives every strike.
+// QuarantineTable makes the decisions. Strikes, the records of crashes, and responses that disprove
+// them travel with the requests and responses between daemons. A message about a request carries
+// the evidence about that request, so that the next hop is decided with it, and a little about
+// other requests, so that every daemon soon receives all of it.
 //
 // All methods may be called from any thread.
 class CrashContainment {
@@ -43,9 +43,12 @@
   // RecordRunEnd.
   QuarantineDecision TryStart(TimePoint now, std::string_view service, std::uint64_t fingerprint,
                               const TargetStart& target);
-  // Ends a run that TryStart admitted. answered is true if the target sent a complete response.
-  void RecordRunEnd(std::string_view service, std::uint64_t fingerprint, const TargetStart& target,
-                    bool answered);
+  // Ends a run that TryStart admitted. `responded` is true if the target ran the request to its end
+  // and sent a complete response.
+  void RecordRunEnd(TimePoint now, std::string_view service, std::uint64_t fingerprint,
+                    const TargetStart& target, bool responded);
+  // Records that the target of another daemon did so.
+  void RecordResponse(TimePoint now, std::string_view service, std::uint64_t fingerprint);
 
   // Records that the connection to the local target was lost while it ran the request.
   void RecordLostConnection(TimePoint now, std::string_view service, std::uint64_t fingerprint,
@@ -53,20 +56,21 @@
   // Records that the local target refuses connections, which means that its process has ended.
   void RecordRefusedConnection(TimePoint now, std::string_view service, const TargetStart& target);
 
-  // Adds strikes that another daemon has sent.
-  void Merge(TimePoint now, std::string_view service, std::span<const QuarantineStrike> strikes);
-  // Returns the strikes to send with a message about the request.
-  std::vector<QuarantineStrike> TakeOutgoing(std::string_view service, std::uint64_t fingerprint);
+  // Adds strikes and responses that another daemon has sent.
+  void Merge(TimePoint now, std::string_view service, std::span<const QuarantineEvidence> received);
+  // Returns the strikes and responses to send with a message about the request.
+  std::vector<QuarantineEvidence> TakeOutgoing(TimePoint now, std::string_view service,
+                                               std::uint64_t fingerprint);
 
  private:
   // There are few services; the shards only reduce lock contention between the daemon's threads.
   static constexpr std::size_t kShardCount = 4;
-  // Strikes of other requests in one message. Each takes about 40 bytes.
-  static constexpr std::size_t kStrikesPerMessage = 2;
-  // Number of messages in which each daemon sends a strike that is new to it. Each daemon that
-  // receives the strike sends it on, so that one of 900 daemons misses it with a probability of
+  // Strikes and responses of other requests in one message. Each takes about 40 bytes.
+  static constexpr std::size_t kEvidencePerMessage = 2;
+  // Number of messages in which each daemon sends a strike or response that is new to it. Each
+  // daemon that receives it sends it on, so that one of 900 daemons misses it with a probability of
   // about exp(-16).
-  static constexpr std::uint32_t kMessagesPerStrike = 16;
+  static constexpr std::uint32_t kMessagesPerEvidence = 16;
   // The connections that are lost in one crash are detected one after the other. A loss this soon
   // after the target refused a connection counts as part of the same crash.
   static constexpr Duration kSameCrash = std::chrono::milliseconds(500);
--- a/Source/Proxy/peer_request.cc
+++ b/Source/Proxy/peer_request.cc
@@ -8,6 +8,7 @@
 #include "Observe/event_log.h"
 #include "Proxy/daemon_stage.h"
 #include "Proxy/link_relay.h"
+#include "Retry/request_progress.h"
 
 namespace lacewingbridge {
 
@@ -85,10 +86,9 @@
 }
 
 void PeerRequest::EndContainment() {
-  const bool answered =
-      this->outcome == HopOutcome::kAnswered || this->outcome == HopOutcome::kNotRun;
-  this->context.containment.RecordRunEnd(this->hop.service, this->hop.fingerprint, this->target,
-                                         answered);
+  const HopEnd end{this->outcome, this->buffered.headers.result_int()};
+  this->context.containment.RecordRunEnd(GetNow(), this->hop.service, this->hop.fingerprint,
+                                         this->target, ProvesNoCrash(end));
 }
 
 Awaitable<void> PeerRequest::CheckTarget(ExchangeStatus status) {
@@ -228,7 +228,8 @@
   report.table_version = this->context.state.GetTableVersion();
   report.hop_id = this->hop.hop_id;
   report.call_failed = this->call_failed;
-  report.strikes = this->context.containment.TakeOutgoing(this->hop.service, this->hop.fingerprint);
+  report.strikes =
+      this->context.containment.TakeOutgoing(GetNow(), this->hop.service, this->hop.fingerprint);
   return report;
 }
 
--- a/Source/Quarantine/quarantine_relay.cc
+++ b/Source/Quarantine/quarantine_relay.cc
@@ -4,10 +4,21 @@
 
 namespace lacewingbridge {
 
-void QuarantineRelay::Add(TimePoint now, std::span<const QuarantineStrike> strikes) {
-  for (const QuarantineStrike& strike : strikes) {
-    const bool known = std::any_of(this->entries.begin(), this->entries.end(),
-                                   [&](const Entry& entry) { return entry.strike == strike; });
+namespace {
+
+// Whether both say the same, at whatever age.
+bool IsSame(QuarantineEvidence left, const QuarantineEvidence& right) {
+  left.age_ms = right.age_ms;
+  return left == right;
+}
+
+}  // namespace
+
+void QuarantineRelay::Add(TimePoint now, std::span<const QuarantineEvidence> strikes) {
+  for (const QuarantineEvidence& strike : strikes) {
+    const bool known =
+        std::any_of(this->entries.begin(), this->entries.end(),
+                    [&](const Entry& entry) { return IsSame(entry.strike, strike); });
     if (!known) {
       this->entries.push_back({now, strike});
     }
@@ -18,11 +29,12 @@
   }
 }
 
-std::vector<QuarantineStrike> QuarantineRelay::List(TimePoint now) const {
-  std::vector<QuarantineStrike> strikes;
+std::vector<QuarantineEvidence> QuarantineRelay::List(TimePoint now) const {
+  std::vector<QuarantineEvidence> strikes;
   for (const Entry& entry : this->entries) {
     if (now - entry.added <= kRetentionTime) {
       strikes.push_back(entry.strike);
+      strikes.back().age_ms += static_cast<std::uint64_t>(CountMilliseconds(now - entry.added));
     }
   }
   return strikes;
--- a/Source/Quarantine/quarantine_relay.h
+++ b/Source/Quarantine/quarantine_relay.h
@@ -23,15 +23,15 @@
 
   // Adds the strikes that are not stored yet. Removes expired strikes, and the oldest ones if there
   // are more than kMaxStrikes.
-  void Add(TimePoint now, std::span<const QuarantineStrike> strikes);
+  void Add(TimePoint now, std::span<const QuarantineEvidence> strikes);
 
   // Returns the strikes that were added within kRetentionTime before `now`, oldest first.
-  std::vector<QuarantineStrike> List(TimePoint now) const;
+  std::vector<QuarantineEvidence> List(TimePoint now) const;
 
  private:
   struct Entry {
     TimePoint added;
-    QuarantineStrike strike;
+    QuarantineEvidence strike;
   };
 
   std::deque<Entry> entries;
--- a/Source/Quarantine/quarantine_table.h
+++ b/Source/Quarantine/quarantine_table.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <list>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -15,6 +16,7 @@
 #include <vector>
 
 #include "Core/time_point.h"
+#include "Quarantine/response_memory.h"
 #include "membership.h"
 
 namespace lacewingbridge {
@@ -30,12 +32,15 @@
   // Longest time between a lost connection and the proof that the target died. A target that has
   // restarted within this time reports a new incarnation. One that has not refuses connections.
   Duration proof_window = std::chrono::seconds(5);
+  // Time after a response to a request in which a crash is not held against it. It covers crashes
+  // of several targets in the same moment, in which no run of a frequent request may succeed.
+  Duration response_validity = std::chrono::seconds(5);
   // Limit on the number of requests with strikes. The least recently struck one is removed first.
   std::size_t entry_capacity = 4096;
   // Limit on the number of lost requests that wait for the proof. The oldest one is removed first.
   std::size_t suspicion_capacity = 4096;
-  // Number of messages in which a daemon sends each strike that is new to it.
-  std::uint32_t sends_per_strike = 6;
+  // Number of messages in which a daemon sends each strike or response that is new to it.
+  std::uint32_t sends_per_evidence = 6;
 };
 
 // Whether a request may start on a target.
@@ -64,6 +69,12 @@
 // whether the request may start. This way the limit also holds for a request that is resent before
 // the proof.
 //
+// A request that crashes targets crashes each one that runs it, so it never gets a response. A
+// response proves that the request was not the cause of the crashes before it, nor of one within
+// response_validity after it. Those strikes are excused: they do not count. Responses to struck
+// requests travel between daemons like strikes, and a daemon that receives a strike after the
+// response excuses it as well. It compares the times of both, whatever the order of arrival.
+//
 // A struck request never starts on a target that runs another struck request. It also runs on only
 // one target at a time until one of its runs gets a response. Otherwise several copies of a
 // crashing request could crash as many targets at once. A frequent request that does not crash
@@ -84,8 +95,11 @@
   QuarantineDecision MayStart(TimePoint now, std::uint64_t fingerprint, std::string_view target);
   // Records that the request runs on the target.
   void Start(std::uint64_t fingerprint, std::string_view target);
-  // Records the end of a run. `got_response` tells whether the target sent a complete response.
-  void Finish(std::uint64_t fingerprint, std::string_view target, bool got_response);
+  // Records the end of a run. `got_response` tells whether the target ran the request to its end
+  // and sent a complete response.
+  void Finish(TimePoint now, std::uint64_t fingerprint, std::string_view target, bool got_response);
+  // Records that another daemon's target sent a complete response to the request.
+  void RecordResponse(TimePoint now, std::uint64_t fingerprint, std::string_view target);
 
   // Records that the connection to this incarnation of the target was lost while it ran the
   // request. The caller then calls Finish and tries to connect again, which gives the proof within
@@ -99,40 +113,44 @@
   // target died. Returns the number of requests that are quarantined as a result.
   std::size_t RecordIncarnation(TimePoint now, std::string_view target, std::uint64_t incarnation);
 
-  // Adds strikes from other daemons. Returns the number of requests that are quarantined as a
-  // result.
-  std::size_t MergeStrikes(TimePoint now, std::span<const QuarantineStrike> strikes);
-  // Returns at most max_count strikes for the next message, newest first. Removes the strikes that
-  // have been sent sends_per_strike times.
-  std::vector<QuarantineStrike> TakeStrikes(std::size_t max_count);
+  // Adds strikes and responses from other daemons. Returns the number of requests that are
+  // quarantined as a result.
+  std::size_t MergeEvidence(TimePoint now, std::span<const QuarantineEvidence> received);
+  // Returns at most max_count strikes and responses for the next message, newest first. Removes
+  // those that have been sent sends_per_evidence times.
+  std::vector<QuarantineEvidence> TakeEvidence(TimePoint now, std::size_t max_count);
 
   bool IsQuarantined(TimePoint now, std::uint64_t fingerprint);
-  // Returns the strikes of one request, to be sent along to the daemon that may run it next.
-  std::vector<QuarantineStrike> ListStrikes(std::uint64_t fingerprint) const;
+  // Returns the strikes of one request that count and the last response to it, to be sent along to
+  // the daemon that may run it next.
+  std::vector<QuarantineEvidence> ListEvidence(TimePoint now, std::uint64_t fingerprint) const;
   std::size_t GetEntryCount() const { return this->entries.size(); }
   std::size_t GetSuspicionCount() const { return this->suspicions.size(); }
-  // Returns the number of strikes that are still to be sent.
+  // Returns the number of strikes and responses that are still to be sent.
   std::size_t GetOutgoingCount() const { return this->outgoing.size(); }
 
  private:
-  // State of a request with at least one strike.
+  // Evidence and the time of what it is about. The age in `evidence` is 0.
+  struct TimedEvidence {
+    TimePoint at;
+    QuarantineEvidence evidence;
+  };
+  // State of a request with at least one strike, or with a response that another daemon has sent.
   struct Entry {
-    // At most strike_limit strikes, distinct by target and incarnation.
-    std::vector<QuarantineStrike> strikes;
+    // Strikes that count: at most strike_limit, distinct by target and incarnation.
+    std::vector<TimedEvidence> strikes;
+    // Strikes that a response excuses, oldest first. They are kept so that they do not count when
+    // they arrive again.
+    std::deque<QuarantineEvidence> excused;
     TimePoint last_strike;
-    // Whether a run got a response since the last strike.
-    bool got_response = false;
+    // The last response that another daemon has sent or that excused a strike.
+    std::optional<TimedEvidence> response;
     // Position of the request in QuarantineTable::order.
     std::list<std::uint64_t>::iterator order;
   };
-  // A lost connection that becomes a strike if it is proved that the target died.
-  struct Suspicion {
-    TimePoint since;
-    QuarantineStrike strike;
-  };
-  // A strike that is to be sent to other daemons `sends_left` more times.
+  // Evidence that is to be sent to other daemons `sends_left` more times.
   struct Outgoing {
-    QuarantineStrike strike;
+    TimedEvidence item;
     std::uint32_t sends_left = 0;
   };
   using EntryMap = std::unordered_map<std::uint64_t, Entry>;
@@ -144,18 +162,28 @@
   // Removes suspicions and entries that are too old.
   void Expire(TimePoint now);
   // Adds a strike that is not known yet. Returns whether the request is quarantined as a result.
-  bool AddStrike(TimePoint now, const QuarantineStrike& strike);
+  bool AddStrike(TimePoint now, const TimedEvidence& strike);
+  // Adds a response and excuses the strikes that it disproves.
+  void AddResponse(TimePoint now, const TimedEvidence& response);
+  // Moves the strikes that the response of the entry disproves to the excused ones. Returns whether
+  // there were any.
+  bool ExcuseStrikes(Entry& entry);
+  void AddExcused(Entry& entry, const QuarantineEvidence& strike);
+  // Returns the last known response to the request.
+  std::optional<TimedEvidence> FindResponse(std::uint64_t fingerprint) const;
+  // Whether a response to the request proves that it did not cause a crash at that time.
+  bool IsExcused(std::uint64_t fingerprint, TimePoint crashed_at) const;
   // Finds or adds the entry of the request and moves it to the end of `order`. Removes the least
   // recently struck entry if the table is full.
   EntryMap::iterator TouchEntry(std::uint64_t fingerprint);
   void EraseEntry(EntryMap::iterator found);
-  // Adds a strike to those that are to be sent. Drops the oldest one if there are too many.
-  void QueueStrike(const QuarantineStrike& strike);
-  // Returns the number of strikes and suspicions of the request, distinct by target and
-  // incarnation.
+  // Adds evidence to what is to be sent. Drops the oldest if there is too much.
+  void Queue(const TimedEvidence& item);
+  // Sends the response to the request once more, because another daemon does not know it.
+  void RepeatResponse(const TimedEvidence& response);
+  // Returns the number of strikes that count and of suspicions of the request, distinct by target
+  // and incarnation.
   std::size_t CountStrikes(std::uint64_t fingerprint) const;
-  // Whether a run of the request got a response since its last strike.
-  bool HasResponse(std::uint64_t fingerprint) const;
   // Whether another request with a strike or a suspicion runs on the target.
   bool IsOtherStruckRequestRunning(std::uint64_t fingerprint, std::string_view target) const;
 
@@ -163,10 +191,11 @@
   EntryMap entries;
   // Fingerprints of the entries, the least recently struck first.
   std::list<std::uint64_t> order;
-  // Oldest first.
-  std::deque<Suspicion> suspicions;
+  // Lost connections that become strikes if it is proved that the target died, oldest first.
+  std::deque<TimedEvidence> suspicions;
   // Newest first.
   std::deque<Outgoing> outgoing;
+  ResponseMemory responses;
   // For each target, the number of runs of each request on it.
   std::map<std::string, std::map<std::uint64_t, std::uint32_t>, std::less<>> running;
   // For each request, the number of its runs on all targets.
--- a/Source/Retry/request_progress.h
+++ b/Source/Retry/request_progress.h
@@ -69,6 +69,13 @@
   bool call_failed = false;
 };
 
+// Whether the target ran the request to its end, so that the request does not crash each target
+// that begins to run it. An error response may come from a run that was given up.
+constexpr bool ProvesNoCrash(const HopEnd& end) {
+  constexpr unsigned kFirstServerError = 500;
+  return end.outcome == HopOutcome::kAnswered && end.status < kFirstServerError;
+}
+
 // State of one request at the caller's daemon. It tracks the hops that were made and whether the
 // request may have run, and decides the next action. It decides kRefuse only if no hop can have
 // run the request. For the same reason it does not decide kDeliver for a target's response that
--- a/Tests/Fuzz/request_world.h
+++ b/Tests/Fuzz/request_world.h
@@ -355,11 +355,12 @@
   // Sends the new quarantine strikes of each daemon to all daemons, as gossip does.
   void SpreadStrikes() {
     for (std::size_t from = 0; from < kHosts; ++from) {
-      const std::vector<QuarantineStrike> strikes = this->daemons[from]->quarantine.TakeStrikes(4);
+      const std::vector<QuarantineEvidence> strikes =
+          this->daemons[from]->quarantine.TakeEvidence(this->events.GetNow(), 4);
       for (std::size_t to = 0; to < kHosts && !strikes.empty(); ++to) {
         if (!this->faults.DrawFault(this->faults.dropped_percent, this->random)) {
           this->Schedule(to, this->faults.DrawDelay(this->random), [this, to, strikes] {
-            this->daemons[to]->quarantine.MergeStrikes(this->events.GetNow(), strikes);
+            this->daemons[to]->quarantine.MergeEvidence(this->events.GetNow(), strikes);
           });
         }
       }
--- a/Tests/Fuzz/simulated_request.h
+++ b/Tests/Fuzz/simulated_request.h
@@ -138,7 +138,8 @@
     if (!this->world.IsListening(address)) {
       daemon.quarantine.RecordRefusedConnection(now, address);
     }
-    daemon.quarantine.Finish(this->fingerprint, address, outcome == TargetOutcome::kOk);
+    daemon.quarantine.Finish(this->GetNow(), this->fingerprint, address,
+                             outcome == TargetOutcome::kOk);
     this->tried.push_back(address);
     ++this->state.attempts;
     this->state.outcome = outcome;
--- a/Tests/stress_daemon_state.cc
+++ b/Tests/stress_daemon_state.cc
@@ -152,7 +152,7 @@
     state.metrics.Format("");
     state.services.DumpServices(GetNow());
     state.services.ExpireQueues(GetNow());
-    state.services.TakeStrikes(4);
+    state.services.TakeEvidence(GetNow(), 4);
     state.services.TryTakeLimit(limit, GetNow());
     state.claims->Tick(GetNow());
     state.claims->RecordMessageFrom("host-2", GetNow());
