http: Bound the bytes that are read ahead of a response

A host of 160 to 260 MB runs out of memory, and the requests of its other clients end with it.

Cause: the parser's limits cover the head and the body. What stands between chunks and after the last one has to be complete in the buffer before it is parsed, and the buffer of an outbound connection had no maximum.

Change: the buffer holds 128 KB at most. An exchange that needs more ends as broken, its connection is closed, and one line says so (LW0804).

One line for each endless response.

Ruled out: requests of clients, which are bounded by InboundBytes; bodies, which are read in bounded parts.

--- a/Source/Generated/events.h
+++ b/Source/Generated/events.h
@@ -57,6 +57,7 @@
   kHopEnded = 801,
   kTargetHopEnded = 802,
   kLongAnswerSent = 803,
+  kResponseOverLimit = 804,
   kOperatorCallFailed = 700,
 };
 
@@ -153,6 +154,8 @@
       return "target_hop_ended";
     case Event::kLongAnswerSent:
       return "long_answer_sent";
+    case Event::kResponseOverLimit:
+      return "response_over_limit";
     case Event::kOperatorCallFailed:
       return "operator_call_failed";
   }
@@ -166,7 +169,7 @@
   std::string_view action;
 };
 
-inline constexpr std::array<EventDescription, 46> kEventCatalogue = {{
+inline constexpr std::array<EventDescription, 47> kEventCatalogue = {{
     {Event::kNone, "info",
      "no event",
      ""},
@@ -302,6 +305,9 @@
     {Event::kLongAnswerSent, "info",
      "long answer sent over the link of this host",
      ""},
+    {Event::kResponseOverLimit, "warning",
+     "response exceeds the limits of its head, chunk lines or trailers; connection closed",
+     "Look at the process at the address; it sends bytes without end."},
     {Event::kOperatorCallFailed, "info",
      "operator call failed",
      ""},
--- a/Source/Http/outbound_connection.h
+++ b/Source/Http/outbound_connection.h
@@ -1,6 +1,7 @@
 #ifndef LACEWINGBRIDGE_SOURCE_HTTP_OUTBOUND_CONNECTION_H_
 #define LACEWINGBRIDGE_SOURCE_HTTP_OUTBOUND_CONNECTION_H_
 
+#include <cstddef>
 #include <string>
 
 #include "Core/time_point.h"
@@ -10,7 +11,11 @@
 
 // A connection to a daemon, a target or the store, with the bytes read ahead on it.
 struct OutboundConnection {
-  explicit OutboundConnection(asio::io_context& context) : socket(context) {}
+  // Limit on the bytes that are read ahead. The parser takes a body from them in parts, but needs
+  // a head, the line of a chunk and the trailers as a whole, and has no limit for the latter two.
+  static constexpr std::size_t kMaxHeldBytes = std::size_t{128} * 1024;
+
+  explicit OutboundConnection(asio::io_context& context) : socket(context), buffer(kMaxHeldBytes) {}
 
   TcpSocket socket;
   boost::beast::flat_buffer buffer;
--- a/Source/Http/outbound_exchange.cc
+++ b/Source/Http/outbound_exchange.cc
@@ -11,6 +11,7 @@
 #include "Http/boot_clock.h"
 #include "Http/io_shard.h"
 #include "Http/socket_options.h"
+#include "Observe/event_log.h"
 
 namespace lacewingbridge {
 
@@ -137,8 +138,7 @@
     co_await http::async_read_header(this->connection->socket, this->connection->buffer,
                                      *this->parser, AwaitInto(code));
     if (code) {
-      this->broken = true;
-      this->failure = code;
+      this->NoteBroken(code);
       co_return this->GetFailure(ExchangeStatus::kLost);
     }
     // Interim answers come before the final one.
@@ -190,7 +190,7 @@
     body.resize(old_size + received);
     read += received;
     if (code && code != http::error::need_buffer) {
-      this->broken = true;
+      this->NoteBroken(code);
       co_return BodyStatus::kBroken;
     }
   }
@@ -205,6 +205,15 @@
   }
 }
 
+void OutboundExchange::NoteBroken(const ErrorCode& code) {
+  this->broken = true;
+  this->failure = code;
+  if (code == http::error::buffer_overflow || code == http::error::header_limit) {
+    EventLog::Write(Event::kResponseOverLimit, "address={} reason=\"{}\"", this->address,
+                    code.message());
+  }
+}
+
 void OutboundExchange::NoteIdleLimit(Duration assumed) {
   const Duration limit = ReadKeepAliveTimeout(this->GetHead()).value_or(assumed);
   this->connection->usable_until = GetNow() + std::max(limit - kIdleMargin, Duration{0});
--- a/Source/Http/outbound_exchange.h
+++ b/Source/Http/outbound_exchange.h
@@ -90,6 +90,7 @@
  private:
   // Bounds the head of an answer; targets of today send a few hundred bytes.
   static constexpr std::uint32_t kMaxHeadBytes = 64 * 1024;
+  static_assert(kMaxHeadBytes < OutboundConnection::kMaxHeldBytes);
   // Interim answers to one request; a faulty target may send them without end.
   static constexpr int kMaxInterimAnswers = 8;
 
@@ -99,6 +100,8 @@
   // Starts the limit of the next read of the body.
   void StartReadLimit();
   void NoteIdleLimit(Duration assumed);
+  // Marks the exchange as broken. The connection is closed when the exchange finishes.
+  void NoteBroken(const ErrorCode& code);
 
   IoShard& shard;
   std::string address;
--- a/Tests/Fakes/keep_alive_target.h
+++ b/Tests/Fakes/keep_alive_target.h
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <chrono>
 #include <functional>
 #include <mutex>
@@ -62,6 +63,9 @@
 
   std::string GetAddress() const { return "127.0.0.1:" + std::to_string(this->port); }
 
+  // Returns the number of bytes of all endless replies that the other side has accepted.
+  std::size_t CountEndlessBytes() const { return this->endless_bytes; }
+
   int CountRequests() {
     const std::lock_guard guard(this->mutex);
     return this->requests;
@@ -98,6 +102,7 @@
       bool open = Write(connection, reply.bytes);
       while (open && !reply.endless.empty()) {
         open = Write(connection, reply.endless);
+        this->endless_bytes += open ? reply.endless.size() : 0;
         std::this_thread::sleep_for(reply.pause);
       }
       if (!open || reply.close) {
@@ -121,6 +126,7 @@
   std::thread thread;
   std::mutex mutex;
   int requests = 0;
+  std::atomic<std::size_t> endless_bytes{0};
 };
 
 }  // namespace lacewingbridge
--- a/Tests/test_node_faulty_targets.cc
+++ b/Tests/test_node_faulty_targets.cc
@@ -17,6 +17,9 @@
 
 namespace {
 
+// A tenth of the memory of the smallest hosts. Most of it is for the buffers of the sockets.
+constexpr std::size_t kMaxAcceptedBytes = 16'000'000;
+
 std::string MakeHeaders(const std::string& status, const std::string& id) {
   return "HTTP/1.1 " + status + "\r\nX-Id: " + id + "\r\nX-Target: t1\r\nX-Signature: s\r\n";
 }
@@ -98,6 +101,30 @@
   }
 }
 
+// Guards against a target that sends bytes without end where the framing of a body is due. The
+// daemon kept them all until the deadline, and its host ran out of memory.
+Test(faulty_targets, endless_framing_is_aborted_and_other_requests_are_served) {
+  const std::string chunked = MakeHeaders("200 OK", "r1") + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string noise(64'000, 'x');
+  const std::string zeros(64'000, '0');
+  const std::string trailer = "X-Pad: " + std::string(1000, 'x') + "\r\n";
+  for (const TargetReply& reply :
+       {TargetReply{MakeHeaders("200 OK", "r1") + "X-Pad: ", noise},
+        TargetReply{MakeHeaders("200 OK", "r1"), trailer}, TargetReply{chunked + "5;a=", noise},
+        TargetReply{chunked, zeros}, TargetReply{chunked + "5\r\nhello\r\n0\r\nX-Pad: ", noise},
+        TargetReply{chunked + "5\r\nhello\r\n0\r\n", trailer}}) {
+    Mesh mesh([&](const std::string&, int number) -> TargetReply {
+      return number == 1 ? reply : TargetReply{MakeResponse("r2", "done")};
+    });
+    const std::string response = mesh.Send("POST", "/write/1", "r1");
+    cr_assert(IsUnknown(response), "%s", response.substr(0, 200).c_str());
+    cr_assert_leq(mesh.GetTarget().CountEndlessBytes(), kMaxAcceptedBytes, "%s: %zu bytes",
+                  reply.bytes.c_str(), mesh.GetTarget().CountEndlessBytes());
+    const std::string other = mesh.Send("POST", "/write/2", "r2");
+    cr_assert(other.ends_with("done"), "%s", other.c_str());
+  }
+}
+
 // The first part of a body is kept in memory so that the request can be sent again. The deadline of
 // the request applies meanwhile.
 Test(faulty_targets, an_endless_slow_body_ends_at_the_deadline_of_the_request) {
