daemon: Call the store and other daemons over bounded connections

Change: both clients send their requests through OutboundExchange (HttpPost), with its buffer of 128 KB, a body of 8 MB at most, as for requests between daemons, and a limit for the whole call. Connections to other daemons are kept in the same pool type as those to targets; HttpConnectionPool is gone.

Measured: seven endless forms at each client end with an error, each under 16 MB accepted. Cancel of the store's client still ends a call in progress.

Not examined further: the command-line tool and the benchmarks, which end with their call, and requests to lacewingbridged itself, whose library reads lines of any length as well.

--- a/Source/Daemon/daemon.h
+++ b/Source/Daemon/daemon.h
@@ -14,7 +14,6 @@
 #include "Daemon/claim_service.h"
 #include "Daemon/cluster_node.h"
 #include "Daemon/gossip_socket.h"
-#include "Daemon/http_connection_pool.h"
 #include "Daemon/http_listener.h"
 #include "Daemon/peer_client.h"
 #include "Daemon/proxy_handler.h"
@@ -110,7 +109,7 @@
   ServiceTable services;
   MetricsRegistry metrics;
   TargetConnections targets;
-  HttpConnectionPool connections;
+  TargetConnections connections;
   PeerClient peers;
   std::unique_ptr<ClusterNode> cluster;
   std::unique_ptr<StoreHttpClient> store;
--- a/Source/Daemon/peer_client.cc
+++ b/Source/Daemon/peer_client.cc
@@ -1,35 +1,37 @@
 #include "Daemon/peer_client.h"
 
 #include <fmt/core.h>
-#include <httplib.h>
 
-#include "Daemon/http_connection_pool.h"
+#include <memory>
+
+#include "Daemon/http_post.h"
 #include "Daemon/peer_traffic.h"
+#include "Daemon/target_connections.h"
+#include "Http/io_shard.h"
 
 namespace lacewingbridge {
 
 std::variant<std::string, PeerFailure> PeerClient::Post(const std::string& address,
                                                         const char* path, const std::string& body,
                                                         std::chrono::milliseconds limit) {
-  std::unique_ptr<httplib::Client> client = this->pool.Take(address);
-  client->set_read_timeout(limit);
-  client->set_write_timeout(limit);
-  httplib::Result response = client->Post(path, body, "application/x-protobuf");
-  if (!response) {
-    const bool refused = response.error() == httplib::Error::Connection;
-    return PeerFailure{
-        {ErrorKind::kPeerUnreachable,
-         fmt::format("{}{}: {}", address, path, httplib::to_string(response.error()))},
-        refused};
+  constexpr unsigned kOk = 200;
+  std::unique_ptr<IoShard> connection = this->pool.Take(address);
+  HttpPost post(*connection, address);
+  const bool received =
+      post.Send(path, body, "application/x-protobuf", this->pool.GetConnectLimit(), limit);
+  if (!received) {
+    return PeerFailure{{ErrorKind::kPeerUnreachable,
+                        fmt::format("{}{}: {}", address, path, post.GetFailureText())},
+                       post.WasNotConnected()};
   }
-  if (response->status != 200) {
+  if (post.GetStatus() != kOk) {
     return PeerFailure{{ErrorKind::kPeerUnreachable,
-                        fmt::format("{}{}: status {}", address, path, response->status)},
+                        fmt::format("{}{}: status {}", address, path, post.GetStatus())},
                        false};
   }
-  CountPeerResponse(this->metrics, path, *response);
-  std::string reply = std::move(response->body);
-  this->pool.Return(address, std::move(client));
+  CountPeerResponse(this->metrics, path, post.GetHead(), post.GetBody().size());
+  std::string reply = std::move(post.GetBody());
+  this->pool.Return(address, std::move(connection));
   return reply;
 }
 
--- a/Source/Daemon/peer_client.h
+++ b/Source/Daemon/peer_client.h
@@ -13,8 +13,8 @@
 
 namespace lacewingbridge {
 
-class HttpConnectionPool;
 class MetricsRegistry;
+class TargetConnections;
 
 // A failed call to another daemon, and whether it may have reached that daemon.
 struct PeerFailure {
@@ -28,7 +28,7 @@
 class PeerClient {
  public:
   // The pool and the registry must outlive the client.
-  PeerClient(HttpConnectionPool& connections, MetricsRegistry& registry,
+  PeerClient(TargetConnections& connections, MetricsRegistry& registry,
              std::chrono::milliseconds call_limit)
       : pool(connections), metrics(registry), timeout(call_limit) {}
 
@@ -55,7 +55,7 @@
                                               const std::string& body,
                                               std::chrono::milliseconds limit);
 
-  HttpConnectionPool& pool;
+  TargetConnections& pool;
   MetricsRegistry& metrics;
   std::chrono::milliseconds timeout;
 };
--- a/Source/Daemon/peer_traffic.cc
+++ b/Source/Daemon/peer_traffic.cc
@@ -32,11 +32,14 @@
 }  // namespace
 
 void CountPeerResponse(MetricsRegistry& metrics, const char* path,
-                       const httplib::Response& response) {
+                       const http::response_header<>& head, std::size_t body_bytes) {
+  std::size_t header_bytes = 0;
+  for (const auto& field : head) {
+    header_bytes += field.name_string().size() + field.value().size() + kHeaderSeparatorBytes;
+  }
   const std::string labels = fmt::format("path=\"{}\",part=\"answer\"", path);
   metrics.AddCount("peer_messages_received", labels);
-  metrics.AddCount("peer_bytes_received", labels,
-                   kStatusLineBytes + CountHeaderBytes(response.headers) + response.body.size());
+  metrics.AddCount("peer_bytes_received", labels, kStatusLineBytes + header_bytes + body_bytes);
 }
 
 void CountPeerRequest(MetricsRegistry& metrics, const httplib::Request& request) {
--- a/Source/Daemon/peer_traffic.h
+++ b/Source/Daemon/peer_traffic.h
@@ -1,9 +1,12 @@
 #ifndef LACEWINGBRIDGE_SOURCE_DAEMON_PEER_TRAFFIC_H_
 #define LACEWINGBRIDGE_SOURCE_DAEMON_PEER_TRAFFIC_H_
 
+#include <cstddef>
+
+#include "Http/asio_types.h"
+
 namespace httplib {
 struct Request;
-struct Response;
 }  // namespace httplib
 
 namespace lacewingbridge {
@@ -14,7 +17,7 @@
 // by path: responses to its own calls and requests of other daemons. Summed over a fleet, the
 // bytes received equal the bytes sent, so bytes sent are not counted.
 void CountPeerResponse(MetricsRegistry& metrics, const char* path,
-                       const httplib::Response& response);
+                       const http::response_header<>& head, std::size_t body_bytes);
 void CountPeerRequest(MetricsRegistry& metrics, const httplib::Request& request);
 
 }  // namespace lacewingbridge
--- a/Source/Daemon/store_http_client.cc
+++ b/Source/Daemon/store_http_client.cc
@@ -1,71 +1,78 @@
 #include "Daemon/store_http_client.h"
 
 #include <fmt/core.h>
-#include <httplib.h>
 
 #include "Core/socket_address.h"
+#include "Daemon/http_post.h"
+#include "Http/io_shard.h"
 #include "store_codec.h"
 
 namespace lacewingbridge {
 
 using std::chrono::milliseconds;
 
+namespace {
+
+// An IoShard needs a seed for random numbers, which a single call never uses.
+constexpr std::uint64_t kUnusedSeed = 0;
+
+}  // namespace
+
 Result<std::unique_ptr<StoreHttpClient>> StoreHttpClient::Create(const std::string& address,
                                                                  milliseconds timeout) {
   const Result<SocketAddress> parsed = SocketAddress::Parse(address);
   if (!IsOk(parsed)) {
     return GetError(parsed);
   }
-  return std::unique_ptr<StoreHttpClient>(new StoreHttpClient("http://" + address, timeout));
+  return std::unique_ptr<StoreHttpClient>(new StoreHttpClient(address, timeout));
 }
 
 template <typename Reply, typename Request>
 Result<Reply> StoreHttpClient::Call(const char* path, const Request& request,
                                     milliseconds extra_wait) {
-  httplib::Client client(this->base_url);
-  client.set_tcp_nodelay(true);
-  client.set_connection_timeout(this->timeout);
-  client.set_read_timeout(this->timeout + extra_wait);
-  client.set_write_timeout(this->timeout);
-  if (!this->AddActive(client)) {
+  constexpr unsigned kOk = 200;
+  IoShard connection(kUnusedSeed);
+  HttpPost post(connection, this->address);
+  if (!this->AddActive(post)) {
     return Error{ErrorKind::kStoreUnavailable, "this daemon is shutting down"};
   }
-  const httplib::Result response = client.Post(path, EncodeJson(request), "application/json");
-  this->RemoveActive(client);
-  if (!response) {
-    return Error{ErrorKind::kStoreUnavailable, fmt::format("{}{}: {}", this->base_url, path,
-                                                           httplib::to_string(response.error()))};
+  const bool received = post.Send(path, EncodeJson(request), "application/json", this->timeout,
+                                  this->timeout + extra_wait);
+  this->RemoveActive(post);
+  if (!received) {
+    return Error{ErrorKind::kStoreUnavailable,
+                 fmt::format("{}{}: {}", this->address, path, post.GetFailureText())};
   }
-  if (response->status != 200) {
+  if (post.GetStatus() != kOk) {
     return Error{ErrorKind::kStoreUnavailable,
-                 fmt::format("{}{}: status {}", this->base_url, path, response->status)};
+                 fmt::format("{}{}: status {}", this->address, path, post.GetStatus())};
   }
   Reply reply;
-  if (!DecodeJson(response->body, reply)) {
-    return Error{ErrorKind::kMalformedMessage, this->base_url + path};
+  if (!DecodeJson(post.GetBody(), reply)) {
+    return Error{ErrorKind::kMalformedMessage, this->address + path};
   }
   return reply;
 }
 
-bool StoreHttpClient::AddActive(httplib::Client& client) {
+bool StoreHttpClient::AddActive(HttpPost& post) {
   const std::lock_guard guard(this->mutex);
   if (this->cancelled) {
     return false;
   }
-  this->active.insert(&client);
+  this->active.insert(&post);
   return true;
 }
 
-void StoreHttpClient::RemoveActive(httplib::Client& client) {
+void StoreHttpClient::RemoveActive(HttpPost& post) {
   const std::lock_guard guard(this->mutex);
-  this->active.erase(&client);
+  this->active.erase(&post);
 }
 
 void StoreHttpClient::Cancel() {
   const std::lock_guard guard(this->mutex);
   this->cancelled = true;
-  for (httplib::Client* client : this->active) {
-    client->stop();
+  for (HttpPost* post : this->active) {
+    post->Cancel();
   }
 }
 
--- a/Source/Daemon/store_http_client.h
+++ b/Source/Daemon/store_http_client.h
@@ -10,12 +10,10 @@
 #include "Core/result.h"
 #include "Core/store_client.h"
 
-namespace httplib {
-class Client;
-}  // namespace httplib
-
 namespace lacewingbridge {
 
+class HttpPost;
+
 // Calls the platform's store over HTTP with JSON bodies. Satisfies StoreClient and may be used
 // from any thread. Each call opens a connection of its own, so that calls of different
 // threads do not wait for each other. The cost is low because the store is called a few times
@@ -35,23 +33,23 @@
   void Cancel();
 
  private:
-  StoreHttpClient(std::string base, std::chrono::milliseconds limit)
-      : base_url(std::move(base)), timeout(limit) {}
+  StoreHttpClient(std::string store_address, std::chrono::milliseconds limit)
+      : address(std::move(store_address)), timeout(limit) {}
 
-  // extra_wait extends the read timeout by the time that the store may hold the call open.
+  // extra_wait extends the limit of the call by the time that the store may hold the call open.
   template <typename Reply, typename Request>
   Result<Reply> Call(const char* path, const Request& request,
                      std::chrono::milliseconds extra_wait);
 
   // Returns false after Cancel.
-  bool AddActive(httplib::Client& client);
-  void RemoveActive(httplib::Client& client);
+  bool AddActive(HttpPost& post);
+  void RemoveActive(HttpPost& post);
 
-  std::string base_url;
+  std::string address;
   std::chrono::milliseconds timeout;
   std::mutex mutex;
   bool cancelled = false;
-  std::set<httplib::Client*> active;
+  std::set<HttpPost*> active;
 };
 
 static_assert(StoreClient<StoreHttpClient>);
--- a/Tests/stress_daemon_state.cc
+++ b/Tests/stress_daemon_state.cc
@@ -16,10 +16,10 @@
 #include "Core/digest.h"
 #include "Daemon/claim_service.h"
 #include "Daemon/daemon_clock.h"
-#include "Daemon/http_connection_pool.h"
 #include "Daemon/peer_client.h"
 #include "Daemon/rules_state.h"
 #include "Daemon/service_table.h"
+#include "Daemon/target_connections.h"
 #include "Daemon/work_queue.h"
 #include "Observe/event_log.h"
 #include "Observe/metrics_registry.h"
@@ -75,7 +75,7 @@
   RulesState rules;
   ServiceTable services;
   MetricsRegistry metrics;
-  HttpConnectionPool pool;
+  TargetConnections pool;
   PeerClient peers;
   WorkQueue work;
   std::unique_ptr<ClaimService> claims;
