tests: Take the ports of daemons outside the range of outgoing connections

Seen twice while a test with many daemons was written: a daemon of a test could not listen on its port (MeshNode::Create failed at its set-up) when tests ran four at a time. FindFreeAddress let the operating system choose a port and closed it again; until the daemon listens there, an outgoing connection of any test may get the same port. Ports are now taken from 10,000 to 25,999, which outgoing connections do not use, from another start for each process.

Sixteen runs of test_node_mesh, eight tests at a time, six before and ten after the change, showed the failure in none, so how often it came is not known.

--- a/Tests/Fakes/raw_target.h
+++ b/Tests/Fakes/raw_target.h
@@ -6,6 +6,8 @@
 #include <unistd.h>
 
 #include <array>
+#include <atomic>
+#include <cstdint>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -27,10 +29,27 @@
   return descriptor;
 }
 
+// Returns a loopback address on which nothing listens. The port is below those that the operating
+// system gives to outgoing connections, which could take it before it is listened on, and tests
+// that run at the same time begin at different ports.
 inline std::string FindFreeAddress() {
-  int port = 0;
-  close(OpenSocket(port));
-  return "127.0.0.1:" + std::to_string(port);
+  constexpr int kFirstPort = 10'000;
+  constexpr int kPortCount = 16'000;
+  constexpr int kPortsPerProcess = 64;
+  static std::atomic<int> taken{0};
+  while (true) {
+    const int port = kFirstPort + (getpid() * kPortsPerProcess + taken++) % kPortCount;
+    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    const bool free = bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+    close(descriptor);
+    if (free) {
+      return "127.0.0.1:" + std::to_string(port);
+    }
+  }
 }
 
 // Removes one request with its body from the bytes read so far and returns it. Reads more bytes
