proxy: Forward a status that the HTTP library does not list as its number

Change: the number is copied, and the class of a status is taken from the number. A number that is no status of a final response (below 200 or above 599) is not delivered; the outcome is unknown, 502.

--- a/Source/Proxy/caller_request.cc
+++ b/Source/Proxy/caller_request.cc
@@ -281,8 +281,8 @@
   const TimePoint now = GetNow();
   const std::string_view reason = DescribeProgressReason(decision.reason);
   const bool delivered = decision.action == ProgressAction::kDeliver;
-  if (!delivered ||
-      http::to_status_class(this->buffered.headers.result()) != http::status_class::successful) {
+  if (!delivered || http::to_status_class(this->buffered.headers.result_int()) !=
+                        http::status_class::successful) {
     this->context.gate.RecordFailedCall(now);
   }
   if (!delivered) {
--- a/Source/Proxy/peer_request.cc
+++ b/Source/Proxy/peer_request.cc
@@ -37,6 +37,9 @@
 // another target is the better choice.
 constexpr int kContainmentWaitDivisor = 4;
 
+// Whether a final response may have this status (RFC 9110, section 15).
+constexpr bool IsFinalStatus(unsigned status) { return status >= 200 && status <= 599; }
+
 }  // namespace
 
 struct PeerRequest::SlotWait {
@@ -203,14 +206,14 @@
 }
 
 void PeerRequest::DetermineOutcome(const TargetResponseHeaders& headers) {
-  const bool success =
-      http::to_status_class(this->buffered.headers.result()) == http::status_class::successful;
+  const unsigned status = this->buffered.headers.result_int();
+  const bool success = http::to_status_class(status) == http::status_class::successful;
   if (headers.not_run || this->buffered.headers.result() == http::status::misdirected_request) {
     this->outcome = HopOutcome::kNotRun;
     this->reason = "target_refused";
   } else if (this->buffered.status == BodyStatus::kBroken) {
     this->reason = "answer_broke_off";
-  } else if (headers.is_encoded || (success && !headers.has_signature)) {
+  } else if (headers.is_encoded || (success && !headers.has_signature) || !IsFinalStatus(status)) {
     this->reason = "answer_not_of_target";
   } else {
     this->outcome = HopOutcome::kAnswered;
@@ -235,8 +238,8 @@
 
 RunResult PeerRequest::GetRunResult(ExchangeStatus status) const {
   if (this->outcome == HopOutcome::kAnswered) {
-    const bool failed =
-        http::to_status_class(this->buffered.headers.result()) == http::status_class::server_error;
+    const bool failed = http::to_status_class(this->buffered.headers.result_int()) ==
+                        http::status_class::server_error;
     if (!failed) {
       return RunResult::kServed;
     }
@@ -281,7 +284,8 @@
     }
     this->Log(report, this->buffered.headers.result_int());
     http::response_header<> headers;
-    headers.result(this->buffered.headers.result());
+    // The number, because the list of statuses of the library is not complete.
+    headers.result(this->buffered.headers.result_int());
     headers.reason(this->buffered.headers.reason());
     CopyEndToEndHeaders(this->buffered.headers, headers);
     SetHopReport(headers, report);
--- a/Tests/test_node_mesh.cc
+++ b/Tests/test_node_mesh.cc
@@ -92,6 +92,29 @@
   }
 }
 
+// Guards against a status that the HTTP library does not list and that reaches the caller as 000
+// (review/5).
+Test(mesh, a_status_that_the_library_does_not_list_is_delivered_as_its_number) {
+  for (const std::string status : {"218", "425", "499", "529"}) {
+    Mesh mesh(MakeResponse(status + " Other", kHealthy, "text"));
+    for (const std::string& response :
+         {mesh.Send("POST", "/write/1"), mesh.SendFrom(mesh.GetBack(), "POST", "/write/1")}) {
+      cr_assert(HasStatus(response, status + " "), "%s", response.c_str());
+      cr_assert(response.find("X-Signature: s") != std::string::npos, "%s", response.c_str());
+      cr_assert(response.ends_with("\r\n\r\ntext"), "%s", response.c_str());
+    }
+  }
+}
+
+Test(mesh, a_number_that_is_no_status_of_a_response_is_not_delivered) {
+  for (const std::string status : {"000", "099", "600", "999"}) {
+    Mesh mesh(MakeResponse(status + " Odd", kHealthy, "text"));
+    const std::string response = mesh.Send("POST", "/write/1");
+    cr_assert(HasStatus(response, "502"), "%s", response.c_str());
+    cr_assert_leq(mesh.CountRuns("/write/1"), 1);
+  }
+}
+
 Test(mesh, a_response_to_another_request_is_not_delivered) {
   Mesh mesh(MakeResponse("200 OK", "X-Id: other\r\nX-Target: t1\r\nX-Signature: s\r\n", "wrong"));
   const std::string response = mesh.Send("POST", "/write/1");
