membership: Tell a target that leaves from a daemon that stops

Cause: on SIGTERM the daemon writes a record that accepts no requests. If the kill comes before the record is removed, the next process of the host finds it and takes it for the word that the target has left. A record that was written before the health of the target was confirmed has the same effect.

Change: the record says whether the target stays or leaves (TargetStay), and only the latter is taken over. A record of an earlier release, which does not say so, counts as before. The test that cleared `accepting` by hand to stand for a leaving target now lets the target leave, and has the record of an earlier release beside it.

Ruled out: ignoring old records, which would send requests to a target that has left before the stop (DRAIN).

--- a/Source/Generated/mesh.h
+++ b/Source/Generated/mesh.h
@@ -12,6 +12,25 @@
 
 namespace lacewingbridge {
 
+enum class TargetStay {
+  kUnknown = 0,
+  kStays = 1,
+  kLeaves = 2,
+};
+
+// Word for a value, as shown to people.
+constexpr std::string_view GetName(TargetStay value) {
+  switch (value) {
+    case TargetStay::kUnknown:
+      return "unknown";
+    case TargetStay::kStays:
+      return "stays";
+    case TargetStay::kLeaves:
+      return "leaves";
+  }
+  return "invalid";
+}
+
 enum class HopOutcome {
   kNone = 0,
   kAnswered = 1,
@@ -93,6 +112,7 @@
   std::uint64_t born_unix_ms = 0;
   std::uint32_t slots = 0;
   bool accepting = false;
+  TargetStay stay = TargetStay::kUnknown;
 
   bool operator==(const LocalTargetRecord&) const = default;
 };
--- a/Source/Generated/mesh_codec.cc
+++ b/Source/Generated/mesh_codec.cc
@@ -310,6 +310,7 @@
   wire.set_born_unix_ms(plain.born_unix_ms);
   wire.set_slots(plain.slots);
   wire.set_accepting(plain.accepting);
+  wire.set_stay(static_cast<wire::TargetStay>(plain.stay));
 }
 
 void FromWire(const wire::LocalTargetRecord& wire, LocalTargetRecord& plain) {
@@ -318,6 +319,7 @@
   plain.born_unix_ms = wire.born_unix_ms();
   plain.slots = wire.slots();
   plain.accepting = wire.accepting();
+  plain.stay = static_cast<TargetStay>(wire.stay());
 }
 
 std::string Encode(const LocalTargetRecord& plain) {
--- a/Source/Membership/local_target.cc
+++ b/Source/Membership/local_target.cc
@@ -60,7 +60,11 @@
 }
 
 void LocalTarget::HandleStoredRecord(const LocalTargetRecord& record) {
-  if (record.accepting || record.id.empty()) {
+  // A record that does not accept requests may also mean that the daemon stopped, or that it had
+  // not confirmed the target's health yet.
+  const bool leaves = record.stay == TargetStay::kLeaves ||
+                      (record.stay == TargetStay::kUnknown && !record.accepting);
+  if (!leaves || record.id.empty()) {
     return;
   }
   this->HandleLeave(record.id, record.born_unix_ms);
@@ -104,6 +108,7 @@
   record.born_unix_ms = this->born_unix_ms;
   record.slots = this->slots;
   record.accepting = this->health_confirmed && !this->leaving;
+  record.stay = this->leaving ? TargetStay::kLeaves : TargetStay::kStays;
   return record;
 }
 
--- a/Source/Membership/local_target.h
+++ b/Source/Membership/local_target.h
@@ -45,7 +45,7 @@
   // known under this id.
   void HandleLeave(std::string_view id, std::uint64_t start_unix_ms);
   // Applies the record in the store that an earlier daemon process of this host has written.
-  // Only a record that says that the target does not accept requests has an effect.
+  // Only a record that says that the target leaves has an effect.
   void HandleStoredRecord(const LocalTargetRecord& record);
 
   // Returns whether the caller has to check the target's health now. If so, the next check
--- a/Tests/test_local_target.cc
+++ b/Tests/test_local_target.cc
@@ -74,14 +74,37 @@
 }
 
 Test(local_target, restores_from_the_store_that_an_instance_has_left) {
-  LocalTargetRecord record = MakeHealthyTarget("i-1", 5).MakeRecord();
-  record.accepting = false;
-  LocalTarget restarted("desk");
-  restarted.HandleStoredRecord(record);
-  cr_assert(restarted.HandleAnnouncement(MakeAnnouncement("i-1", 5, 9)) ==
-            AnnouncementVerdict::kStale);
-  restarted.HandleHealthResponse(true, "i-1", 9);
-  cr_assert(!restarted.IsAccepting(kNow));
+  LocalTarget target = MakeHealthyTarget("i-1", 5);
+  target.HandleLeave("i-1", 5);
+  LocalTargetRecord of_earlier_release = target.MakeRecord();
+  of_earlier_release.stay = TargetStay::kUnknown;
+  for (const LocalTargetRecord& record : {target.MakeRecord(), of_earlier_release}) {
+    LocalTarget restarted("desk");
+    restarted.HandleStoredRecord(record);
+    cr_assert(restarted.HandleAnnouncement(MakeAnnouncement("i-1", 5, 9)) ==
+              AnnouncementVerdict::kStale);
+    restarted.HandleHealthResponse(true, "i-1", 9);
+    cr_assert(!restarted.IsAccepting(kNow));
+  }
+}
+
+// Guards against a sound target that gets no requests for good because the record of an earlier
+// process of the daemon is taken for the word that the target leaves (review/3): that process was
+// killed while it stopped, or before it had confirmed the target's health.
+Test(local_target, is_accepted_after_a_daemon_that_only_stopped_or_had_not_checked_it) {
+  LocalTargetRecord stopping = MakeHealthyTarget("i-1", 5).MakeRecord();
+  stopping.accepting = false;
+  LocalTarget unchecked("desk");
+  unchecked.HandleAnnouncement(MakeAnnouncement("i-1", 5, 1));
+  cr_assert_not(unchecked.MakeRecord().accepting);
+  for (const LocalTargetRecord& record : {stopping, unchecked.MakeRecord()}) {
+    LocalTarget restarted("desk");
+    restarted.HandleStoredRecord(record);
+    cr_assert(restarted.HandleAnnouncement(MakeAnnouncement("i-1", 5, 9)) ==
+              AnnouncementVerdict::kCurrent);
+    restarted.HandleHealthResponse(true, "i-1", 9);
+    cr_assert(restarted.IsAccepting(kNow));
+  }
 }
 
 Test(local_target, is_identified_by_its_health_response_after_a_restart_of_the_daemon) {
--- a/Tests/test_node_store_sync.cc
+++ b/Tests/test_node_store_sync.cc
@@ -198,6 +198,26 @@
   cr_assert(!daemon.gate.MakeRecord().accepting);
 }
 
+// Guards against a daemon that refuses its sound target for good after a stop that a kill cut
+// short: the record of the stopping process was taken for the word that the target leaves
+// (review/3).
+Test(store_sync, a_target_beside_an_earlier_process_that_only_stopped_gets_work) {
+  {
+    SyncedDaemon earlier;
+    earlier.RunFor(milliseconds(200));
+    earlier.gate.SetLeaving();
+    earlier.sync.OnRecordChanged();
+    earlier.RunFor(milliseconds(200));
+  }
+  HostRecord record;
+  cr_assert(Decode(*FakeStoreClient::GetStore().Get(kOwnKey).value, record));
+  cr_assert(record.target.has_value());
+  cr_assert_not(record.target->accepting);
+  SyncedDaemon daemon;
+  daemon.RunFor(milliseconds(100));
+  cr_assert(daemon.gate.MakeRecord().accepting);
+}
+
 Test(store_sync, unreadable_entries_add_no_host_and_the_others_apply) {
   HostRecord other;
   other.host = "h2";
