store: Move watches, host records and the renewal pause out of StoreSync

StoreWatches has the two watches and their restart, host_records reads and makes the record of a host, renewal_pause.h its delay. No change of behaviour; the tests of StoreSync and of whole daemons pass as they are.

--- a/Source/Store/store_sync.h
+++ b/Source/Store/store_sync.h
@@ -4,7 +4,6 @@
 #include <concepts>
 #include <cstdint>
 #include <optional>
-#include <random>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -14,18 +13,18 @@
 #include "Http/async_signal.h"
 #include "Http/boot_clock.h"
 #include "Http/io_shard.h"
-#include "Membership/host_record_check.h"
 #include "Observe/event_log.h"
 #include "Proxy/mesh_state.h"
 #include "Proxy/target_gate.h"
+#include "Store/host_records.h"
 #include "Store/hosts_pause.h"
 #include "Store/lease_store.h"
+#include "Store/renewal_pause.h"
 #include "Store/store_backoff.h"
 #include "Store/store_bounds.h"
+#include "Store/store_watches.h"
 #include "Store/table_offer_log.h"
 #include "Store/table_pause.h"
-#include "Store/watch_silence.h"
-#include "Store/watch_time.h"
 #include "mesh_codec.h"
 
 namespace lacewingbridge {
@@ -50,7 +49,8 @@
         client(store_client),
         lease_time(std::max(store_bounds.min_lease, kLeaseTime)),
         bounds(store_bounds),
-        record_changed(io_shard.GetContext()) {}
+        record_changed(io_shard.GetContext()),
+        watches(io_shard, mesh_state, store_client) {}
 
   void Start() {
     this->Spawn(&StoreSync::FollowTable);
@@ -65,18 +65,10 @@
   // the shard's thread.
   void OnRecordChanged() { this->record_changed.Notify(); }
 
-  // Has to be called regularly with the state of other daemons, on the shard's thread. Starts the
-  // watches again if one of them should have returned by now.
+  // Has to be called regularly with the state of other daemons, on the shard's thread; see
+  // StoreWatches.
   void HandlePeerProgress(TimePoint now, const PeerProgress& progress) {
-    // The version in force may have come from another daemon.
-    this->table_watch.RecordChange(now,
-                                   std::max(progress.table_version, this->state.GetTableVersion()));
-    this->hosts_watch.RecordChange(now, progress.hosts_revision);
-    const bool table_silent = this->TakeSilence(now, this->table_watch, "table");
-    const bool hosts_silent = this->TakeSilence(now, this->hosts_watch, "hosts");
-    if (table_silent || hosts_silent) {
-      this->client.CancelWatches();
-    }
+    this->watches.HandlePeerProgress(now, progress);
   }
 
   // Removes this host from the list. If the store is unreachable, the process ends without waiting
@@ -95,8 +87,6 @@
   static constexpr Duration kMaxTargetWait = std::chrono::milliseconds(500);
   // A host that loses power disappears from the list after this time.
   static constexpr Duration kLeaseTime = std::chrono::seconds(4);
-  // Renewals per lease time. Two of them may fail before the lease ends.
-  static constexpr int kRenewalsPerLease = 3;
 
   // Time between the record that says that this host accepts no work and its removal.
   static constexpr Duration kLeaveNotice = std::chrono::seconds(1);
@@ -131,26 +121,6 @@
     backoff.Reset();
   }
 
-  static bool TakeSilence(TimePoint now, WatchSilence& watch, std::string_view name) {
-    const bool silent = watch.TakeSilence(now);
-    if (silent) {
-      EventLog::Write(Event::kWatchSilent, "watch={} after={} known={}", name,
-                      watch.GetWatchedAfter(), watch.GetNewestChange());
-    }
-    return silent;
-  }
-
-  // Watches the prefix for changes after the revision. `position` is what other daemons' state is
-  // compared with; see WatchSilence.
-  Awaitable<Result<StoreView>> Watch(std::string_view prefix, std::uint64_t revision,
-                                     std::uint64_t position, WatchSilence& watch) {
-    const Duration time = ComputeWatchTime(this->state.GetHosts().size(), this->shard.GetRandom());
-    watch.Begin(GetNow(), position);
-    Result<StoreView> view = co_await this->client.Watch(prefix, revision, time);
-    watch.End();
-    co_return view;
-  }
-
   void ApplyTable(const StoreItem& item) {
     if (!item.value.has_value()) {
       return;
@@ -172,8 +142,7 @@
     while (!this->ended) {
       Result<StoreView> view = StoreView();
       if (known.has_value()) {
-        view =
-            co_await this->Watch(Source::GetKey(), *known, this->store_version, this->table_watch);
+        view = co_await this->watches.WatchTable(Source::GetKey(), *known, this->store_version);
       } else {
         Result<StoreItem> item = co_await this->client.Get(Source::GetKey());
         if (IsOk(item)) {
@@ -208,21 +177,6 @@
     }
   }
 
-  std::optional<HostRecord> DecodeRecord(const StoreItem& item) {
-    HostRecord record;
-    Status status = Error{ErrorKind::kMalformedMessage, "the value is not a record of a host"};
-    if (Decode(*item.value, record)) {
-      status = CheckHostRecord(record, item.key.substr(kHostPrefix.size()));
-    }
-    if (!IsOk(status)) {
-      EventLog::Write(Event::kRecordUnreadable, "key={} revision={} reason=\"{}\"", item.key,
-                      item.revision, GetError(status).GetMessage());
-      return std::nullopt;
-    }
-    record.revision = item.revision;
-    return record;
-  }
-
   std::string GetOwnKey() const {
     return std::string(kHostPrefix) + this->state.GetIdentity().host;
   }
@@ -230,7 +184,7 @@
   void ApplyHostChanges(const StoreView& view) {
     for (const StoreItem& item : view.items) {
       if (item.value.has_value()) {
-        if (const std::optional<HostRecord> record = this->DecodeRecord(item)) {
+        if (const std::optional<HostRecord> record = ReadHostRecord(item, kHostPrefix)) {
           this->state.MergeHost(GetNow(), *record);
         } else {
           this->CheckOwnRecord(item.key != this->GetOwnKey());
@@ -246,7 +200,7 @@
     std::vector<HostRecord> records;
     bool own_listed = false;
     for (const StoreItem& item : view.items) {
-      std::optional<HostRecord> record = this->DecodeRecord(item);
+      std::optional<HostRecord> record = ReadHostRecord(item, kHostPrefix);
       if (item.key == this->GetOwnKey()) {
         own_listed = record.has_value();
         this->ApplyEarlierRecord(record);
@@ -289,7 +243,7 @@
       if (listing) {
         view = co_await this->client.List(kHostPrefix);
       } else {
-        view = co_await this->Watch(kHostPrefix, *known, *known, this->hosts_watch);
+        view = co_await this->watches.WatchHosts(kHostPrefix, *known);
       }
       if (!IsOk(view)) {
         if (GetError(view).kind == ErrorKind::kStoreHistoryGone) {
@@ -322,7 +276,7 @@
       co_return;
     }
     const std::string key = this->GetOwnKey();
-    const std::string value = Encode(this->MakeRecord());
+    const std::string value = Encode(MakeHostRecord(this->state.GetIdentity(), this->gate));
     Status status = co_await this->client.Write(key, value, this->lease);
     co_await this->Pause(kLeaveNotice);
     if (IsOk(status)) {
@@ -334,20 +288,6 @@
     }
   }
 
-  HostRecord MakeRecord() {
-    const MeshIdentity& self = this->state.GetIdentity();
-    HostRecord record;
-    record.host = self.host;
-    record.data_centre = self.data_centre;
-    record.region = self.region;
-    record.peer_address = self.peer_address;
-    LocalTargetRecord target = this->gate.MakeRecord();
-    if (!target.id.empty()) {
-      record.target = std::move(target);
-    }
-    return record;
-  }
-
   Awaitable<Status> EnsureLease() {
     if (this->lease != 0) {
       co_return MakeOkStatus();
@@ -368,7 +308,7 @@
     if (!IsOk(status)) {
       co_return status;
     }
-    HostRecord record = this->MakeRecord();
+    HostRecord record = MakeHostRecord(this->state.GetIdentity(), this->gate);
     if (this->written == record) {
       status = co_await this->client.RenewLease(this->lease);
     } else {
@@ -404,20 +344,12 @@
   // Waits until the renewal is due or the record has changed. The target announces itself
   // continually, and an announcement that leaves the record unchanged does not end the wait.
   Awaitable<void> WaitForRenewal(TimePoint due) {
-    while (!this->ended && this->written == this->MakeRecord() && GetNow() < due) {
+    while (!this->ended && this->written == MakeHostRecord(this->state.GetIdentity(), this->gate) &&
+           GetNow() < due) {
       co_await this->record_changed.WaitFor(due - GetNow());
     }
   }
 
-  // Daemons that were started together do not renew together, so that even a short silence of the
-  // store makes the renewal of some daemon fail.
-  Duration ComputeRenewalPause() {
-    constexpr Duration::rep kJitterDivisor = 8;
-    const Duration longest = this->lease_time / kRenewalsPerLease;
-    std::uniform_int_distribution<Duration::rep> shorter(0, longest.count() / kJitterDivisor);
-    return longest - Duration(shorter(this->shard.GetRandom()));
-  }
-
   Awaitable<void> MaintainRecord() {
     StoreBackoff backoff;
     bool reached = true;
@@ -430,7 +362,8 @@
           this->client.CancelWatches();
         }
         this->RecordReached("keep_record", reached, backoff);
-        co_await this->WaitForRenewal(GetNow() + this->ComputeRenewalPause());
+        co_await this->WaitForRenewal(
+            GetNow() + ComputeRenewalPause(this->lease_time, this->shard.GetRandom()));
       } else if (GetError(status).kind != ErrorKind::kLeaseEnded) {
         co_await this->PauseAfterError(GetError(status), "keep_record", reached, backoff);
       }
@@ -445,8 +378,7 @@
   const StoreBounds bounds;
   AsyncSignal record_changed;
   const TimePoint started_at = GetNow();
-  WatchSilence table_watch;
-  WatchSilence hosts_watch;
+  StoreWatches<Client> watches;
   // Newest version that the store has returned to this daemon.
   std::uint64_t store_version = 0;
   std::uint64_t lease = 0;
