proxy: Log and count requests whose connection ends before their response

The caller's daemon wrote no line for a request that it gave up, and one with status=200 for a response that could no longer be sent, so a caller that left, a connection closed by an earlier response and an aborted one looked the same. LW0805 and unanswered_total state how the connection ended (caller_left, last_response, aborted, write_failed) and whether the request may have run. The end of a connection is kept where the order of its responses is.

--- a/Source/Generated/events.h
+++ b/Source/Generated/events.h
@@ -58,6 +58,7 @@
   kTargetHopEnded = 802,
   kLongAnswerSent = 803,
   kResponseOverLimit = 804,
+  kRequestUnanswered = 805,
   kOperatorCallFailed = 700,
 };
 
@@ -156,6 +157,8 @@
       return "long_answer_sent";
     case Event::kResponseOverLimit:
       return "response_over_limit";
+    case Event::kRequestUnanswered:
+      return "request_unanswered";
     case Event::kOperatorCallFailed:
       return "operator_call_failed";
   }
@@ -169,7 +172,7 @@
   std::string_view action;
 };
 
-inline constexpr std::array<EventDescription, 47> kEventCatalogue = {{
+inline constexpr std::array<EventDescription, 48> kEventCatalogue = {{
     {Event::kNone, "info",
      "no event",
      ""},
@@ -308,6 +311,9 @@
     {Event::kResponseOverLimit, "warning",
      "response exceeds the limits of its head, chunk lines or trailers; connection closed",
      "Look at the process at the address; it sends bytes without end."},
+    {Event::kRequestUnanswered, "info",
+     "connection of a caller ended before the whole response to its request was sent",
+     ""},
     {Event::kOperatorCallFailed, "info",
      "operator call failed",
      ""},
--- a/Source/Http/answer_order.h
+++ b/Source/Http/answer_order.h
@@ -6,6 +6,7 @@
 
 #include "Http/asio_types.h"
 #include "Http/async_signal.h"
+#include "Http/connection_end.h"
 
 namespace lacewingbridge {
 
@@ -20,12 +21,12 @@
   // False if the connection ends before.
   Awaitable<bool> WaitForTurn(std::uint64_t ticket) {
     AsyncSignal signal(this->context);
-    while (!this->closed && this->turn != ticket) {
+    while (!this->IsClosed() && this->turn != ticket) {
       this->waiting[ticket] = &signal;
       co_await signal.WaitFor(kRecheckInterval);
       this->waiting.erase(ticket);
     }
-    co_return !this->closed;
+    co_return !this->IsClosed();
   }
 
   // The answer of the present turn has been sent.
@@ -37,15 +38,18 @@
     }
   }
 
-  // No further answer can be sent.
-  void Close() {
-    this->closed = true;
+  // No further answer can be sent. The first reason given is kept.
+  void Close(ConnectionEnd why) {
+    if (!this->IsClosed()) {
+      this->end = why;
+    }
     for (const auto& [ticket, signal] : this->waiting) {
       signal->Notify();
     }
   }
 
-  bool IsClosed() const { return this->closed; }
+  bool IsClosed() const { return this->end != ConnectionEnd::kNone; }
+  ConnectionEnd GetEnd() const { return this->end; }
 
  private:
   // Each wait ends by a notification; this only bounds the life of a timer.
@@ -55,7 +59,7 @@
   std::map<std::uint64_t, AsyncSignal*> waiting;
   std::uint64_t next_ticket = 0;
   std::uint64_t turn = 0;
-  bool closed = false;
+  ConnectionEnd end = ConnectionEnd::kNone;
 };
 
 }  // namespace lacewingbridge
--- a/Source/Http/server_connection.h
+++ b/Source/Http/server_connection.h
@@ -10,6 +10,7 @@
 #include "Http/asio_types.h"
 #include "Http/async_signal.h"
 #include "Http/boot_clock.h"
+#include "Http/connection_end.h"
 #include "Http/inbound_bytes.h"
 #include "Http/io_shard.h"
 #include "Http/server_exchange.h"
@@ -116,7 +117,8 @@
     co_await this->handler.Handle(this->shard, *exchange);
     exchange->SetGoneListener(nullptr);
     if (!exchange->IsReusable()) {
-      this->order.Close();
+      const ConnectionEnd end = exchange->GetConnectionEnd();
+      this->order.Close(end == ConnectionEnd::kNone ? ConnectionEnd::kAborted : end);
       this->bytes.StopReading();
     }
   }
--- a/Source/Http/server_exchange.cc
+++ b/Source/Http/server_exchange.cc
@@ -22,12 +22,12 @@
   return (method == http::verb::get || method == http::verb::head) && this->parser.is_done();
 }
 
-bool ServerExchange::EndAnswer(bool sound) {
+bool ServerExchange::EndAnswer(bool sound, ConnectionEnd otherwise) {
   this->complete = sound;
   if (this->IsReusable()) {
     this->order.Advance();
   } else {
-    this->order.Close();
+    this->order.Close(sound ? ConnectionEnd::kLastResponse : otherwise);
   }
   return sound;
 }
@@ -161,14 +161,14 @@
     http::response_serializer<http::empty_body> serializer(head);
     co_await http::async_write_header(this->socket, serializer, AwaitInto(code));
     this->write_timer.Stop();
-    co_return this->EndAnswer(!code);
+    co_return this->EndAnswer(!code, ConnectionEnd::kWriteFailed);
   }
   answer.prepare_payload();
   this->write_timer.Start(this->socket, this->limits.idle_timeout);
   ErrorCode code;
   co_await http::async_write(this->socket, answer, AwaitInto(code));
   this->write_timer.Stop();
-  co_return this->EndAnswer(!code);
+  co_return this->EndAnswer(!code, ConnectionEnd::kWriteFailed);
 }
 
 Awaitable<bool> ServerExchange::SendHead(http::response_header<> head,
@@ -227,13 +227,13 @@
     const auto last = http::make_chunk_last();
     co_await asio::async_write(this->socket, last, AwaitInto(code));
   }
-  co_return this->EndAnswer(!code);
+  co_return this->EndAnswer(!code, ConnectionEnd::kWriteFailed);
 }
 
 void ServerExchange::Abort() {
   this->answered = true;
   this->close_after = true;
-  this->EndAnswer(false);
+  this->EndAnswer(false, ConnectionEnd::kAborted);
   // A reset cannot be taken for the end of an answer without a length.
   ErrorCode ignored;
   this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
--- a/Source/Http/server_exchange.h
+++ b/Source/Http/server_exchange.h
@@ -10,6 +10,7 @@
 #include "Core/time_point.h"
 #include "Http/answer_order.h"
 #include "Http/asio_types.h"
+#include "Http/connection_end.h"
 #include "Http/inbound_bytes.h"
 #include "Http/server_limits.h"
 #include "Http/socket_timer.h"
@@ -64,6 +65,15 @@
   // Whether a further request may follow on the connection.
   bool IsReusable() const;
 
+  // Whether the whole answer has been written.
+  bool IsAnswerComplete() const { return this->answered && this->complete; }
+
+  // Why an answer can no longer be sent; kNone while it can.
+  ConnectionEnd GetConnectionEnd() const {
+    const bool left = !this->order.IsClosed() && this->bytes.HasEnded();
+    return left ? ConnectionEnd::kCallerLeft : this->order.GetEnd();
+  }
+
   bool IsCallerGone() const { return this->bytes.HasEnded() || this->order.IsClosed(); }
   void SetGoneListener(std::function<void()> listener) {
     this->bytes.SetEndListener(this, std::move(listener));
@@ -77,8 +87,8 @@
   template <typename Message>
   void Finalize(Message& answer);
   Awaitable<bool> Write(asio::const_buffer data);
-  // The answer has been sent whole, or cannot be.
-  bool EndAnswer(bool sound);
+  // The answer has been sent whole, or cannot be because the connection ends.
+  bool EndAnswer(bool sound, ConnectionEnd otherwise);
 
   TcpSocket& socket;
   InboundBytes& bytes;
--- a/Source/Proxy/caller_request.cc
+++ b/Source/Proxy/caller_request.cc
@@ -70,6 +70,13 @@
 
 Awaitable<void> CallerRequest::Run() {
   const RequestScope scope(this->context.stage);
+  co_await this->Handle();
+  if (!this->exchange.IsAnswerComplete()) {
+    this->RecordUnanswered();
+  }
+}
+
+Awaitable<void> CallerRequest::Handle() {
   this->facts.arrived_at = GetNow();
   this->first_arrival = this->facts.arrived_at;
   if (this->context.stage.IsStopping()) {
@@ -341,6 +348,17 @@
   co_await this->exchange.Send(std::move(response));
 }
 
+void CallerRequest::RecordUnanswered() const {
+  const std::string_view end = GetName(this->exchange.GetConnectionEnd());
+  const bool may_have_run = this->progress.has_value() && this->progress->MayHaveRun();
+  EventLog::Write(Event::kRequestUnanswered,
+                  "request={} path={} service={} end={} may_have_run={} after_ms={}",
+                  this->headers.request_id, this->exchange.GetTarget(), this->service, end,
+                  may_have_run, CountMilliseconds(GetNow() - this->facts.arrived_at));
+  this->context.metrics.AddCount("unanswered_total",
+                                 fmt::format("end=\"{}\",may_have_run=\"{}\"", end, may_have_run));
+}
+
 RequestTrace CallerRequest::MakeTrace(unsigned status, std::string_view reason) const {
   const TimePoint now = GetNow();
   RequestTrace trace;
--- a/Source/Proxy/caller_request.h
+++ b/Source/Proxy/caller_request.h
@@ -34,6 +34,7 @@
   Awaitable<void> Run();
 
  private:
+  Awaitable<void> Handle();
   // Sets the route; returns false if none matches.
   bool FindRoute();
   // Sets the deadlines, fingerprints and limits of the request. A caller that states no deadline
@@ -53,6 +54,8 @@
   std::optional<Duration> EstimateResendDelay(TimePoint now);
   void RecordHop(const HopChoice& choice, const HopEnd& end, const HopReport* report);
   void LogEnd(unsigned status, std::string_view reason) const;
+  // Logs and counts a request whose connection ended before the whole response was sent.
+  void RecordUnanswered() const;
   RequestTrace MakeTrace(unsigned status, std::string_view reason) const;
 
   const ProxyContext& context;
