--- /dev/null
+++ b/Tests/test_node_pipelining.cc
@@ -0,0 +1,228 @@
+// Guards against requests that were passed on to a target and ended without a response, because a
+// response to an earlier request of the same connection closed it (issue 34, rule LOST).
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "Fakes/fake_mesh.h"
+#include "Fakes/http_loopback.h"
+#include "Fakes/keep_alive_target.h"
+#include "Http/async_signal.h"
+
+// Criterion defines macros that break headers of Boost.Intrusive, so it comes last.
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace lacewingbridge;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr int kPipelined = 4;
+
+std::string MakeGet(const std::string& path, const std::string& headers = "") {
+  return "GET " + path + " HTTP/1.1\r\nHost: a\r\n" + headers + "\r\n";
+}
+
+std::size_t Count(const std::string& text, const std::string& part) {
+  std::size_t count = 0;
+  for (std::size_t at = text.find(part); at != std::string::npos;
+       at = text.find(part, at + part.size())) {
+    ++count;
+  }
+  return count;
+}
+
+// Takes every request at once and responds when the test says so. While it stops, each response
+// may close the connection, as that of a daemon that has received SIGTERM.
+class HeldRequests {
+ public:
+  Awaitable<void> Handle(ServerExchange& exchange) {
+    if (this->stopping) {
+      exchange.CloseAfter();
+    }
+    const std::string target(exchange.GetTarget());
+    this->taken.push_back(target);
+    AsyncSignal released(this->shard->GetContext());
+    this->held[target] = &released;
+    while (this->held.count(target) > 0 && !exchange.IsCallerGone()) {
+      co_await released.WaitFor(milliseconds(10));
+    }
+    this->held.erase(target);
+    ServerExchange::Answer response(http::status::ok, 11);
+    response.body() = target + "\n";
+    const bool sent = co_await exchange.Send(std::move(response));
+    this->answered += sent ? 1 : 0;
+  }
+
+  void Release(const std::string& target) {
+    const auto found = this->held.find(target);
+    if (found != this->held.end()) {
+      found->second->Notify();
+      this->held.erase(found);
+    }
+  }
+
+  std::vector<std::string> taken;
+  std::size_t answered = 0;
+  bool stopping = false;
+  IoShard* shard = nullptr;
+
+ private:
+  std::map<std::string, AsyncSignal*> held;
+};
+
+// A connection whose requests are held.
+struct HeldConnection {
+  HeldConnection()
+      : handler([this](ServerExchange& exchange) { return this->requests.Handle(exchange); }),
+        loopback(handler) {
+    this->requests.shard = &this->loopback.GetShard();
+  }
+
+  HeldRequests requests;
+  FunctionHandler handler;
+  HttpLoopback loopback;
+};
+
+std::string MakeResponse(const std::string& id) {
+  return "HTTP/1.1 200 OK\r\nX-Id: " + id +
+         "\r\nX-Target: t1\r\nX-Signature: s\r\nContent-Length: 2\r\n\r\nok";
+}
+
+std::string GetId(const std::string& request) {
+  const std::string field = "X-Id: ";
+  const std::size_t begin = request.find(field) + field.size();
+  return request.substr(begin, request.find('\r', begin) - begin);
+}
+
+}  // namespace
+
+// A response states "Connection: close" if the daemon stops; the requests behind it have already
+// been passed on.
+Test(pipelining, requests_taken_before_a_stop_are_answered_behind_the_first_response) {
+  HeldConnection connection;
+  std::string bytes;
+  for (int i = 0; i < kPipelined; ++i) {
+    bytes += MakeGet("/" + std::to_string(i));
+  }
+  connection.loopback.Write(bytes);
+  connection.requests.stopping = true;
+  std::string received = connection.loopback.Read();
+  cr_assert_eq(connection.requests.taken.size(), kPipelined);
+  for (int i = 0; i < kPipelined; ++i) {
+    connection.requests.Release("/" + std::to_string(i));
+    received += connection.loopback.Read();
+  }
+  cr_assert_eq(Count(received, "HTTP/1.1 200 OK"), kPipelined, "%s", received.c_str());
+  cr_assert_eq(Count(received, "Connection: close"), 1, "%s", received.c_str());
+  cr_assert_gt(received.find("Connection: close"), received.rfind("HTTP/1.1 200 OK"), "%s",
+               received.c_str());
+}
+
+// Any moment of the stop, any order in which targets finish: what was taken is answered, and only
+// the last response closes the connection.
+Test(pipelining, every_request_that_was_taken_is_answered_whenever_the_daemon_stops) {
+  cr_assert(rc::check([] {
+    HeldConnection connection;
+    const int before = *rc::gen::inRange(0, 5);
+    const int after = *rc::gen::inRange(0, 5);
+    std::vector<std::string> targets;
+    const auto write = [&](int count) {
+      std::string bytes;
+      for (int i = 0; i < count; ++i) {
+        targets.push_back("/" + std::to_string(targets.size()));
+        bytes += MakeGet(targets.back());
+      }
+      connection.loopback.Write(bytes);
+      return connection.loopback.Read();
+    };
+    std::string received = write(before);
+    if (*rc::gen::arbitrary<bool>() && before > 0) {
+      connection.requests.Release(targets[*rc::gen::inRange(0, before)]);
+    }
+    connection.requests.stopping = true;
+    received += write(after);
+    for (std::size_t i = targets.size(); i > 1; --i) {
+      std::swap(targets[i - 1], targets[*rc::gen::inRange<std::size_t>(0, i)]);
+    }
+    for (const std::string& target : targets) {
+      connection.requests.Release(target);
+    }
+    received += connection.loopback.Read();
+    const std::size_t taken = connection.requests.taken.size();
+    RC_ASSERT(connection.requests.answered == taken);
+    RC_ASSERT(Count(received, "HTTP/1.1 200 OK") == taken);
+    const std::size_t closing = Count(received, "Connection: close");
+    RC_ASSERT(closing == (after > 0 ? 1U : 0U));
+    RC_ASSERT(closing == 0U ||
+              received.find("Connection: close") > received.rfind("HTTP/1.1 200 OK"));
+    connection.loopback.Close();
+    connection.loopback.Read();
+  }));
+}
+
+// The caller's own "Connection: close", and HTTP/1.0, end the connection with that request. What
+// lies behind it must not be passed on, since it cannot be answered.
+Test(pipelining, nothing_behind_a_request_that_ends_the_connection_is_passed_on) {
+  const std::vector<std::string> kLastRequests = {MakeGet("/1", "Connection: close\r\n"),
+                                                  "GET /1 HTTP/1.0\r\n\r\n"};
+  for (const std::string& last : kLastRequests) {
+    HeldConnection connection;
+    connection.loopback.Write(MakeGet("/0") + last + MakeGet("/2"));
+    std::string received = connection.loopback.Read();
+    for (const std::string target : {"/0", "/1", "/2"}) {
+      connection.requests.Release(target);
+      received += connection.loopback.Read();
+    }
+    cr_assert(connection.requests.taken == std::vector<std::string>({"/0", "/1"}));
+    cr_assert_eq(Count(received, "HTTP/1.1 200 OK"), 2, "%s", received.c_str());
+  }
+}
+
+// A request that cannot be read is answered behind the sound ones before it.
+Test(pipelining, sound_requests_before_a_malformed_one_are_answered) {
+  HeldConnection connection;
+  connection.loopback.Write(MakeGet("/0") + MakeGet("/1") + "no request at all\r\n\r\n");
+  std::string received = connection.loopback.Read();
+  connection.requests.Release("/1");
+  connection.requests.Release("/0");
+  received += connection.loopback.Read();
+  cr_assert_eq(Count(received, "HTTP/1.1 200 OK"), 2, "%s", received.c_str());
+  cr_assert_eq(Count(received, "HTTP/1.1 400"), 1, "%s", received.c_str());
+}
+
+// The same with whole daemons: SIGTERM arrives while four lookups of one connection run at the
+// target, and more are sent until the connection ends.
+Test(pipelining, a_stopping_daemon_answers_each_lookup_that_ran) {
+  FakeMesh<KeepAliveTarget> mesh(
+      0,
+      [](const std::string& request, int) -> TargetReply {
+        std::this_thread::sleep_for(milliseconds(20));
+        return {MakeResponse(GetId(request))};
+      },
+      MakeResponse("health"));
+  RawClient client(mesh.GetFront().GetSettings().caller_address);
+  const auto write_lookups = [&client](int from) {
+    std::string bytes;
+    for (int i = from; i < from + kPipelined; ++i) {
+      bytes += MakeGet("/read/" + std::to_string(i),
+                       "X-Id: p" + std::to_string(i) + "\r\nX-Time-Left-Ms: 1000\r\n");
+    }
+    client.Write(bytes);
+  };
+  write_lookups(0);
+  mesh.GetFront().Stop();
+  std::this_thread::sleep_for(milliseconds(60));
+  write_lookups(kPipelined);
+  const std::string received = client.ReadFor(milliseconds(1500));
+  cr_assert_eq(Count(received, "HTTP/1.1 200 OK"),
+               static_cast<std::size_t>(mesh.GetTarget().CountRequests()), "%s", received.c_str());
+  cr_assert_eq(Count(received, "Connection: close"), 1, "%s", received.c_str());
+  cr_assert(client.IsEnded() && !client.WasReset());
+}
