http: Close a connection behind the last request that was taken

Cause: the exchange that was answered first after SIGTERM closed the order of responses by itself, although further requests of the connection had been read and passed on; their hops were cancelled and their responses dropped. Class: one part ends a resource that others still use. The same happened behind the caller's own "Connection: close" and behind HTTP/1.0: what lay behind was read and passed on although it could not be answered.

Now the order of responses knows which requests have been taken. A response that has to close the connection stops the taking of requests; only the response to the last one taken states and does the close. A request that itself ends the connection ends the taking at once. A half-read request behind the close no longer delays the end of the connection by the header timeout.

Ruled out: answering in another order (HTTP/1.1 has none), and waiting until nothing runs before closing (a client that keeps pipelining would keep the connection open until the kill).

--- a/Source/Http/answer_order.h
+++ b/Source/Http/answer_order.h
@@ -11,13 +11,21 @@
 namespace lacewingbridge {
 
 // Order of the answers on a connection whose requests are handled side by side. Each
-// request takes a ticket when it has been read, and its answer waits for its turn.
+// request takes a ticket when it has been read, and its answer waits for its turn. What has
+// a ticket is answered, so only the answer to the last ticket may close the connection.
 class AnswerOrder {
  public:
   explicit AnswerOrder(asio::io_context& io_context) : context(io_context) {}
 
   std::uint64_t TakeTicket() { return this->next_ticket++; }
 
+  // No ticket is to be taken from now on; the answer to the last one closes the connection.
+  void EndWithLastTicket() { this->ending = true; }
+  bool IsEnding() const { return this->ending; }
+  bool IsLast(std::uint64_t ticket) const {
+    return this->ending && ticket + 1 == this->next_ticket;
+  }
+
   // False if the connection ends before.
   Awaitable<bool> WaitForTurn(std::uint64_t ticket) {
     AsyncSignal signal(this->context);
@@ -59,6 +67,7 @@
   std::map<std::uint64_t, AsyncSignal*> waiting;
   std::uint64_t next_ticket = 0;
   std::uint64_t turn = 0;
+  bool ending = false;
   ConnectionEnd end = ConnectionEnd::kNone;
 };
 
--- a/Source/Http/inbound_bytes.cc
+++ b/Source/Http/inbound_bytes.cc
@@ -75,8 +75,9 @@
 
 Awaitable<bool> InboundBytes::WaitForMore(Duration limit) {
   const std::size_t before = this->buffer.size();
+  const bool was_stopped = this->stopped;
   const TimePoint until = GetNow() + limit;
-  while (this->buffer.size() == before && !this->ended) {
+  while (this->buffer.size() == before && !this->ended && this->stopped == was_stopped) {
     const Duration left = until - GetNow();
     if (left <= Duration{0}) {
       co_return false;
--- a/Source/Http/inbound_bytes.h
+++ b/Source/Http/inbound_bytes.h
@@ -27,8 +27,8 @@
   asio::const_buffer GetBytes() const { return this->buffer.cdata(); }
   void Consume(std::size_t count);
 
-  // Waits until there are more bytes than now or the connection has ended; false when the
-  // time is over before.
+  // Waits until there are more bytes than now, the connection has ended or reading is
+  // stopped; false when the time is over before.
   Awaitable<bool> WaitForMore(Duration limit);
 
   bool HasEnded() const { return this->ended; }
@@ -42,6 +42,7 @@
 
   // Ends the reading of requests; what is under way goes on.
   void StopReading();
+  bool IsStopped() const { return this->stopped; }
 
  private:
   // Requests of today have heads of about 300 bytes; thousands of connections may be open.
--- a/Source/Http/server_connection.h
+++ b/Source/Http/server_connection.h
@@ -71,16 +71,18 @@
   }
 
   // Reads one request and begins to handle it. A request that may change something waits
-  // until those before it have been answered: if one of their answers closes the
-  // connection, its caller sends it again.
+  // until those before it have been answered: if one of their answers breaks off, it is not
+  // handled. Once a response has been sent behind which the connection ends, no request is
+  // taken; its caller sends it again.
   Awaitable<bool> ReadOne() {
     auto exchange =
         std::make_shared<ServerExchange>(this->shard.GetContext(), this->socket, this->bytes,
                                          this->order, this->handler.GetLimits());
     const ReadProblem problem = co_await exchange->ReadRequest();
-    if (problem == ReadProblem::kEnded) {
+    if (problem == ReadProblem::kEnded || this->order.IsEnding()) {
       co_return false;
     }
+    exchange->Take();
     if (problem != ReadProblem::kNone) {
       exchange->CloseAfter();
       ServerExchange::Answer answer = MakeProblemAnswer(problem);
@@ -96,7 +98,7 @@
         co_await this->HandleOne(exchange);
       }
     }
-    co_return !this->order.IsClosed() && this->socket.is_open();
+    co_return !this->order.IsEnding() && !this->order.IsClosed() && this->socket.is_open();
   }
 
   void Spawn(const std::shared_ptr<ServerExchange>& exchange) {
--- a/Source/Http/server_exchange.cc
+++ b/Source/Http/server_exchange.cc
@@ -17,9 +17,18 @@
 
 ServerExchange::~ServerExchange() { this->bytes.SetEndListener(this, nullptr); }
 
+void ServerExchange::Take() {
+  this->ticket = this->order.TakeTicket();
+  if (!this->parser.is_header_done() || !this->parser.keep_alive()) {
+    this->order.EndWithLastTicket();
+  }
+}
+
 bool ServerExchange::MayRunBeside() const {
   const http::verb method = this->GetHead().method();
-  return (method == http::verb::get || method == http::verb::head) && this->parser.is_done();
+  // An answer to HTTP/1.0 may have to end with the connection.
+  return (method == http::verb::get || method == http::verb::head) && this->parser.is_done() &&
+         this->GetHead().version() >= 11;
 }
 
 bool ServerExchange::EndAnswer(bool sound, ConnectionEnd otherwise) {
@@ -44,7 +53,6 @@
   if (!begun) {
     co_return ReadProblem::kEnded;
   }
-  this->ticket = this->order.TakeTicket();
   const TimePoint until = GetNow() + this->limits.header_timeout;
   while (!this->parser.is_header_done()) {
     if (this->bytes.GetBytes().size() > 0) {
@@ -58,7 +66,7 @@
         co_return this->GetProblem(code);
       }
     }
-    if (this->bytes.HasEnded()) {
+    if (this->bytes.HasEnded() || this->bytes.IsStopped()) {
       co_return ReadProblem::kEnded;
     }
     const bool arrived = co_await this->bytes.WaitForMore(until - GetNow());
@@ -87,7 +95,7 @@
   bool starved = false;
   while (!this->parser.is_done() && into.size() < max_bytes) {
     if (starved || this->bytes.GetBytes().size() == 0) {
-      if (this->bytes.HasEnded()) {
+      if (this->bytes.HasEnded() || this->bytes.IsStopped()) {
         co_return ReadProblem::kEnded;
       }
       const bool arrived = co_await this->bytes.WaitForMore(this->limits.idle_timeout);
@@ -139,12 +147,12 @@
 template <typename Message>
 void ServerExchange::Finalize(Message& answer) {
   // Bytes of an unread body would be taken for the next request.
-  if (!this->parser.is_done()) {
-    this->close_after = true;
+  if (this->close_after || !this->parser.is_done()) {
+    this->order.EndWithLastTicket();
   }
+  this->keeps_open = !this->order.IsLast(this->ticket);
   answer.version(11);
-  answer.keep_alive(!this->close_after && this->parser.keep_alive());
-  this->close_after = !answer.keep_alive();
+  answer.keep_alive(this->keeps_open);
 }
 
 Awaitable<bool> ServerExchange::Send(Answer answer) {
@@ -232,7 +240,6 @@
 
 void ServerExchange::Abort() {
   this->answered = true;
-  this->close_after = true;
   this->EndAnswer(false, ConnectionEnd::kAborted);
   // A reset cannot be taken for the end of an answer without a length.
   ErrorCode ignored;
@@ -241,7 +248,7 @@
 }
 
 bool ServerExchange::IsReusable() const {
-  return this->answered && this->complete && !this->close_after && this->parser.is_done();
+  return this->answered && this->complete && this->keeps_open && this->parser.is_done();
 }
 
 }  // namespace lacewingbridge
--- a/Source/Http/server_exchange.h
+++ b/Source/Http/server_exchange.h
@@ -38,6 +38,10 @@
   // Reads the head and the begin of the body. The connection may be idle for long before.
   Awaitable<ReadProblem> ReadRequest();
 
+  // Gives the request, or the report that it cannot be read, its place among the answers.
+  // From now on it has to be answered.
+  void Take();
+
   const http::request_header<>& GetHead() const { return this->parser.get().base(); }
   std::string_view GetTarget() const;
   std::string_view GetHeader(std::string_view name) const;
@@ -52,7 +56,8 @@
   // promises that it changes nothing, and nothing of it is left to read.
   bool MayRunBeside() const;
 
-  // The connection ends with this answer.
+  // The connection ends with this answer, or with that to the last request that has been
+  // taken when this answer is sent.
   void CloseAfter() { this->close_after = true; }
   Awaitable<bool> Send(Answer answer);
   // Begins an answer of a stated length, or of an unknown one.
@@ -102,6 +107,7 @@
   bool complete = false;
   bool chunked = false;
   bool close_after = false;
+  bool keeps_open = false;
 };
 
 }  // namespace lacewingbridge
