http: Count the idle time of a connection from its last response

The idle timeout ran from the moment at which a request had been read. Behind a response that took a part of the timeout the connection was closed early, under a caller that used it again within the stated time; its request crossed the close and ended without a response.

Now a connection is idle only while nothing runs, from its last response on. Test: a_connection_is_idle_from_its_last_response_on fails before (the connection has ended) and passes now.

--- a/Source/Http/server_connection.h
+++ b/Source/Http/server_connection.h
@@ -63,13 +63,35 @@
   Awaitable<void> Run() {
     this->handler.NoteOpened();
     for (bool more = true; more;) {
-      more = co_await this->ReadOne();
+      more = co_await this->WaitForRequest();
+      if (more) {
+        more = co_await this->ReadOne();
+      }
     }
     co_await this->WaitForRunning(0);
     co_await this->Close();
     this->handler.NoteClosed();
   }
 
+  // Waits for the first byte of a request; false if the connection ends or has been idle for
+  // too long. It is idle from its last response on.
+  Awaitable<bool> WaitForRequest() {
+    while (!this->bytes.HasEnded() && !this->bytes.IsStopped()) {
+      Duration left = this->handler.GetLimits().idle_timeout;
+      if (this->running == 0) {
+        left -= GetNow() - this->idle_since;
+      }
+      if (left <= Duration{0}) {
+        co_return false;
+      }
+      const bool begun = co_await this->bytes.WaitForRequest(left);
+      if (begun) {
+        co_return true;
+      }
+    }
+    co_return false;
+  }
+
   // Reads one request and begins to handle it. A request that may change something waits
   // until those before it have been answered: if one of their answers breaks off, it is not
   // handled. Once a response has been sent behind which the connection ends, no request is
@@ -118,6 +140,7 @@
   Awaitable<void> HandleOne(const std::shared_ptr<ServerExchange>& exchange) {
     co_await this->handler.Handle(this->shard, *exchange);
     exchange->SetGoneListener(nullptr);
+    this->idle_since = GetNow();
     if (!exchange->IsReusable()) {
       const ConnectionEnd end = exchange->GetConnectionEnd();
       this->order.Close(end == ConnectionEnd::kNone ? ConnectionEnd::kAborted : end);
@@ -165,6 +188,7 @@
   AnswerOrder order;
   AsyncSignal run_ended;
   std::size_t running = 0;
+  TimePoint idle_since = GetNow();
 };
 
 }  // namespace lacewingbridge
--- a/Source/Http/server_exchange.cc
+++ b/Source/Http/server_exchange.cc
@@ -49,10 +49,6 @@
 }
 
 Awaitable<ReadProblem> ServerExchange::ReadHead() {
-  const bool begun = co_await this->bytes.WaitForRequest(this->limits.idle_timeout);
-  if (!begun) {
-    co_return ReadProblem::kEnded;
-  }
   const TimePoint until = GetNow() + this->limits.header_timeout;
   while (!this->parser.is_header_done()) {
     if (this->bytes.GetBytes().size() > 0) {
--- a/Source/Http/server_exchange.h
+++ b/Source/Http/server_exchange.h
@@ -35,7 +35,7 @@
   ServerExchange(const ServerExchange&) = delete;
   ServerExchange& operator=(const ServerExchange&) = delete;
 
-  // Reads the head and the begin of the body. The connection may be idle for long before.
+  // Reads the head and the begin of the body.
   Awaitable<ReadProblem> ReadRequest();
 
   // Gives the request, or the report that it cannot be read, its place among the answers.
--- a/Tests/test_node_pipelining.cc
+++ b/Tests/test_node_pipelining.cc
@@ -197,6 +197,26 @@
   cr_assert_eq(Count(received, "HTTP/1.1 400"), 1, "%s", received.c_str());
 }
 
+// The idle timeout began when a request had been read, so the connection was closed under a caller
+// that used it within the timeout of its last response.
+Test(pipelining, a_connection_is_idle_from_its_last_response_on) {
+  HeldConnection connection;
+  connection.handler.limits.idle_timeout = milliseconds(800);
+  connection.loopback.Write(MakeGet("/0"));
+  connection.loopback.Read();
+  std::this_thread::sleep_for(milliseconds(600));
+  connection.requests.Release("/0");
+  std::string received = connection.loopback.Read();
+  std::this_thread::sleep_for(milliseconds(300));
+  received += connection.loopback.Read();
+  cr_assert(!connection.loopback.IsEnded());
+  connection.loopback.Write(MakeGet("/1"));
+  connection.loopback.Read();
+  connection.requests.Release("/1");
+  received += connection.loopback.Read();
+  cr_assert_eq(Count(received, "HTTP/1.1 200 OK"), 2, "%s", received.c_str());
+}
+
 // The same with whole daemons: SIGTERM arrives while four lookups of one connection run at the
 // target, and more are sent until the connection ends.
 Test(pipelining, a_stopping_daemon_answers_each_lookup_that_ran) {
