node: End a stopping daemon only when no connection is busy

The drain counted requests from the moment at which they were handled until the last byte had been given to the system.

A connection now counts as busy from the first byte of a request until nothing of it is under way, and while it is being closed. A stopping daemon waits for busy connections, closes the listeners, waits for those that were opened before, and ends, at the latest at the same share of the stop limit as before.

Ruled out: a fixed pause before the end (every stop would take longer, and a slow caller would still be cut).

--- a/Source/Http/server_connection.h
+++ b/Source/Http/server_connection.h
@@ -26,6 +26,10 @@
   { handler.GetLimits() } -> std::same_as<ServerLimits>;
   handler.NoteOpened();
   handler.NoteClosed();
+  // From the first byte of a request until it has been answered and until the last response of
+  // a connection that is being closed has been read.
+  handler.NoteBusy();
+  handler.NoteIdle();
 };
 
 // One connection of a listener. Pipelined requests are handled side by side, so that a
@@ -65,11 +69,15 @@
     for (bool more = true; more;) {
       more = co_await this->WaitForRequest();
       if (more) {
+        this->BeginWork();
         more = co_await this->ReadOne();
+        this->EndWork();
       }
     }
+    this->BeginWork();
     co_await this->WaitForRunning(0);
     co_await this->Close();
+    this->EndWork();
     this->handler.NoteClosed();
   }
 
@@ -125,6 +133,7 @@
 
   void Spawn(const std::shared_ptr<ServerExchange>& exchange) {
     ++this->running;
+    this->BeginWork();
     auto self = this->shared_from_this();
     asio::co_spawn(
         this->shard.GetContext(),
@@ -135,6 +144,19 @@
     co_await this->HandleOne(exchange);
     --this->running;
     this->run_ended.Notify();
+    this->EndWork();
+  }
+
+  void BeginWork() {
+    if (this->work++ == 0) {
+      this->handler.NoteBusy();
+    }
+  }
+
+  void EndWork() {
+    if (--this->work == 0) {
+      this->handler.NoteIdle();
+    }
   }
 
   Awaitable<void> HandleOne(const std::shared_ptr<ServerExchange>& exchange) {
@@ -188,6 +210,8 @@
   AnswerOrder order;
   AsyncSignal run_ended;
   std::size_t running = 0;
+  // The coroutines that read a request, handle one or close the connection.
+  std::size_t work = 0;
   TimePoint idle_since = GetNow();
 };
 
--- a/Source/Node/mesh_node.h
+++ b/Source/Node/mesh_node.h
@@ -272,7 +272,9 @@
   }
 
   // Serves arriving requests until callers have seen that this daemon is not ready. Then refuses
-  // new requests, and ends when the open ones have ended or the time is up.
+  // new requests, and ends when the open ones have ended, also those that are still being read,
+  // and the responses have been read, or the time is up. A socket that is closed with unread
+  // bytes is reset, and its caller loses a response that it has not read.
   Awaitable<void> Drain() {
     const TimePoint begin = GetNow();
     const TimePoint accept_until = begin + this->stop_limit * kAcceptPercent / 100;
@@ -283,17 +285,25 @@
     }
     this->stage.BeginClosing();
     co_await this->PauseDrain();
-    while (GetNow() < latest && this->stage.GetRequestCount() > 0) {
-      co_await this->PauseDrain();
-    }
+    co_await this->WaitWhileBusy(latest);
     this->callers->Stop();
     this->peers->Stop();
+    // Connections that were opened before the listeners were closed.
+    co_await this->PauseDrain();
+    co_await this->WaitWhileBusy(latest);
     EventLog::Write(this->stage.GetRequestCount() > 0 ? Event::kDrainLimit : Event::kStopped,
-                    "requests={}", this->stage.GetRequestCount());
+                    "requests={} busy_connections={}", this->stage.GetRequestCount(),
+                    this->stage.GetBusyConnectionCount());
     this->ended = true;
     this->GetControlContext().stop();
   }
 
+  Awaitable<void> WaitWhileBusy(TimePoint latest) {
+    while (GetNow() < latest && this->stage.GetBusyConnectionCount() > 0) {
+      co_await this->PauseDrain();
+    }
+  }
+
   Awaitable<void> PauseDrain() {
     constexpr Duration kCheckInterval = std::chrono::milliseconds(50);
     asio::steady_timer timer(this->GetControlContext(), kCheckInterval);
--- a/Source/Node/operator_handler.h
+++ b/Source/Node/operator_handler.h
@@ -23,6 +23,8 @@
   ServerLimits GetLimits() const { return {}; }
   void NoteOpened() {}
   void NoteClosed() {}
+  void NoteBusy() {}
+  void NoteIdle() {}
 
  private:
   std::string FormatMetrics() const;
--- a/Source/Proxy/caller_handler.h
+++ b/Source/Proxy/caller_handler.h
@@ -52,6 +52,8 @@
   ServerLimits GetLimits() const { return MakeCallerLimits(this->context.state.GetIndex().get()); }
   void NoteOpened() { this->context.stage.RecordConnectionOpened(); }
   void NoteClosed() { this->context.stage.RecordConnectionClosed(); }
+  void NoteBusy() { this->context.stage.RecordConnectionBusy(); }
+  void NoteIdle() { this->context.stage.RecordConnectionIdle(); }
 
  private:
   ProxyContext context;
--- a/Source/Proxy/daemon_stage.h
+++ b/Source/Proxy/daemon_stage.h
@@ -46,6 +46,12 @@
   void RecordConnectionClosed() { --this->connections; }
   std::size_t GetConnectionCount() const { return this->connections.load(); }
 
+  // Connections on which a request is being read, handled or answered, or whose last response is
+  // being read by the other side.
+  void RecordConnectionBusy() { ++this->busy_connections; }
+  void RecordConnectionIdle() { --this->busy_connections; }
+  std::size_t GetBusyConnectionCount() const { return this->busy_connections.load(); }
+
  private:
   std::atomic<Duration> informed_at{Duration{0}};
   std::atomic<Duration> ends_at{Duration{0}};
@@ -53,6 +59,7 @@
   std::atomic<bool> closing{false};
   std::atomic<std::size_t> requests{0};
   std::atomic<std::size_t> connections{0};
+  std::atomic<std::size_t> busy_connections{0};
 };
 
 // Counts a request as open from the receipt of its headers to the end of its response.
--- a/Source/Proxy/peer_handler.h
+++ b/Source/Proxy/peer_handler.h
@@ -56,6 +56,8 @@
   }
   void NoteOpened() {}
   void NoteClosed() {}
+  void NoteBusy() { this->context.stage.RecordConnectionBusy(); }
+  void NoteIdle() { this->context.stage.RecordConnectionIdle(); }
 
  private:
   Awaitable<void> HandleDaemonRequest(ServerExchange& exchange) {
--- a/Tests/Fakes/fake_platform.h
+++ b/Tests/Fakes/fake_platform.h
@@ -72,6 +72,8 @@
     ServerLimits GetLimits() const { return {}; }
     void NoteOpened() {}
     void NoteClosed() {}
+    void NoteBusy() {}
+    void NoteIdle() {}
 
    private:
     TargetGate& gate;
@@ -91,6 +93,8 @@
     ServerLimits GetLimits() const { return {}; }
     void NoteOpened() {}
     void NoteClosed() {}
+    void NoteBusy() {}
+    void NoteIdle() {}
 
    private:
     std::function<bool()> is_ready;
--- a/Tests/Fakes/http_loopback.h
+++ b/Tests/Fakes/http_loopback.h
@@ -25,10 +25,13 @@
   ServerLimits GetLimits() const { return this->limits; }
   void NoteOpened() { ++this->opened; }
   void NoteClosed() { ++this->closed; }
+  void NoteBusy() { ++this->busy; }
+  void NoteIdle() { --this->busy; }
 
   ServerLimits limits;
   int opened = 0;
   int closed = 0;
+  int busy = 0;
 
  private:
   Function respond;
--- a/Tests/test_node_pipelining.cc
+++ b/Tests/test_node_pipelining.cc
@@ -246,3 +246,53 @@
   cr_assert_eq(Count(received, "Connection: close"), 1, "%s", received.c_str());
   cr_assert(client.IsEnded() && !client.WasReset());
 }
+
+// The process ended while requests were still being read, and reset connections whose last response
+// had not been read yet.
+Test(pipelining, a_connection_is_busy_from_the_first_byte_until_its_last_response_is_read) {
+  HeldConnection connection;
+  connection.loopback.Read();
+  cr_assert_eq(connection.handler.busy, 0);
+  const std::string request = MakeGet("/0");
+  connection.loopback.Write(request.substr(0, 5));
+  connection.loopback.Read();
+  cr_assert_eq(connection.handler.busy, 1);
+  connection.requests.stopping = true;
+  connection.loopback.Write(request.substr(5));
+  connection.loopback.Read();
+  connection.requests.Release("/0");
+  connection.loopback.Read();
+  cr_assert_eq(connection.handler.busy, 1);
+  connection.loopback.Close();
+  connection.loopback.Read();
+  cr_assert_eq(connection.handler.busy, 0);
+}
+
+Test(pipelining, a_kept_connection_is_not_busy_between_requests) {
+  HeldConnection connection;
+  for (const char* const target : {"/0", "/1"}) {
+    connection.loopback.Write(MakeGet(target));
+    connection.loopback.Read();
+    cr_assert_eq(connection.handler.busy, 1);
+    connection.requests.Release(target);
+    connection.loopback.Read();
+    cr_assert_eq(connection.handler.busy, 0);
+  }
+}
+
+// A request whose bytes arrive in two parts around the end of the drain. With a stop limit of 1.5 s
+// requests are refused as not run from 0.72 s on.
+Test(pipelining, a_request_that_is_being_read_as_the_daemon_ends_is_refused_and_not_cut) {
+  FakeMesh<KeepAliveTarget> mesh(
+      0, [](const std::string& request, int) { return TargetReply{MakeResponse(GetId(request))}; },
+      MakeResponse("health"));
+  RawClient client(mesh.GetFront().GetSettings().caller_address);
+  const std::string request = MakeGet("/read/1", "X-Id: r1\r\nX-Time-Left-Ms: 1000\r\n");
+  mesh.GetFront().Stop();
+  std::this_thread::sleep_for(milliseconds(600));
+  client.Write(request.substr(0, 20));
+  std::this_thread::sleep_for(milliseconds(500));
+  client.Write(request.substr(20));
+  const std::string received = client.ReadFor(milliseconds(300));
+  cr_assert(HasStatus(received, "503"), "%s", received.c_str());
+}
