http: Send "100 Continue" behind the responses to earlier requests

The interim response to a request with "Expect: 100-continue" was written as soon as its head had been read, before or within the response to an earlier request of the connection. A caller takes it for an interim response to that request and waits for ever to send its body, or reads it as a part of the earlier response.

Now it waits for its turn, and is not sent once the connection is ending. Test: an_interim_response_waits_for_the_responses_before_it fails before ("100 Continue" stands before the response to the request before it).

--- a/Source/Http/answer_order.h
+++ b/Source/Http/answer_order.h
@@ -26,6 +26,9 @@
     return this->ending && ticket + 1 == this->next_ticket;
   }
 
+  // The ticket that is taken next.
+  std::uint64_t GetNextTicket() const { return this->next_ticket; }
+
   // False if the connection ends before.
   Awaitable<bool> WaitForTurn(std::uint64_t ticket) {
     AsyncSignal signal(this->context);
--- a/Source/Http/server_exchange.cc
+++ b/Source/Http/server_exchange.cc
@@ -79,13 +79,26 @@
     co_return problem;
   }
   if (!this->parser.is_done() && this->GetHeader("Expect") == "100-continue") {
-    constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-    const asio::const_buffer data(kContinue.data(), kContinue.size());
-    co_await this->Write(data);
+    const ReadProblem unsent = co_await this->SendContinue();
+    if (unsent != ReadProblem::kNone) {
+      co_return unsent;
+    }
   }
   co_return co_await this->ReadSome(this->body, kMaxHeldBody);
 }
 
+Awaitable<ReadProblem> ServerExchange::SendContinue() {
+  // Within the answer to an earlier request it would be taken for a part of it.
+  const bool has_turn = co_await this->order.WaitForTurn(this->order.GetNextTicket());
+  if (!has_turn || this->order.IsEnding()) {
+    co_return ReadProblem::kEnded;
+  }
+  constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+  const asio::const_buffer data(kContinue.data(), kContinue.size());
+  const bool written = co_await this->Write(data);
+  co_return written ? ReadProblem::kNone : ReadProblem::kEnded;
+}
+
 Awaitable<ReadProblem> ServerExchange::ReadSome(std::string& into, std::size_t max_bytes) {
   constexpr std::size_t kChunkBytes = std::size_t{16} * 1024;
   bool starved = false;
--- a/Source/Http/server_exchange.h
+++ b/Source/Http/server_exchange.h
@@ -86,6 +86,8 @@
 
  private:
   Awaitable<ReadProblem> ReadHead();
+  // Tells a caller that waits for it to send the body.
+  Awaitable<ReadProblem> SendContinue();
   Awaitable<ReadProblem> ReadBegin();
   Awaitable<ReadProblem> ReadSome(std::string& into, std::size_t max_bytes);
   ReadProblem GetProblem(const ErrorCode& code) const;
--- a/Tests/test_node_pipelining.cc
+++ b/Tests/test_node_pipelining.cc
@@ -90,6 +90,25 @@
   HttpLoopback loopback;
 };
 
+// Responds with the target and the body of the request. The response to /slow pauses in its middle.
+Awaitable<void> SendSlowly(ServerExchange& exchange) {
+  const std::string body = std::string(exchange.GetTarget()) + exchange.GetBody() + "\n";
+  http::response_header<> head;
+  head.result(http::status::ok);
+  co_await exchange.SendHead(head, body.size());
+  const std::string_view begin = std::string_view(body).substr(0, 2);
+  co_await exchange.SendPart(begin);
+  if (exchange.GetTarget() == "/slow") {
+    const asio::any_io_executor executor = co_await asio::this_coro::executor;
+    asio::steady_timer timer(executor, milliseconds(150));
+    ErrorCode code;
+    co_await timer.async_wait(AwaitInto(code));
+  }
+  const std::string_view rest = std::string_view(body).substr(2);
+  co_await exchange.SendPart(rest);
+  co_await exchange.SendEnd();
+}
+
 std::string MakeResponse(const std::string& id) {
   return "HTTP/1.1 200 OK\r\nX-Id: " + id +
          "\r\nX-Target: t1\r\nX-Signature: s\r\nContent-Length: 2\r\n\r\nok";
@@ -217,6 +236,20 @@
   cr_assert_eq(Count(received, "HTTP/1.1 200 OK"), 2, "%s", received.c_str());
 }
 
+// "100 Continue" was written at once, into the response to an earlier request.
+Test(pipelining, an_interim_response_waits_for_the_responses_before_it) {
+  FunctionHandler handler(SendSlowly);
+  HttpLoopback loopback(handler);
+  loopback.Write(MakeGet("/slow") +
+                 "POST /order HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n"
+                 "Content-Length: 4\r\n\r\n");
+  std::string received = loopback.Read() + loopback.Read() + loopback.Read();
+  cr_assert_eq(Count(received, "/slow\nHTTP/1.1 100 Continue\r\n\r\n"), 1, "%s", received.c_str());
+  loopback.Write("body");
+  received = loopback.Read();
+  cr_assert(received.ends_with("/orderbody\n"), "%s", received.c_str());
+}
+
 // The same with whole daemons: SIGTERM arrives while four lookups of one connection run at the
 // target, and more are sent until the connection ends.
 Test(pipelining, a_stopping_daemon_answers_each_lookup_that_ran) {
