--- a/Source/Http/stream_listener.h
+++ b/Source/Http/stream_listener.h
@@ -46,9 +46,12 @@
         asio::detached);
   }
 
+  // May be called from any thread. The listener has to outlive its shards' threads.
   void Stop() {
-    ErrorCode ignored;
-    this->acceptor.close(ignored);
+    asio::post(this->shards[0]->GetContext(), [this] {
+      ErrorCode ignored;
+      this->acceptor.close(ignored);
+    });
   }
 
  private:
