proxy: Pass a request that must not run twice on alone

Whether a request ran beside others of its connection followed from its method alone; a GET on a route that does not allow repeats was passed on beside them, and its outcome was then unknown to a caller that may not send it again. Handlers now tell whether a request may be repeated; for callers that is the route's statement.

Test: a_request_that_must_not_run_twice_is_passed_on_alone; with the route's statement ignored two requests are open at once and the test fails.

--- a/Source/Http/server_connection.h
+++ b/Source/Http/server_connection.h
@@ -24,6 +24,9 @@
 concept ExchangeHandler = requires(Handler& handler, IoShard& shard, ServerExchange& exchange) {
   { handler.Handle(shard, exchange) } -> std::same_as<Awaitable<void>>;
   { handler.GetLimits() } -> std::same_as<ServerLimits>;
+  // Whether a request whose method promises that it changes nothing may be sent again, so that
+  // the next request of the connection may be handled beside it.
+  { handler.MayRepeat(exchange) } -> std::same_as<bool>;
   handler.NoteOpened();
   handler.NoteClosed();
   // From the first byte of a request until it has been answered and until the last response of
@@ -119,7 +122,7 @@
       co_await exchange->Send(std::move(answer));
       co_return false;
     }
-    if (exchange->MayRunBeside()) {
+    if (exchange->MayRunBeside() && this->handler.MayRepeat(*exchange)) {
       this->Spawn(exchange);
       co_await this->WaitForRunning(kMaxRunning - 1);
     } else {
--- a/Source/Node/operator_handler.h
+++ b/Source/Node/operator_handler.h
@@ -20,6 +20,7 @@
   explicit OperatorHandler(const ProxyContext& proxy_context) : context(proxy_context) {}
 
   Awaitable<void> Handle(IoShard& shard, ServerExchange& exchange);
+  bool MayRepeat(const ServerExchange&) const { return true; }
   ServerLimits GetLimits() const { return {}; }
   void NoteOpened() {}
   void NoteClosed() {}
--- a/Source/Proxy/caller_handler.h
+++ b/Source/Proxy/caller_handler.h
@@ -49,6 +49,12 @@
     co_await request.Run();
   }
 
+  bool MayRepeat(const ServerExchange& exchange) const {
+    const std::shared_ptr<const RouteIndex> index = this->context.state.GetIndex();
+    const HostRoute* route =
+        index == nullptr ? nullptr : index->Find(exchange.GetHeader("Host"), exchange.GetTarget());
+    return route == nullptr || route->idempotent;
+  }
   ServerLimits GetLimits() const { return MakeCallerLimits(this->context.state.GetIndex().get()); }
   void NoteOpened() { this->context.stage.RecordConnectionOpened(); }
   void NoteClosed() { this->context.stage.RecordConnectionClosed(); }
--- a/Source/Proxy/peer_handler.h
+++ b/Source/Proxy/peer_handler.h
@@ -48,6 +48,7 @@
     co_await request.template Run<Wire>();
   }
 
+  bool MayRepeat(const ServerExchange&) const { return true; }
   ServerLimits GetLimits() const {
     ServerLimits limits;
     // Longer than the idle timeout on the other side of a connection between daemons.
--- a/Tests/Fakes/fake_platform.h
+++ b/Tests/Fakes/fake_platform.h
@@ -69,6 +69,7 @@
       ServerExchange::Answer response(http::status::ok, 11);
       co_await exchange.Send(std::move(response));
     }
+    bool MayRepeat(const ServerExchange&) const { return true; }
     ServerLimits GetLimits() const { return {}; }
     void NoteOpened() {}
     void NoteClosed() {}
@@ -90,6 +91,7 @@
       ServerExchange::Answer response(status, 11);
       co_await exchange.Send(std::move(response));
     }
+    bool MayRepeat(const ServerExchange&) const { return true; }
     ServerLimits GetLimits() const { return {}; }
     void NoteOpened() {}
     void NoteClosed() {}
--- a/Tests/Fakes/http_loopback.h
+++ b/Tests/Fakes/http_loopback.h
@@ -22,6 +22,7 @@
   explicit FunctionHandler(Function handler_function) : respond(std::move(handler_function)) {}
 
   Awaitable<void> Handle(IoShard&, ServerExchange& exchange) { co_await this->respond(exchange); }
+  bool MayRepeat(const ServerExchange&) const { return true; }
   ServerLimits GetLimits() const { return this->limits; }
   void NoteOpened() { ++this->opened; }
   void NoteClosed() { ++this->closed; }
--- a/Tests/test_node_pipelining.cc
+++ b/Tests/test_node_pipelining.cc
@@ -329,3 +329,31 @@
   const std::string received = client.ReadFor(milliseconds(300));
   cr_assert(HasStatus(received, "503"), "%s", received.c_str());
 }
+
+// Whether a request may be repeated follows from its route. A request that may not was handled
+// beside others because of its method, and was cut if a response before it broke off.
+Test(pipelining, a_request_that_must_not_run_twice_is_passed_on_alone) {
+  FakeMesh<KeepAliveTarget> mesh(
+      0,
+      [](const std::string& request, int) -> TargetReply {
+        std::this_thread::sleep_for(milliseconds(250));
+        return {MakeResponse(GetId(request))};
+      },
+      MakeResponse("health"));
+  const MeshSettings& settings = mesh.GetFront().GetSettings();
+  const auto count_open = [&](const std::string& prefix) {
+    RawClient client(settings.caller_address);
+    client.Write(MakeGet(prefix + "1", "X-Id: a\r\nX-Time-Left-Ms: 1000\r\n") +
+                 MakeGet(prefix + "2", "X-Id: b\r\nX-Time-Left-Ms: 1000\r\n"));
+    std::this_thread::sleep_for(milliseconds(50));
+    const std::string metrics =
+        mesh.GetFront().SendGetRequest(settings.metrics_address, "/metrics");
+    cr_assert_eq(Count(client.ReadFor(milliseconds(600)), "HTTP/1.1 200 OK"), 2);
+    const std::string name = "lacewingbridge_requests_open ";
+    const std::size_t at = metrics.find("\n" + name);
+    cr_assert_neq(at, std::string::npos, "%s", metrics.c_str());
+    return std::stoi(metrics.substr(at + 1 + name.size()));
+  };
+  cr_assert_eq(count_open("/read/"), 2);
+  cr_assert_eq(count_open("/write/"), 1);
+}
