--- a/Source/Node/mesh_node.h
+++ b/Source/Node/mesh_node.h
@@ -285,7 +285,9 @@
     }
     this->stage.BeginClosing();
     co_await this->PauseDrain();
-    co_await this->WaitWhileBusy(latest);
+    while (GetNow() < latest && this->stage.GetRequestCount() > 0) {
+      co_await this->PauseDrain();
+    }
     this->callers->Stop();
     this->peers->Stop();
     // Connections that were opened before the listeners were closed.
