proxy: Close the connection of a request that runs at a stop

Whether a response closes its connection was decided when the request arrived, so a request that was under way at SIGTERM left its connection open. Its caller used it again until the end of the process reset it.

The stop is asked for again as the response is sent, on both sides of a hop. Test: a_request_that_runs_at_a_stop_closes_its_connection fails before.

--- a/Source/Proxy/caller_request.cc
+++ b/Source/Proxy/caller_request.cc
@@ -285,6 +285,9 @@
 }
 
 Awaitable<void> CallerRequest::Finish(const ProgressDecision& decision) {
+  if (this->context.stage.IsStopping()) {
+    this->exchange.CloseAfter();
+  }
   const TimePoint now = GetNow();
   const std::string_view reason = DescribeProgressReason(decision.reason);
   const bool delivered = decision.action == ProgressAction::kDeliver;
--- a/Source/Proxy/peer_request.cc
+++ b/Source/Proxy/peer_request.cc
@@ -275,6 +275,9 @@
     this->to_target->Finish();
     this->context.gate.Finish(now, this->offer.id, result);
   }
+  if (this->context.stage.IsStopping()) {
+    this->exchange.CloseAfter();
+  }
   if (!this->exchange.IsCallerGone()) {
     HopReport report = this->MakeReport();
     if (this->outcome != HopOutcome::kAnswered) {
