http: Handle requests that were read before the end of the caller's stream

A caller that sends its last requests and closes its sending side got no response to a request that was already held, if the one before it was handled alone. Held bytes are looked at before the end of the stream again, and no request is taken once the order of responses is closed.

--- a/Source/Http/server_connection.h
+++ b/Source/Http/server_connection.h
@@ -87,7 +87,7 @@
   // Waits for the first byte of a request; false if the connection ends or has been idle for
   // too long. It is idle from its last response on.
   Awaitable<bool> WaitForRequest() {
-    while (!this->bytes.HasEnded() && !this->bytes.IsStopped()) {
+    while (true) {
       Duration left = this->handler.GetLimits().idle_timeout;
       if (this->running == 0) {
         left -= GetNow() - this->idle_since;
@@ -96,11 +96,10 @@
         co_return false;
       }
       const bool begun = co_await this->bytes.WaitForRequest(left);
-      if (begun) {
-        co_return true;
+      if (begun || this->bytes.HasEnded() || this->bytes.IsStopped()) {
+        co_return begun;
       }
     }
-    co_return false;
   }
 
   // Reads one request and begins to handle it. A request that may change something waits
@@ -112,7 +111,7 @@
         std::make_shared<ServerExchange>(this->shard.GetContext(), this->socket, this->bytes,
                                          this->order, this->handler.GetLimits());
     const ReadProblem problem = co_await exchange->ReadRequest();
-    if (problem == ReadProblem::kEnded || this->order.IsEnding()) {
+    if (problem == ReadProblem::kEnded || this->order.IsEnding() || this->order.IsClosed()) {
       co_return false;
     }
     exchange->Take();
