http: End the connection of a request that throws

An exception of a library (lack of memory, a field that is too long for it) in one request left its place in the order of responses open: later responses of the connection waited for ever, and since the daemon waits for busy connections, its stop took the whole limit. The exception is logged (LW0806) and the connection ends. A response that breaks off because its caller has left is counted as caller_left.

--- a/Source/Generated/events.h
+++ b/Source/Generated/events.h
@@ -59,6 +59,7 @@
   kLongAnswerSent = 803,
   kResponseOverLimit = 804,
   kRequestUnanswered = 805,
+  kRequestFailed = 806,
   kOperatorCallFailed = 700,
 };
 
@@ -159,6 +160,8 @@
       return "response_over_limit";
     case Event::kRequestUnanswered:
       return "request_unanswered";
+    case Event::kRequestFailed:
+      return "request_failed";
     case Event::kOperatorCallFailed:
       return "operator_call_failed";
   }
@@ -172,7 +175,7 @@
   std::string_view action;
 };
 
-inline constexpr std::array<EventDescription, 48> kEventCatalogue = {{
+inline constexpr std::array<EventDescription, 49> kEventCatalogue = {{
     {Event::kNone, "info",
      "no event",
      ""},
@@ -314,6 +317,9 @@
     {Event::kRequestUnanswered, "info",
      "connection of a caller ended before the whole response to its request was sent",
      ""},
+    {Event::kRequestFailed, "error",
+     "request could not be handled; its connection is closed",
+     "Report the reason; if it is a lack of memory, look at the memory of the daemon."},
     {Event::kOperatorCallFailed, "info",
      "operator call failed",
      ""},
--- a/Source/Http/server_connection.h
+++ b/Source/Http/server_connection.h
@@ -3,6 +3,7 @@
 
 #include <concepts>
 #include <cstddef>
+#include <exception>
 #include <memory>
 #include <utility>
 
@@ -16,6 +17,7 @@
 #include "Http/server_exchange.h"
 #include "Http/server_limits.h"
 #include "Http/socket_options.h"
+#include "Observe/event_log.h"
 
 namespace lacewingbridge {
 
@@ -162,7 +164,12 @@
   }
 
   Awaitable<void> HandleOne(const std::shared_ptr<ServerExchange>& exchange) {
-    co_await this->handler.Handle(this->shard, *exchange);
+    try {
+      co_await this->handler.Handle(this->shard, *exchange);
+    } catch (const std::exception& error) {
+      // Libraries report a lack of memory, or a field that is too long for them, in this way.
+      EventLog::Write(Event::kRequestFailed, "reason=\"{}\"", error.what());
+    }
     exchange->SetGoneListener(nullptr);
     this->idle_since = GetNow();
     if (!exchange->IsReusable()) {
--- a/Source/Http/server_exchange.cc
+++ b/Source/Http/server_exchange.cc
@@ -249,7 +249,8 @@
 
 void ServerExchange::Abort() {
   this->answered = true;
-  this->EndAnswer(false, ConnectionEnd::kAborted);
+  this->EndAnswer(false,
+                  this->bytes.HasEnded() ? ConnectionEnd::kCallerLeft : ConnectionEnd::kAborted);
   // A reset cannot be taken for the end of an answer without a length.
   ErrorCode ignored;
   this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
--- a/Tests/Fakes/http_loopback.h
+++ b/Tests/Fakes/http_loopback.h
@@ -77,6 +77,12 @@
     this->client.close(ignored);
   }
 
+  // The client sends no more, and still reads.
+  void EndWriting() {
+    ErrorCode ignored;
+    this->client.shutdown(TcpSocket::shutdown_send, ignored);
+  }
+
   // Whether the server has closed the connection.
   bool IsEnded() const { return this->ended; }
   IoShard& GetShard() { return this->shard; }
