daemon: End a connection behind the response that closes it

Callers that sent four GETs at once got "Connection: close" on the first response after SIGTERM; the daemon passed the other three on to a target and wrote their responses behind the close, where a caller no longer reads. The connection also stayed open for the idle limit of 30 s or until the stop.

Cause: ProxyHandler states the close by setting the header, but cpp-httplib closes a connection only if its loop or the request asks for it. So the header and what the loop did were decided in two places.

Now the loop ends behind any response that states the close, whoever set the header. Requests of a connection are handled one after the other, so those behind have not been passed on. The header "Connection: close" is stated once, without the library's "Keep-Alive".

Ruled out: stating the close only from a flag read before the request, since a request in flight at SIGTERM would then not state it and its connection would end at the stop without notice; answering what is pipelined behind the close, since a client that keeps pipelining would hold the connection open.

--- a/Source/Daemon/http_server.cc
+++ b/Source/Daemon/http_server.cc
@@ -21,8 +21,25 @@
                                                   microseconds(further_microseconds));
 }
 
+// Whether the response that this thread has written last closes its connection. A connection is
+// served by one thread.
+thread_local bool response_closes = false;
+
 }  // namespace
 
+HttpServer::HttpServer() {
+  // Runs after the library has added its own headers. The library closes a connection only if the
+  // request or the loop asks for it, not if a handler has set the header.
+  this->set_post_routing_handler([](const httplib::Request&, httplib::Response& response) {
+    response_closes = response.get_header_value("Connection") == "close";
+    if (response_closes) {
+      response.headers.erase("Keep-Alive");
+      response.headers.erase("Connection");
+      response.set_header("Connection", "close");
+    }
+  });
+}
+
 void HttpServer::CloseConnections() {
   const std::lock_guard guard(this->mutex);
   this->closing = true;
@@ -43,7 +60,7 @@
     bool closed = false;
     const bool close_after = left == 1 || this->IsClosing();
     succeeded = this->process_request(stream, close_after, closed, this->request_hook);
-    if (!succeeded || closed) {
+    if (!succeeded || closed || response_closes) {
       break;
     }
   }
--- a/Source/Daemon/http_server.h
+++ b/Source/Daemon/http_server.h
@@ -12,16 +12,20 @@
 
 // HTTP server of the library with a different loop for each connection. The library's own loop
 // wakes up about 90 times a second for an idle connection, and after stop() it keeps the
-// connection open until its time limit.
+// connection open until its time limit. A connection ends behind the first response that has the
+// header "Connection: close".
 class HttpServer : public httplib::Server {
  public:
+  HttpServer();
+
   // Sets a function that is called with each request before its body is read.
   void SetRequestHook(std::function<void(httplib::Request&)> hook) {
     this->request_hook = std::move(hook);
   }
 
   // Closes idle connections at once and the others after their request. Must be called after
-  // stop(). Requests that were received before still get their response.
+  // stop(). A request that was received before still gets its response, unless it lies behind one
+  // whose response closes the connection.
   void CloseConnections();
 
  private:
--- a/Tests/test_daemon_http_listener.cc
+++ b/Tests/test_daemon_http_listener.cc
@@ -1,9 +1,14 @@
 // Guards against a shutdown that waits for idle connections, processor time that idle
-// connections use, and a shutdown that interrupts a request in flight.
+// connections use, a shutdown that interrupts a request in flight, and requests that are handled
+// behind a response that closes their connection.
 #include <criterion/criterion.h>
 #include <httplib.h>
+#include <netinet/in.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <memory>
@@ -38,11 +43,59 @@
   return seconds(usage.ru_utime) + seconds(usage.ru_stime);
 }
 
+std::string MakeGet(const std::string& path, const std::string& headers = "") {
+  return "GET " + path + " HTTP/1.1\r\nHost: a\r\n" + headers + "\r\n";
+}
+
+// A connection whose bytes the test writes and reads itself.
+class RawClient {
+ public:
+  explicit RawClient(const std::string& address) : descriptor(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in server{};
+    server.sin_family = AF_INET;
+    server.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    server.sin_port =
+        htons(static_cast<std::uint16_t>(std::stoi(address.substr(address.find(":") + 1))));
+    cr_assert_eq(connect(this->descriptor, reinterpret_cast<sockaddr*>(&server), sizeof(server)),
+                 0);
+  }
+  ~RawClient() { close(this->descriptor); }
+  RawClient(const RawClient&) = delete;
+  RawClient& operator=(const RawClient&) = delete;
+
+  void Write(const std::string& bytes) {
+    cr_assert_eq(send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL),
+                 static_cast<ssize_t>(bytes.size()));
+  }
+
+  // Reads until the server ends the connection.
+  std::string ReadAll() {
+    std::string received;
+    std::array<char, 65536> buffer{};
+    while (true) {
+      const ssize_t count = recv(this->descriptor, buffer.data(), buffer.size(), 0);
+      if (count <= 0) {
+        return received;
+      }
+      received.append(buffer.data(), static_cast<std::size_t>(count));
+    }
+  }
+
+ private:
+  int descriptor;
+};
+
 struct Fixture {
   Fixture() : address(FindFreeAddress()), listener(64) {
     this->listener.GetServer()
         .Get("/quick",
              [](const auto&, auto& response) { response.set_content("quick", "text/plain"); })
+        .Get("/closing",
+             [this](const auto&, auto& response) {
+               ++this->closing_count;
+               response.set_header("Connection", "close");
+               response.set_content("closing", "text/plain");
+             })
         .Get("/slow", [this](const auto&, auto& response) {
           this->slow_started = true;
           std::this_thread::sleep_for(milliseconds(500));
@@ -53,6 +106,7 @@
 
   std::string address;
   std::atomic<bool> slow_started{false};
+  std::atomic<int> closing_count{0};
   HttpListener listener;
 };
 
@@ -109,3 +163,15 @@
     cr_assert(response && response->status == 200);
   }
 }
+
+Test(http_listener, handles_no_request_behind_a_response_that_closes) {
+  Fixture fixture;
+  RawClient client(fixture.address);
+  client.Write(MakeGet("/closing") + MakeGet("/closing") + MakeGet("/closing"));
+  const std::string received = client.ReadAll();
+  cr_assert_eq(fixture.closing_count, 1);
+  const std::size_t head_end = received.find("\r\n\r\n");
+  cr_assert_neq(head_end, std::string::npos);
+  cr_assert_eq(received.substr(head_end + 4), "closing");
+  cr_assert_eq(received.find("Keep-Alive"), std::string::npos, "%s", received.c_str());
+}
