daemon: Deliver the last response of a connection before its close

A caller that had sent further requests behind the one whose response closes the connection got the begin of a large response and then a reset.

Cause: the loop of a connection closed the socket with unread bytes. The system then sends a reset and discards what the caller has not received, although the response had been written completely. Since the connection ends behind the first response that states the close, pipelined requests are left unread more often than before.

Now the loop ends its own side, reads on until the caller ends the other, at most 1 s as the event-driven path does, and then closes. An idle connection is closed at once as before, so a stop does not wait for it.

Ruled out: SO_LINGER, which bounds the wait of close() but still resets a connection with unread bytes.

--- a/Source/Daemon/http_server.cc
+++ b/Source/Daemon/http_server.cc
@@ -4,21 +4,40 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <chrono>
 
 #include "Daemon/http_server_stream.h"
 
 namespace lacewingbridge {
 
+using std::chrono::duration_cast;
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using std::chrono::steady_clock;
 
 namespace {
 
+// Time for the client to read the last response.
+constexpr milliseconds kCloseLimit{1000};
+
 milliseconds MakeLimit(time_t whole_seconds, time_t further_microseconds) {
-  return std::chrono::duration_cast<milliseconds>(seconds(whole_seconds) +
-                                                  microseconds(further_microseconds));
+  return duration_cast<milliseconds>(seconds(whole_seconds) + microseconds(further_microseconds));
+}
+
+// Reads until the client has closed its side. If a socket is closed with unread bytes, the system
+// resets the connection and discards what the client has not received.
+void DiscardUntilEnd(socket_t descriptor) {
+  std::array<char, 4096> discarded{};
+  const auto until = steady_clock::now() + kCloseLimit;
+  while (true) {
+    const auto left = duration_cast<milliseconds>(until - steady_clock::now());
+    if (left <= milliseconds(0) || !WaitForSocket(descriptor, POLLIN, left) ||
+        recv(descriptor, discarded.data(), discarded.size(), 0) <= 0) {
+      return;
+    }
+  }
 }
 
 // Whether the response that this thread has written last closes its connection. A connection is
@@ -53,8 +72,10 @@
   HttpServerStream stream(descriptor, MakeLimit(this->read_timeout_sec_, this->read_timeout_usec_),
                           MakeLimit(this->write_timeout_sec_, this->write_timeout_usec_));
   bool succeeded = false;
+  bool idle = false;
   for (std::size_t left = this->keep_alive_max_count_; left > 0; --left) {
     if (!stream.HasBufferedBytes() && !this->WaitForRequest(descriptor)) {
+      idle = true;
       break;
     }
     bool closed = false;
@@ -64,7 +85,10 @@
       break;
     }
   }
-  shutdown(descriptor, SHUT_RDWR);
+  shutdown(descriptor, SHUT_WR);
+  if (!idle) {
+    DiscardUntilEnd(descriptor);
+  }
   close(descriptor);
   return succeeded;
 }
--- a/Tests/test_daemon_http_listener.cc
+++ b/Tests/test_daemon_http_listener.cc
@@ -1,6 +1,6 @@
 // Guards against a shutdown that waits for idle connections, processor time that idle
-// connections use, a shutdown that interrupts a request in flight, and requests that are handled
-// behind a response that closes their connection.
+// connections use, a shutdown that interrupts a request in flight, requests that are handled
+// behind a response that closes their connection, and responses that are cut off by its end.
 #include <criterion/criterion.h>
 #include <httplib.h>
 #include <netinet/in.h>
@@ -43,6 +43,9 @@
   return seconds(usage.ru_utime) + seconds(usage.ru_stime);
 }
 
+// More than the socket buffers of a connection hold.
+constexpr std::size_t kLargeBytes = 16U << 20U;
+
 std::string MakeGet(const std::string& path, const std::string& headers = "") {
   return "GET " + path + " HTTP/1.1\r\nHost: a\r\n" + headers + "\r\n";
 }
@@ -51,6 +54,9 @@
 class RawClient {
  public:
   explicit RawClient(const std::string& address) : descriptor(socket(AF_INET, SOCK_STREAM, 0)) {
+    // Keeps most bytes of a large response on the side of the server.
+    const int buffer_bytes = 32 * 1024;
+    setsockopt(this->descriptor, SOL_SOCKET, SO_RCVBUF, &buffer_bytes, sizeof(buffer_bytes));
     sockaddr_in server{};
     server.sin_family = AF_INET;
     server.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -68,11 +74,15 @@
                  static_cast<ssize_t>(bytes.size()));
   }
 
-  // Reads until the server ends the connection.
-  std::string ReadAll() {
+  // Reads until the server ends the connection. Pauses once this many bytes have been read.
+  std::string ReadAll(std::size_t pause_at = std::string::npos) {
     std::string received;
     std::array<char, 65536> buffer{};
     while (true) {
+      if (received.size() >= pause_at) {
+        std::this_thread::sleep_for(milliseconds(200));
+        pause_at = std::string::npos;
+      }
       const ssize_t count = recv(this->descriptor, buffer.data(), buffer.size(), 0);
       if (count <= 0) {
         return received;
@@ -96,6 +106,10 @@
                response.set_header("Connection", "close");
                response.set_content("closing", "text/plain");
              })
+        .Get("/large",
+             [](const auto&, auto& response) {
+               response.set_content(std::string(kLargeBytes, 'x'), "text/plain");
+             })
         .Get("/slow", [this](const auto&, auto& response) {
           this->slow_started = true;
           std::this_thread::sleep_for(milliseconds(500));
@@ -175,3 +189,18 @@
   cr_assert_eq(received.substr(head_end + 4), "closing");
   cr_assert_eq(received.find("Keep-Alive"), std::string::npos, "%s", received.c_str());
 }
+
+Test(http_listener, completes_a_response_before_unread_requests) {
+  Fixture fixture;
+  RawClient client(fixture.address);
+  std::string requests = MakeGet("/large", "Connection: close\r\n");
+  for (int i = 0; i < 400; ++i) {
+    requests += MakeGet("/quick");
+  }
+  client.Write(requests);
+  // What is left at the pause fits into the send buffer, so the server has reached the close.
+  const std::string received = client.ReadAll(kLargeBytes - (512U << 10U));
+  const std::size_t head_end = received.find("\r\n\r\n");
+  cr_assert_neq(head_end, std::string::npos);
+  cr_assert_eq(received.size() - head_end - 4, kLargeBytes);
+}
