utilities: Correct the findings of the linter in the stop soak

Reserves the list of threads, casts by name and includes what is used.

Not run: sanitizers; the linter on headers, whose filter leaves this folder out.

--- a/Utilities/Soak/soak_options.cc
+++ b/Utilities/Soak/soak_options.cc
@@ -29,7 +29,7 @@
 bool ReadNumber(std::string_view text, std::uint64_t least, std::uint64_t most, Field& field) {
   const std::optional<std::uint64_t> number = ParseNumber(text, least, most);
   if (number) {
-    field = Field(*number);
+    field = static_cast<Field>(*number);
   }
   return number.has_value();
 }
--- a/Utilities/Soak/stop_soak.cc
+++ b/Utilities/Soak/stop_soak.cc
@@ -7,6 +7,8 @@
 #include <cstdlib>
 #include <filesystem>
 #include <memory>
+#include <span>
+#include <string>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -118,6 +120,7 @@
   fleet.Start();
   const auto clients = MakeClients(fleet, options, seed);
   std::vector<std::thread> threads;
+  threads.reserve(clients.size());
   const Clock::time_point until = Clock::now() + options.duration;
   for (const auto& client : clients) {
     threads.emplace_back([&client, until] { client->Run(until); });
