--- a/Tests/test_node_pipelining.cc
+++ b/Tests/test_node_pipelining.cc
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "Fakes/http_loopback.h"
+#include "Fakes/pipelined_requests.h"
 #include "Http/async_signal.h"
 
 // Criterion defines macros that break headers of Boost.Intrusive, so it comes last.
@@ -22,21 +23,6 @@
 
 namespace {
 
-constexpr int kPipelined = 4;
-
-std::string MakeGet(const std::string& path, const std::string& headers = "") {
-  return "GET " + path + " HTTP/1.1\r\nHost: a\r\n" + headers + "\r\n";
-}
-
-std::size_t Count(const std::string& text, const std::string& part) {
-  std::size_t count = 0;
-  for (std::size_t at = text.find(part); at != std::string::npos;
-       at = text.find(part, at + part.size())) {
-    ++count;
-  }
-  return count;
-}
-
 // Takes every request at once and responds when the test says so. While it stops, each response
 // may close the connection, as that of a daemon that has received SIGTERM.
 class HeldRequests {
--- a/Tests/test_node_stop.cc
+++ b/Tests/test_node_stop.cc
@@ -7,31 +7,16 @@
 
 #include "Fakes/fake_mesh.h"
 #include "Fakes/keep_alive_target.h"
+#include "Fakes/pipelined_requests.h"
 
 // Criterion defines macros that break headers of Boost.Intrusive, so it comes last.
 #include <criterion/criterion.h>
 
 using namespace lacewingbridge;  // NOLINT(google-build-using-namespace)
 using std::chrono::milliseconds;
-using std::chrono::seconds;
 
 namespace {
 
-constexpr int kPipelined = 4;
-
-std::string MakeGet(const std::string& path, const std::string& headers = "") {
-  return "GET " + path + " HTTP/1.1\r\nHost: a\r\n" + headers + "\r\n";
-}
-
-std::size_t Count(const std::string& text, const std::string& part) {
-  std::size_t count = 0;
-  for (std::size_t at = text.find(part); at != std::string::npos;
-       at = text.find(part, at + part.size())) {
-    ++count;
-  }
-  return count;
-}
-
 std::string MakeResponse(const std::string& id) {
   return "HTTP/1.1 200 OK\r\nX-Id: " + id +
          "\r\nX-Target: t1\r\nX-Signature: s\r\nContent-Length: 2\r\n\r\nok";
