proxy: Move the log lines of a caller's request into a file of their own

The functions are moved as they are. test_daemon_http_listener uses the shared MakeGet; its assertions are the same.

--- a/Source/Proxy/caller_request.cc
+++ b/Source/Proxy/caller_request.cc
@@ -351,17 +351,6 @@
   co_await this->exchange.Send(std::move(response));
 }
 
-void CallerRequest::RecordUnanswered() const {
-  const std::string_view end = GetName(this->exchange.GetConnectionEnd());
-  const bool may_have_run = this->progress.has_value() && this->progress->MayHaveRun();
-  EventLog::Write(Event::kRequestUnanswered,
-                  "request={} path={} service={} end={} may_have_run={} after_ms={}",
-                  this->headers.request_id, this->exchange.GetTarget(), this->service, end,
-                  may_have_run, CountMilliseconds(GetNow() - this->facts.arrived_at));
-  this->context.metrics.AddCount("unanswered_total",
-                                 fmt::format("end=\"{}\",may_have_run=\"{}\"", end, may_have_run));
-}
-
 RequestTrace CallerRequest::MakeTrace(unsigned status, std::string_view reason) const {
   const TimePoint now = GetNow();
   RequestTrace trace;
@@ -381,23 +370,4 @@
   return trace;
 }
 
-void CallerRequest::LogEnd(unsigned status, std::string_view reason) const {
-  const TimePoint now = GetNow();
-  std::string_view route_name = "none";
-  if (this->route != nullptr) {
-    route_name = this->route->name;
-  }
-  EventLog::Write(
-      Event::kRequestEnded,
-      "request={} path={} route={} version={} service={} status={} reason={} last={} refused={} "
-      "time_left_ms={} age_ms={} after_ms={}",
-      this->headers.request_id, this->exchange.GetTarget(), route_name,
-      this->index == nullptr ? 0 : this->index->GetTable().version, this->service, status, reason,
-      this->last_reason, this->refused_by.size(),
-      CountMilliseconds(this->headers.time_left.value_or(Duration{0}) -
-                        (now - this->facts.arrived_at)),
-      CountMilliseconds(now - this->first_arrival),
-      CountMilliseconds(now - this->facts.arrived_at));
-}
-
 }  // namespace lacewingbridge
--- a/Tests/test_daemon_http_listener.cc
+++ b/Tests/test_daemon_http_listener.cc
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "Daemon/http_listener.h"
+#include "Fakes/pipelined_requests.h"
 #include "Fakes/raw_target.h"
 
 using namespace lacewingbridge;  // NOLINT(google-build-using-namespace)
@@ -46,10 +47,6 @@
 // More than the socket buffers of a connection hold.
 constexpr std::size_t kLargeBytes = 16U << 20U;
 
-std::string MakeGet(const std::string& path, const std::string& headers = "") {
-  return "GET " + path + " HTTP/1.1\r\nHost: a\r\n" + headers + "\r\n";
-}
-
 // A connection whose bytes the test writes and reads itself.
 class RawClient {
  public:
