schema: Add workspaces, proofs of the newest version and quotas

Cause: the operators' configuration holds workspaces with API keys, a priority and a quota; the code knows none of them.

The steps decide nothing yet, so requests are handled as before.

--- a/Source/Generated/mesh.h
+++ b/Source/Generated/mesh.h
@@ -76,10 +76,21 @@
   std::uint32_t objective_ms = 0;
   std::uint32_t priority = 0;
   std::uint32_t max_attempts = 0;
+  bool is_public = false;
 
   bool operator==(const HostRoute&) const = default;
 };
 
+struct MeshWorkspace {
+  std::string name;
+  std::vector<std::string> key_digests;
+  std::optional<std::uint32_t> priority;
+  std::uint32_t rate_per_s = 0;
+  std::uint32_t burst = 0;
+
+  bool operator==(const MeshWorkspace&) const = default;
+};
+
 struct MeshService {
   std::string name;
   std::string health_path;
@@ -102,6 +113,7 @@
   std::vector<HostRoute> routes;
   std::vector<MeshService> services;
   CallerLimits limits;
+  std::vector<MeshWorkspace> workspaces;
 
   bool operator==(const RouteTable&) const = default;
 };
@@ -138,6 +150,7 @@
 struct PeerProgress {
   std::uint64_t table_version = 0;
   std::uint64_t hosts_revision = 0;
+  std::optional<std::uint32_t> proof_age_ms;
 
   bool operator==(const PeerProgress&) const = default;
 };
@@ -158,6 +171,7 @@
   std::uint32_t answer_bytes = 0;
   std::uint64_t hop_id = 0;
   std::uint32_t repeat_percent = 0;
+  std::string workspace;
 
   bool operator==(const HopRequest&) const = default;
 };
@@ -179,6 +193,7 @@
   std::uint64_t hop_id = 0;
   bool call_failed = false;
   bool failing = false;
+  std::optional<std::uint32_t> proof_age_ms;
 
   bool operator==(const HopReport&) const = default;
 };
@@ -255,6 +270,10 @@
   std::uint32_t retry_window_ms = 0;
   std::uint64_t link_bytes_per_second = 0;
   std::uint32_t table_bound_ms = 0;
+  std::uint32_t revoke_bound_ms = 0;
+  std::uint32_t quota_window_ms = 0;
+  double quota_overage = 0;
+  double quota_slack = 0;
 
   bool operator==(const MeshSettings&) const = default;
 };
--- a/Source/Generated/mesh_codec.cc
+++ b/Source/Generated/mesh_codec.cc
@@ -71,6 +71,7 @@
   wire.set_objective_ms(plain.objective_ms);
   wire.set_priority(plain.priority);
   wire.set_max_attempts(plain.max_attempts);
+  wire.set_is_public(plain.is_public);
 }
 
 void FromWire(const wire::HostRoute& wire, HostRoute& plain) {
@@ -86,6 +87,7 @@
   plain.objective_ms = wire.objective_ms();
   plain.priority = wire.priority();
   plain.max_attempts = wire.max_attempts();
+  plain.is_public = wire.is_public();
 }
 
 std::string Encode(const HostRoute& plain) {
@@ -129,6 +131,72 @@
   return true;
 }
 
+void ToWire(const MeshWorkspace& plain, wire::MeshWorkspace& wire) {
+  wire.set_name(plain.name);
+  for (const auto& element : plain.key_digests) {
+    wire.add_key_digests(element);
+  }
+  if (plain.priority.has_value()) {
+    wire.set_priority(*plain.priority);
+  }
+  wire.set_rate_per_s(plain.rate_per_s);
+  wire.set_burst(plain.burst);
+}
+
+void FromWire(const wire::MeshWorkspace& wire, MeshWorkspace& plain) {
+  plain.name = wire.name();
+  plain.key_digests.reserve(static_cast<std::size_t>(wire.key_digests_size()));
+  for (const auto& element : wire.key_digests()) {
+    plain.key_digests.push_back(element);
+  }
+  if (wire.has_priority()) {
+    plain.priority = wire.priority();
+  }
+  plain.rate_per_s = wire.rate_per_s();
+  plain.burst = wire.burst();
+}
+
+std::string Encode(const MeshWorkspace& plain) {
+  wire::MeshWorkspace wire;
+  ToWire(plain, wire);
+  return wire.SerializeAsString();
+}
+
+bool Decode(std::string_view bytes, MeshWorkspace& plain) {
+  wire::MeshWorkspace wire;
+  if (!wire.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
+std::string EncodeJson(const MeshWorkspace& plain) {
+  wire::MeshWorkspace wire;
+  ToWire(plain, wire);
+  std::string text;
+  google::protobuf::util::JsonPrintOptions options;
+  options.preserve_proto_field_names = true;
+  options.always_print_primitive_fields = true;
+  if (!google::protobuf::util::MessageToJsonString(wire, &text, options).ok()) {
+    return {};
+  }
+  return text;
+}
+
+bool DecodeJson(std::string_view text, MeshWorkspace& plain) {
+  wire::MeshWorkspace wire;
+  if (!google::protobuf::util::JsonStringToMessage(
+           google::protobuf::StringPiece(text.data(), text.size()), &wire)
+           .ok()) {
+    return false;
+  }
+  plain = {};
+  FromWire(wire, plain);
+  return true;
+}
+
 void ToWire(const MeshService& plain, wire::MeshService& wire) {
   wire.set_name(plain.name);
   wire.set_health_path(plain.health_path);
@@ -248,6 +316,9 @@
   if (plain.limits != CallerLimits{}) {
     ToWire(plain.limits, *wire.mutable_limits());
   }
+  for (const auto& element : plain.workspaces) {
+    ToWire(element, *wire.add_workspaces());
+  }
 }
 
 void FromWire(const wire::RouteTable& wire, RouteTable& plain) {
@@ -261,6 +332,10 @@
     FromWire(element, plain.services.emplace_back());
   }
   FromWire(wire.limits(), plain.limits);
+  plain.workspaces.reserve(static_cast<std::size_t>(wire.workspaces_size()));
+  for (const auto& element : wire.workspaces()) {
+    FromWire(element, plain.workspaces.emplace_back());
+  }
 }
 
 std::string Encode(const RouteTable& plain) {
@@ -487,11 +562,17 @@
 void ToWire(const PeerProgress& plain, wire::PeerProgress& wire) {
   wire.set_table_version(plain.table_version);
   wire.set_hosts_revision(plain.hosts_revision);
+  if (plain.proof_age_ms.has_value()) {
+    wire.set_proof_age_ms(*plain.proof_age_ms);
+  }
 }
 
 void FromWire(const wire::PeerProgress& wire, PeerProgress& plain) {
   plain.table_version = wire.table_version();
   plain.hosts_revision = wire.hosts_revision();
+  if (wire.has_proof_age_ms()) {
+    plain.proof_age_ms = wire.proof_age_ms();
+  }
 }
 
 std::string Encode(const PeerProgress& plain) {
@@ -553,6 +634,7 @@
   wire.set_answer_bytes(plain.answer_bytes);
   wire.set_hop_id(plain.hop_id);
   wire.set_repeat_percent(plain.repeat_percent);
+  wire.set_workspace(plain.workspace);
 }
 
 void FromWire(const wire::HopRequest& wire, HopRequest& plain) {
@@ -574,6 +656,7 @@
   plain.answer_bytes = wire.answer_bytes();
   plain.hop_id = wire.hop_id();
   plain.repeat_percent = wire.repeat_percent();
+  plain.workspace = wire.workspace();
 }
 
 std::string Encode(const HopRequest& plain) {
@@ -636,6 +719,9 @@
   wire.set_hop_id(plain.hop_id);
   wire.set_call_failed(plain.call_failed);
   wire.set_failing(plain.failing);
+  if (plain.proof_age_ms.has_value()) {
+    wire.set_proof_age_ms(*plain.proof_age_ms);
+  }
 }
 
 void FromWire(const wire::HopReport& wire, HopReport& plain) {
@@ -658,6 +744,9 @@
   plain.hop_id = wire.hop_id();
   plain.call_failed = wire.call_failed();
   plain.failing = wire.failing();
+  if (wire.has_proof_age_ms()) {
+    plain.proof_age_ms = wire.proof_age_ms();
+  }
 }
 
 std::string Encode(const HopReport& plain) {
@@ -992,6 +1081,10 @@
   wire.set_retry_window_ms(plain.retry_window_ms);
   wire.set_link_bytes_per_second(plain.link_bytes_per_second);
   wire.set_table_bound_ms(plain.table_bound_ms);
+  wire.set_revoke_bound_ms(plain.revoke_bound_ms);
+  wire.set_quota_window_ms(plain.quota_window_ms);
+  wire.set_quota_overage(plain.quota_overage);
+  wire.set_quota_slack(plain.quota_slack);
 }
 
 void FromWire(const wire::MeshSettings& wire, MeshSettings& plain) {
@@ -1014,6 +1107,10 @@
   plain.retry_window_ms = wire.retry_window_ms();
   plain.link_bytes_per_second = wire.link_bytes_per_second();
   plain.table_bound_ms = wire.table_bound_ms();
+  plain.revoke_bound_ms = wire.revoke_bound_ms();
+  plain.quota_window_ms = wire.quota_window_ms();
+  plain.quota_overage = wire.quota_overage();
+  plain.quota_slack = wire.quota_slack();
 }
 
 std::string Encode(const MeshSettings& plain) {
--- a/Source/Proxy/caller_request.cc
+++ b/Source/Proxy/caller_request.cc
@@ -95,6 +95,10 @@
     co_await this->SendRefusal(http::status::not_found, "no_route", std::nullopt);
     co_return;
   }
+  const bool has_access = co_await this->CheckAccess();
+  if (!has_access) {
+    co_return;
+  }
   const TimePoint now = this->facts.arrived_at;
   this->service = this->context.state.PickDestination(*this->route, this->shard.GetRandom());
   this->SetFacts(now);
@@ -102,6 +106,10 @@
     co_await this->SendRefusal(http::status::service_unavailable, "stopping", kStoppingResendDelay);
     co_return;
   }
+  const bool within_quota = co_await this->TakeQuota();
+  if (!within_quota) {
+    co_return;
+  }
   this->repeat_share = this->context.gate.GetRepeatShare();
   this->context.state.RecordRequest(now, this->service, this->repeat_share);
   this->exchange.SetGoneListener([this] {
@@ -113,6 +121,7 @@
   while (decision.action == ProgressAction::kPlace && !this->exchange.IsCallerGone()) {
     decision = co_await this->PlaceOnce();
   }
+  this->ReturnUnusedQuota(decision);
   if (!this->exchange.IsCallerGone()) {
     co_await this->Finish(decision);
   }
@@ -132,6 +141,9 @@
   if (now >= this->facts.GetEnd()) {
     co_return this->progress->HandleTimeout();
   }
+  if (!this->IsAccessCurrent(now)) {
+    co_return this->progress->HandleNoCandidate(now);
+  }
   if (this->context.containment.IsContained(now, this->service, this->crash_fingerprint)) {
     const HopEnd contained{HopOutcome::kQuarantined, 0};
     co_return this->context.state.DecideNext(now, this->service, contained, *this->progress);
@@ -165,7 +177,7 @@
   hop_request.caller_service = this->context.state.GetIdentity().service;
   hop_request.time_left_ms = CountPositive(this->facts.GetEnd() - now);
   hop_request.objective_left_ms = CountPositive(this->facts.objective_at - now);
-  hop_request.priority = this->route->priority;
+  hop_request.priority = this->GetPriority();
   hop_request.idempotent = this->route->idempotent;
   hop_request.repeated = this->progress->IsRetry();
   hop_request.repeat_percent =
@@ -177,6 +189,9 @@
       static_cast<std::uint32_t>(this->context.state.GetResponseBytes(this->route->name));
   hop_request.strikes =
       this->context.containment.TakeOutgoing(now, this->service, this->crash_fingerprint);
+  if (this->workspace != nullptr) {
+    hop_request.workspace = this->workspace->name;
+  }
   this->hop_id = this->shard.GetRandom()();
   hop_request.hop_id = this->hop_id;
   SetHopRequest(request, hop_request);
--- a/Source/Proxy/caller_request.h
+++ b/Source/Proxy/caller_request.h
@@ -37,6 +37,18 @@
   Awaitable<void> Handle();
   // Sets the route; returns false if none matches.
   bool FindRoute();
+  // Sets the workspace. Returns false if the request was refused because of its API key.
+  Awaitable<bool> CheckAccess();
+  // Whether the version in force is still known to be the newest, so that the API key of the
+  // request is valid.
+  bool IsAccessCurrent(TimePoint now) const;
+  // Priority of the workspace, or that of the route.
+  std::uint32_t GetPriority() const;
+  // Takes one request from the quota of the workspace. Returns false if the request was refused
+  // because the quota is used up.
+  Awaitable<bool> TakeQuota();
+  // Returns it if the request has surely not run.
+  void ReturnUnusedQuota(const ProgressDecision& decision);
   // Sets the deadlines, fingerprints and limits of the request. A caller that states no deadline
   // gets the timeout of the route.
   void SetFacts(TimePoint now);
@@ -64,6 +76,8 @@
   const CallerHeaders headers;
   std::shared_ptr<const RouteIndex> index;
   const HostRoute* route = nullptr;
+  // Null on public routes and without workspaces.
+  const MeshWorkspace* workspace = nullptr;
   std::string service;
   // Hash of the request target and the body. A resend of the same request has the same value.
   std::uint64_t fingerprint = 0;
--- a/Source/Proxy/proxy_wire.h
+++ b/Source/Proxy/proxy_wire.h
@@ -16,6 +16,8 @@
   std::string request_id;
   // Time until the deadline of the caller.
   std::optional<Duration> time_left;
+  // Must not be logged or forwarded. Empty if the request has no key, or not exactly one.
+  std::string api_key;
 };
 
 // Content of the headers that are sent to a target.
@@ -24,6 +26,8 @@
   // Only the target with this id may run the request. Empty if any target may.
   std::string target_id;
   std::string caller_service;
+  // Workspace of the caller; if empty, the target must not receive any.
+  std::string workspace;
 };
 
 // Requests that a target runs and queues, and the number that it can run at once.
@@ -31,6 +35,9 @@
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
   std::uint32_t slots = 0;
+  // Time that work takes on the target's machine at this moment, in percent of the usual time;
+  // empty if the target does not state it.
+  std::optional<std::uint32_t> work_percent;
 };
 
 // Content of the headers of a target's response.
