quota: Grant credit of workspaces over the whole fleet

A workspace's rate and burst hold over all daemons together. Each quota has up to four shares, each granted by the daemon that a rendezvous hash chooses among the listed hosts; the others take credit in small batches that end after 1.5 s. A token bucket whose capacity also covers credit held by others bounds each window whatever the holders do. A granting daemon stops before others can have dropped it from their lists, and a new one waits before it grants.

--- a/Source/Generated/events.h
+++ b/Source/Generated/events.h
@@ -60,6 +60,9 @@
   kResponseOverLimit = 804,
   kRequestUnanswered = 805,
   kRequestFailed = 806,
+  kQuotaRefused = 820,
+  kQuotaSharesMoved = 821,
+  kQuotaGrantsBegin = 822,
   kOperatorCallFailed = 700,
 };
 
@@ -162,6 +165,12 @@
       return "request_unanswered";
     case Event::kRequestFailed:
       return "request_failed";
+    case Event::kQuotaRefused:
+      return "quota_refused";
+    case Event::kQuotaSharesMoved:
+      return "quota_shares_moved";
+    case Event::kQuotaGrantsBegin:
+      return "quota_grants_begin";
     case Event::kOperatorCallFailed:
       return "operator_call_failed";
   }
@@ -175,7 +184,7 @@
   std::string_view action;
 };
 
-inline constexpr std::array<EventDescription, 49> kEventCatalogue = {{
+inline constexpr std::array<EventDescription, 52> kEventCatalogue = {{
     {Event::kNone, "info",
      "no event",
      ""},
@@ -320,6 +329,15 @@
     {Event::kRequestFailed, "error",
      "request could not be handled; its connection is closed",
      "Report the reason; if it is a lack of memory, look at the memory of the daemon."},
+    {Event::kQuotaRefused, "info",
+     "request refused because of the quota of its workspace",
+     ""},
+    {Event::kQuotaSharesMoved, "info",
+     "other daemons now grant credit of workspaces that this one has granted",
+     ""},
+    {Event::kQuotaGrantsBegin, "info",
+     "this daemon begins to grant credit with empty buckets after a pause",
+     ""},
     {Event::kOperatorCallFailed, "info",
      "operator call failed",
      ""},
--- a/Source/Node/mesh_node.h
+++ b/Source/Node/mesh_node.h
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "Core/hash.h"
 #include "Core/result.h"
 #include "Http/boot_clock.h"
 #include "Http/io_shard.h"
@@ -29,6 +30,7 @@
 #include "Proxy/mesh_state.h"
 #include "Proxy/peer_handler.h"
 #include "Proxy/proxy_context.h"
+#include "Proxy/quota_gate.h"
 #include "Proxy/recent_requests.h"
 #include "Proxy/target_gate.h"
 #include "Store/store_sync.h"
@@ -150,14 +152,14 @@
         metrics(kMetricsShards),
         state(MakeIdentity(given), MakeRetryBound(given, this->started_at)),
         gate(given.service, given.link_bytes_per_second),
+        quotas(given.host, MakeQuotaBound(given), CombineHashes(seed, HashBytes(given.host)),
+               this->metrics),
         fetcher(*this->control_shards[0], this->state),
-        context{this->state,
-                this->gate,
-                this->stage,
-                this->metrics,
-                this->containment,
-                this->recent,
-                [this](const std::string& peer) { this->RequestSnapshot(peer); }},
+        context{
+            this->state,       this->gate,
+            this->stage,       this->metrics,
+            this->containment, this->recent,
+            this->quotas,      [this](const std::string& peer) { this->RequestSnapshot(peer); }},
         caller_handler(this->context),
         peer_handler(this->context),
         operator_handler(this->context),
@@ -173,6 +175,7 @@
                 }),
         prober(*this->control_shards[0], this->state, this->gate) {
     this->gate.SetRunWindow(std::chrono::milliseconds(given.retry_window_ms));
+    this->sync.SetLeaseListener([this](const LeaseProof* proof) { this->HandleLease(proof); });
   }
 
   static std::vector<std::unique_ptr<IoShard>> MakeShards(std::size_t count, std::uint64_t seed) {
@@ -204,6 +207,11 @@
     return bound;
   }
 
+  static QuotaBound MakeQuotaBound(const MeshSettings& given) {
+    return {std::chrono::milliseconds(given.quota_window_ms), given.quota_overage,
+            given.quota_slack};
+  }
+
   template <typename Handler>
   Status OpenListener(const std::string& address,
                       std::span<const std::unique_ptr<IoShard>> listener_shards, Handler& handler,
@@ -251,12 +259,28 @@
     this->sync.HandlePeerProgress(GetNow(), progress);
   }
 
+  void HandleLease(const LeaseProof* proof) {
+    if (proof == nullptr) {
+      this->quotas.RecordLeaseEnd();
+    } else {
+      this->quotas.RecordRenewal(proof->sent_at, GetNow(), proof->lease, proof->lease_time);
+    }
+  }
+
+  void UpdateQuotas() {
+    const std::shared_ptr<const RouteIndex> index = this->state.GetIndex();
+    if (index != nullptr && !index->GetTable().workspaces.empty()) {
+      this->quotas.HandleHosts(GetNow(), this->state.GetHosts());
+    }
+  }
+
   Awaitable<void> Tick() {
     asio::steady_timer timer(this->GetControlContext());
     ErrorCode code;
     while (!this->ended) {
       this->on_tick();
       this->state.DropRemovedHosts(GetNow());
+      this->UpdateQuotas();
       const bool probed = co_await this->prober.ProbeIfDue();
       if (probed) {
         this->sync.OnRecordChanged();
@@ -324,6 +348,7 @@
   TargetGate gate;
   CrashContainment containment;
   RecentRequests recent;
+  QuotaGate quotas;
   SnapshotFetcher fetcher;
   ProxyContext context;
   CallerHandler<typename Platform::Wire> caller_handler;
--- a/Source/Proxy/caller_request.h
+++ b/Source/Proxy/caller_request.h
@@ -14,6 +14,7 @@
 #include "Proxy/proxy_context.h"
 #include "Proxy/proxy_wire.h"
 #include "Proxy/response_relay.h"
+#include "Quota/credit_holder.h"
 #include "Retry/request_facts.h"
 #include "Retry/request_progress.h"
 #include "Routing/hop_placement.h"
@@ -49,6 +50,8 @@
   Awaitable<bool> TakeQuota();
   // Returns it if the request has surely not run.
   void ReturnUnusedQuota(const ProgressDecision& decision);
+  // Takes credit, and waits for a granting daemon if none is held.
+  Awaitable<CreditTake> WaitForCredit();
   // Sets the deadlines, fingerprints and limits of the request. A caller that states no deadline
   // gets the timeout of the route.
   void SetFacts(TimePoint now);
@@ -78,6 +81,8 @@
   const HostRoute* route = nullptr;
   // Null on public routes and without workspaces.
   const MeshWorkspace* workspace = nullptr;
+  // When credit of the workspace's quota was taken; empty if none was.
+  std::optional<TimePoint> credit_taken_at;
   std::string service;
   // Hash of the request target and the body. A resend of the same request has the same value.
   std::uint64_t fingerprint = 0;
--- a/Source/Proxy/peer_handler.h
+++ b/Source/Proxy/peer_handler.h
@@ -15,6 +15,7 @@
 #include "Proxy/peer_request.h"
 #include "Proxy/proxy_context.h"
 #include "Proxy/proxy_wire.h"
+#include "Proxy/quota_asker.h"
 #include "mesh_codec.h"
 
 namespace lacewingbridge {
@@ -24,8 +25,8 @@
 // Path from which other daemons read how much of the store's state this daemon knows.
 inline constexpr char kProgressPath[] = "/lacewingbridge/progress";
 
-// Handles the requests of other daemons: requests for the local target, and requests for the
-// version and hosts that this daemon has, or how new they are.
+// Handles the requests of other daemons: requests for the local target, for the version and hosts
+// that this daemon has or how new they are, and for credit of workspaces.
 template <ProxyWire Wire>
 class PeerHandler {
  public:
@@ -67,6 +68,10 @@
     if (exchange.GetTarget() == kProgressPath) {
       response.result(http::status::ok);
       response.body() = Encode(this->context.state.GetProgress());
+    } else if (exchange.GetTarget() == kQuotaPath && exchange.IsBodyComplete()) {
+      response.result(http::status::ok);
+      response.body() =
+          AnswerQuotaAsk(this->context.state, this->context.quotas, exchange.GetBody());
     } else if (exchange.GetTarget() == kSnapshotPath && index != nullptr) {
       PeerSnapshot snapshot;
       snapshot.table = index->GetTable();
--- a/Source/Proxy/proxy_context.h
+++ b/Source/Proxy/proxy_context.h
@@ -10,6 +10,7 @@
 class DaemonStage;
 class MeshState;
 class MetricsRegistry;
+class QuotaGate;
 class RecentRequests;
 class TargetGate;
 
@@ -21,6 +22,7 @@
   MetricsRegistry& metrics;
   CrashContainment& containment;
   RecentRequests& recent;
+  QuotaGate& quotas;
   // Called with the peer address of a daemon that holds a newer version.
   std::function<void(const std::string&)> on_newer_table;
 };
--- /dev/null
+++ b/Source/Proxy/quota_asker.cc
@@ -0,0 +1,87 @@
+#include "Proxy/quota_asker.h"
+
+#include <algorithm>
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+#include "Http/boot_clock.h"
+#include "Http/io_shard.h"
+#include "Http/outbound_exchange.h"
+#include "Proxy/mesh_state.h"
+#include "Proxy/quota_gate.h"
+#include "quota_codec.h"
+
+namespace lacewingbridge {
+
+namespace {
+
+// Shorter than the time for which daemons keep idle connections of each other open.
+constexpr Duration kPeerIdleLimit = std::chrono::seconds(4);
+constexpr std::size_t kMaxReplyBytes = 256;
+
+Awaitable<std::optional<QuotaReply>> SendAsk(IoShard& shard, const std::string& peer_address,
+                                             const QuotaAsk& ask) {
+  OutboundExchange exchange(shard, peer_address);
+  OutboundExchange::Request request(http::verb::post, kQuotaPath, 11);
+  request.set(http::field::host, peer_address);
+  request.body() = Encode(ask);
+  request.prepare_payload();
+  const OutboundOptions options{kAskLimit, kPeerIdleLimit, kPeerIdleLimit};
+  const ExchangeStatus status = co_await exchange.Start(request, nullptr, kAskLimit, options);
+  std::optional<QuotaReply> reply;
+  if (status == ExchangeStatus::kOk && exchange.GetHead().result() == http::status::ok) {
+    std::string body;
+    const BodyStatus read = co_await exchange.ReadBody(body, kMaxReplyBytes);
+    QuotaReply decoded;
+    if (read == BodyStatus::kComplete && Decode(body, decoded)) {
+      reply = decoded;
+    }
+  }
+  exchange.Finish();
+  co_return reply;
+}
+
+QuotaReply AnswerAsk(MeshState& state, QuotaGate& quotas, const QuotaAsk& ask) {
+  const std::shared_ptr<const RouteIndex> index = state.GetIndex();
+  if (index == nullptr) {
+    return quotas.Answer(GetNow(), ask, nullptr, 0);
+  }
+  const std::vector<MeshWorkspace>& workspaces = index->GetTable().workspaces;
+  const auto own = std::find_if(
+      workspaces.begin(), workspaces.end(),
+      [&ask](const MeshWorkspace& workspace) { return workspace.name == ask.workspace; });
+  return quotas.Answer(GetNow(), ask, own == workspaces.end() ? nullptr : &*own,
+                       index->GetTable().version);
+}
+
+}  // namespace
+
+Awaitable<void> AskForCredit(IoShard& shard, MeshState& state, QuotaGate& quotas,
+                             std::string workspace) {
+  while (true) {
+    const std::optional<QuotaGate::OutgoingAsk> outgoing = quotas.MakeAsk(GetNow(), workspace);
+    if (!outgoing.has_value()) {
+      co_return;
+    }
+    std::optional<QuotaReply> reply;
+    if (outgoing->peer_address.empty()) {
+      reply = AnswerAsk(state, quotas, outgoing->ask);
+    } else {
+      reply = co_await SendAsk(shard, outgoing->peer_address, outgoing->ask);
+    }
+    quotas.HandleReply(GetNow(), workspace, reply.has_value() ? &*reply : nullptr);
+  }
+}
+
+std::string AnswerQuotaAsk(MeshState& state, QuotaGate& quotas, const std::string& body) {
+  QuotaAsk ask;
+  if (!Decode(body, ask)) {
+    return {};
+  }
+  return Encode(AnswerAsk(state, quotas, ask));
+}
+
+}  // namespace lacewingbridge
--- /dev/null
+++ b/Source/Quota/credit_grants.h
@@ -0,0 +1,46 @@
+#ifndef LACEWINGBRIDGE_SOURCE_QUOTA_CREDIT_GRANTS_H_
+#define LACEWINGBRIDGE_SOURCE_QUOTA_CREDIT_GRANTS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+
+#include "Core/time_point.h"
+#include "Quota/credit_bucket.h"
+#include "Quota/granter_list.h"
+#include "Quota/quota_limit.h"
+#include "quota.h"
+
+namespace lacewingbridge {
+
+// The shares that this daemon grants. A bucket exists from the first ask for it until it is full
+// and nobody asks, or until another daemon grants the share.
+//
+// Not thread-safe.
+class CreditGrants {
+ public:
+  // Grants credit of a share of this daemon. `own_limit` is what this daemon knows; the newer limit
+  // counts. A bucket began to fill at `start` if it did not exist.
+  QuotaReply Answer(TimePoint now, TimePoint start, const QuotaAsk& ask,
+                    const QuotaLimit& own_limit, const QuotaBound& bound);
+
+  // Drops the buckets of shares that other daemons grant, and idle ones. Returns the number of
+  // shares that went to other daemons.
+  std::size_t DropOthers(TimePoint now, const GranterList& list);
+  void Clear() { this->entries.clear(); }
+  std::size_t CountBuckets() const { return this->entries.size(); }
+
+ private:
+  struct Entry {
+    CreditBucket bucket;
+    QuotaLimit limit;
+  };
+
+  std::map<std::pair<std::string, std::uint32_t>, Entry> entries;
+};
+
+}  // namespace lacewingbridge
+
+#endif  // LACEWINGBRIDGE_SOURCE_QUOTA_CREDIT_GRANTS_H_
--- /dev/null
+++ b/Source/Quota/grant_fence.cc
@@ -0,0 +1,20 @@
+#include "Quota/grant_fence.h"
+
+namespace lacewingbridge {
+
+bool GrantFence::RecordRenewal(TimePoint sent, TimePoint now, std::uint64_t lease,
+                               Duration lease_time) {
+  // A new lease soon after the last call leaves other daemons no time to drop this one.
+  const bool kept = this->granting_from.has_value() &&
+                    (lease == this->known_lease ||
+                     now - this->last_sent < HostDirectory::kRemovalDelay - kListTime);
+  if (!kept) {
+    this->granting_from = now + kSettleTime;
+  }
+  this->known_lease = lease;
+  this->last_sent = sent;
+  this->granting_until = sent + lease_time + HostDirectory::kRemovalDelay - kCreditTime;
+  return kept;
+}
+
+}  // namespace lacewingbridge
--- /dev/null
+++ b/Source/Quota/quota_limit.cc
@@ -0,0 +1,38 @@
+#include "Quota/quota_limit.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace lacewingbridge {
+
+std::uint32_t GetShareCount(const QuotaBound& bound) {
+  constexpr double kSlackPerShare = 4;
+  constexpr double kMaxShares = 4;
+  if (bound.window <= Duration{0}) {
+    return 1;
+  }
+  return static_cast<std::uint32_t>(std::clamp(bound.slack / kSlackPerShare, 1.0, kMaxShares));
+}
+
+ShareLimit ComputeShareLimit(const QuotaLimit& limit, const QuotaBound& bound) {
+  constexpr double kUsedPart = 0.5;
+  const double window_s = std::chrono::duration<double>(bound.window).count();
+  const double extra =
+      window_s > 0 ? bound.overage * (limit.rate_per_s * window_s + limit.burst) + bound.slack : 0;
+  const double shares = GetShareCount(bound);
+  return {limit.rate_per_s / shares, std::max(1.0, (limit.burst + kUsedPart * extra) / shares)};
+}
+
+Duration ComputeCreditHorizon(const ShareLimit& share) {
+  constexpr double kCapacityPart = 0.5;
+  constexpr double kShortest_s = 0.1;
+  constexpr double kLongest_s = 1;
+  if (share.rate_per_s <= 0) {
+    return Duration{0};
+  }
+  const double seconds =
+      std::clamp(kCapacityPart * share.capacity / share.rate_per_s, kShortest_s, kLongest_s);
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+}  // namespace lacewingbridge
--- a/Source/Store/store_sync.h
+++ b/Source/Store/store_sync.h
@@ -3,6 +3,7 @@
 
 #include <concepts>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -36,6 +37,13 @@
   { Source::Decode(bytes) } -> std::same_as<Result<RouteTable>>;
 };
 
+// A call that the store confirmed while this host's lease was alive.
+struct LeaseProof {
+  TimePoint sent_at;
+  std::uint64_t lease = 0;
+  Duration lease_time{0};
+};
+
 // Synchronises this daemon with the store: applies the newest route table and the list of hosts,
 // and lists this host under a lease. Runs on one shard's thread.
 template <LeaseStore Client, TableSource Source>
@@ -58,6 +66,10 @@
     this->Spawn(&StoreSync::MaintainRecord);
   }
 
+  // Called with each proof, and with null before this daemon ends its lease.
+  using LeaseListener = std::function<void(const LeaseProof*)>;
+  void SetLeaseListener(LeaseListener listener) { this->on_lease = std::move(listener); }
+
   // Applies to the next lease.
   void SetMinLease(Duration min_lease) { this->lease_time = std::max(min_lease, kLeaseTime); }
 
@@ -279,6 +291,7 @@
     const std::string value = Encode(MakeHostRecord(this->state.GetIdentity(), this->gate));
     Status status = co_await this->client.Write(key, value, this->lease);
     co_await this->Pause(kLeaveNotice);
+    this->on_lease(nullptr);
     if (IsOk(status)) {
       status = co_await this->client.EndLease(this->lease);
     }
@@ -297,6 +310,7 @@
       co_return GetError(granted);
     }
     this->lease = GetValue(granted);
+    this->held_lease_time = this->lease_time;
     this->written.reset();
     EventLog::Write(Event::kLeaseGranted, "lease={}", this->lease);
     co_return MakeOkStatus();
@@ -309,6 +323,7 @@
       co_return status;
     }
     HostRecord record = MakeHostRecord(this->state.GetIdentity(), this->gate);
+    const LeaseProof proof{GetNow(), this->lease, this->held_lease_time};
     if (this->written == record) {
       status = co_await this->client.RenewLease(this->lease);
     } else {
@@ -324,6 +339,9 @@
       this->lease = 0;
       this->written.reset();
     }
+    if (IsOk(status) && !this->ended) {
+      this->on_lease(&proof);
+    }
     co_return status;
   }
 
@@ -375,6 +393,9 @@
   TargetGate& gate;
   Client& client;
   Duration lease_time;
+  // Of the lease that this daemon holds.
+  Duration held_lease_time{0};
+  LeaseListener on_lease = [](const LeaseProof*) {};
   const StoreBounds bounds;
   AsyncSignal record_changed;
   const TimePoint started_at = GetNow();
