quota: Bound returned credit, and grant only in touch with the store

A property test of random fleets found two ways beyond the bound: a granting daemon without the store went on for 5.5 s while one that had just been listed granted after 2.5 s (270 requests where 227 are allowed), and credit of requests that did not run was granted again although it had already counted as spent (7 where 6.6 are allowed).

--- a/Source/Proxy/caller_request_quota.cc
+++ b/Source/Proxy/caller_request_quota.cc
@@ -23,9 +23,6 @@
 constexpr int kObjectiveDivisor = 4;
 constexpr Duration kShortestWait = std::chrono::milliseconds(50);
 constexpr Duration kShortestResendDelay = std::chrono::milliseconds(20);
-// Credit of requests that were refused later than this is lost. It bounds the credit that may come
-// back at once, beyond that which the granting daemons count.
-constexpr Duration kReturnLimit = std::chrono::seconds(1);
 
 // The wait of a request for credit. Used on the thread of the request's shard only.
 struct CreditWait {
@@ -102,12 +99,9 @@
 }
 
 void CallerRequest::ReturnUnusedQuota(const ProgressDecision& decision) {
-  const TimePoint now = GetNow();
-  if (!this->credit_taken_at.has_value() || now - *this->credit_taken_at > kReturnLimit) {
-    return;
-  }
-  if (decision.action != ProgressAction::kDeliver && !this->progress->MayHaveRun()) {
-    this->context.quotas.Return(now, this->workspace->name);
+  const bool unused = decision.action != ProgressAction::kDeliver && !this->progress->MayHaveRun();
+  if (unused && this->credit_taken_at.has_value()) {
+    this->context.quotas.Return(GetNow(), *this->credit_taken_at, this->workspace->name);
   }
 }
 
--- a/Source/Proxy/quota_gate.cc
+++ b/Source/Proxy/quota_gate.cc
@@ -106,11 +106,14 @@
   });
 }
 
-void QuotaGate::Return(TimePoint now, std::string_view workspace) {
+void QuotaGate::Return(TimePoint now, TimePoint taken_at, std::string_view workspace) {
+  if (now - taken_at >= kReturnTime) {
+    return;
+  }
   this->holdings.WithShard(HashBytes(workspace), [&](HoldingShard& shard) {
     const auto found = shard.holdings.find(workspace);
     if (found != shard.holdings.end()) {
-      found->second.holder.Return(now);
+      found->second.holder.Return(taken_at);
     }
   });
 }
--- a/Source/Proxy/quota_gate.h
+++ b/Source/Proxy/quota_gate.h
@@ -64,7 +64,8 @@
              const std::function<Listener()>& make_listener);
   // The request waits no longer. Returns false if its listener has been or is being called.
   bool Leave(std::string_view workspace, std::uint64_t ticket);
-  void Return(TimePoint now, std::string_view workspace);
+  // See CreditHolder::Return.
+  void Return(TimePoint now, TimePoint taken_at, std::string_view workspace);
 
   // One step of a round of asks; see CreditHolder.
   std::optional<OutgoingAsk> MakeAsk(TimePoint now, std::string_view workspace);
--- a/Source/Quota/credit_bucket.cc
+++ b/Source/Quota/credit_bucket.cc
@@ -48,6 +48,17 @@
   this->Add(now, 0);
 }
 
+double CreditBucket::TakeReturned(TimePoint now, double returned) {
+  const double elapsed = std::chrono::duration<double>(now - this->return_room_at).count();
+  const double period = std::chrono::duration<double>(kReturnTime).count();
+  this->return_room =
+      std::min(this->limit.returns, this->return_room + this->limit.returns * elapsed / period);
+  this->return_room_at = now;
+  const double taken = std::min(returned, this->return_room);
+  this->return_room -= taken;
+  return taken;
+}
+
 Duration CreditBucket::EstimateWait(TimePoint now) const {
   constexpr double kLongestPart = 0.5;
   constexpr double kShortestTurn_s = 0.05;
@@ -90,7 +101,7 @@
   holder.held = ask.held;
   holder.held_until = now + kCreditTime;
   holder.waiting = 0;
-  this->Add(now, lost + ask.returned);
+  this->Add(now, lost + this->TakeReturned(now, ask.returned));
   const double granted = std::min(static_cast<double>(ask.wanted), std::floor(this->available));
   this->available -= granted;
   holder.granted = granted;
--- a/Source/Quota/credit_bucket.h
+++ b/Source/Quota/credit_bucket.h
@@ -55,6 +55,8 @@
   // Takes credit into the bucket, as far as the unspent credit stays within the capacity.
   void Add(TimePoint now, double credit);
   double CountOutstanding(TimePoint now) const;
+  // Returns the part of the given back credit that may be granted again.
+  double TakeReturned(TimePoint now, double returned);
   Duration EstimateWait(TimePoint now) const;
   void DropOldHolders(TimePoint now);
 
@@ -62,6 +64,8 @@
   TimePoint updated_at;
   TimePoint pruned_at;
   double available = 0;
+  double return_room = 0;
+  TimePoint return_room_at;
   std::map<std::uint64_t, Holder> holders;
 };
 
--- a/Source/Quota/credit_holder.cc
+++ b/Source/Quota/credit_holder.cc
@@ -100,6 +100,11 @@
   return take;
 }
 
+void CreditHolder::Return(TimePoint taken_at) {
+  this->returned_since = this->returned == 0 ? taken_at : std::min(this->returned_since, taken_at);
+  ++this->returned;
+}
+
 bool CreditHolder::Leave(std::uint64_t ticket) { return std::erase(this->waiting, ticket) > 0; }
 
 std::optional<QuotaAsk> CreditHolder::MakeAsk(TimePoint now, std::vector<CreditEnd>& ends) {
@@ -124,7 +129,7 @@
   ask.serial = share->serial;
   ask.received = share->received;
   ask.held = share->held;
-  ask.returned = this->returned;
+  ask.returned = now - this->returned_since < kReturnTime ? this->returned : 0;
   ask.waiting = static_cast<std::uint32_t>(this->waiting.size());
   ask.wanted = ask.waiting + static_cast<std::uint32_t>(in_advance);
   this->returned = 0;
--- a/Source/Quota/credit_holder.h
+++ b/Source/Quota/credit_holder.h
@@ -56,8 +56,9 @@
   CreditTake Take(TimePoint now, const ShareLimit& limit, std::uint64_t ticket);
   // The request no longer waits. Returns false if its end has already been decided.
   bool Leave(std::uint64_t ticket);
-  // Gives back the credit of a request that has not run.
-  void Return(TimePoint now) { this->returned += this->IsActive(now) ? 1 : 0; }
+  // Gives back the credit, taken at `taken_at`, of a request that has not run. It reaches a
+  // granting daemon with the next ask, or is lost if that comes too late.
+  void Return(TimePoint taken_at);
 
   // Returns the next ask of a round, without the identity of the holder and the limit; empty when
   // the round is over. HandleReply has to be called before the next one. The ends of requests
@@ -106,6 +107,8 @@
   double demand = 0;
   TimePoint last_take;
   std::uint32_t returned = 0;
+  // When the first request took credit that has been given back since the last ask.
+  TimePoint returned_since;
   std::optional<TimePoint> last_reply;
   std::deque<std::uint64_t> waiting;
   bool asking = false;
--- a/Source/Quota/grant_fence.h
+++ b/Source/Quota/grant_fence.h
@@ -10,17 +10,21 @@
 
 namespace lacewingbridge {
 
-// Tells when this daemon may grant credit. It may from some time after the store has listed it,
-// when the daemon that granted before has seen the list and its credit has ended. It may until
-// other daemons can have dropped it: they do so HostDirectory::kRemovalDelay after its lease has
-// ended, and by then the credit that it granted must have ended too.
+// Tells when this daemon may grant credit: while it is surely in touch with the store, and not
+// before the credit of the daemon that granted until now has ended. That one has read from the
+// store that this one is listed, or has lost touch with it, before kSettleTime is over. A daemon
+// that takes over because another one has left the list need not wait: its directory keeps the
+// other one for HostDirectory::kRemovalDelay after the end of its lease.
 //
 // Not thread-safe.
 class GrantFence {
  public:
-  // Time until the daemon that granted before has read the changed list.
-  static constexpr Duration kListTime = std::chrono::seconds(1);
-  static constexpr Duration kSettleTime = kListTime + kCreditTime;
+  // Longest time without a call that the store confirmed.
+  static constexpr Duration kContactTime = std::chrono::seconds(4);
+  // Time until a change of the list has reached a daemon in touch.
+  static constexpr Duration kListTime = std::chrono::milliseconds(500);
+  static constexpr Duration kSettleTime = kContactTime + kListTime + kCreditTime;
+  static_assert(HostDirectory::kRemovalDelay >= kCreditTime);
 
   // Records that the store has confirmed the lease by a call that was sent at `sent`. Returns false
   // if other daemons may have dropped this one before, so that its buckets are void.
--- a/Source/Quota/quota_limit.cc
+++ b/Source/Quota/quota_limit.cc
@@ -15,12 +15,15 @@
 }
 
 ShareLimit ComputeShareLimit(const QuotaLimit& limit, const QuotaBound& bound) {
-  constexpr double kUsedPart = 0.5;
+  constexpr double kHeldPart = 0.5;
+  // Twice this may be granted again within kReturnTime.
+  constexpr double kReturnedPart = 0.15;
   const double window_s = std::chrono::duration<double>(bound.window).count();
   const double extra =
       window_s > 0 ? bound.overage * (limit.rate_per_s * window_s + limit.burst) + bound.slack : 0;
   const double shares = GetShareCount(bound);
-  return {limit.rate_per_s / shares, std::max(1.0, (limit.burst + kUsedPart * extra) / shares)};
+  return {limit.rate_per_s / shares, std::max(1.0, (limit.burst + kHeldPart * extra) / shares),
+          kReturnedPart * extra / shares};
 }
 
 Duration ComputeCreditHorizon(const ShareLimit& share) {
--- a/Tests/Fakes/quota_fleet.h
+++ b/Tests/Fakes/quota_fleet.h
@@ -121,6 +121,10 @@
   void CutFromStore(std::size_t daemon, Duration duration) {
     this->daemons[daemon].cut_until = this->now + duration;
   }
+  // The daemon's watch of the list hangs; its lease is renewed.
+  void HangList(std::size_t daemon, Duration duration) {
+    this->daemons[daemon].list_hangs_until = this->now + duration;
+  }
   // Daemons of different groups do not hear each other.
   void SetGroup(std::size_t daemon, int group) { this->daemons[daemon].group = group; }
   // The daemon that grants the share in the view of the store.
@@ -157,6 +161,7 @@
     std::uint64_t life = 0;
     TimePoint frozen_until;
     TimePoint cut_until;
+    TimePoint list_hangs_until;
     int group = 0;
   };
   struct Event {
@@ -213,7 +218,7 @@
 
   void Tick(std::size_t daemon) {
     Daemon& self = this->daemons[daemon];
-    if (this->IsInTouch(daemon)) {
+    if (this->IsInTouch(daemon) && this->now >= self.list_hangs_until) {
       const std::vector<HostRecord> records = this->ListHosts();
       this->Post(daemon, this->DrawDelay(), [this, daemon, records] {
         this->daemons[daemon].directory.ReplaceAll(this->now, records);
@@ -303,8 +308,8 @@
     }
     if (target_refuses) {
       request.outcome = CreditOutcome::kWaiting;
-      this->Post(daemon, 4 * this->DrawDelay(), [this, daemon, workspace] {
-        this->daemons[daemon].gate->Return(this->now, workspace);
+      this->Post(daemon, 4 * this->DrawDelay(), [this, daemon, workspace, taken_at = this->now] {
+        this->daemons[daemon].gate->Return(this->now, taken_at, workspace);
       });
     } else {
       request.ended += this->DrawDelay();
--- a/Tests/test_node_quota_fleet.cc
+++ b/Tests/test_node_quota_fleet.cc
@@ -216,7 +216,7 @@
     fleet.loss = *rc::gen::element(0.0, 0.0, 0.1);
     fleet.longest_delay = milliseconds(*rc::gen::element(1, 16, 200));
     fleet.SetLimit("w", rate, burst);
-    fleet.RunUntil(fleet.GetNow() + seconds(4));
+    fleet.RunUntil(fleet.GetNow() + seconds(7));
     const TimePoint begin = fleet.GetNow();
     const TimePoint end = begin + seconds(30);
     Demand(fleet, "w", pressure * rate, end, ListAll(count), 0.1);
@@ -225,7 +225,7 @@
       const TimePoint at = begin + milliseconds(random() % 25000);
       const std::size_t daemon = random() % count;
       const milliseconds length(500 + random() % 9000);
-      const auto kind = random() % 5;
+      const auto kind = random() % 6;
       fleet.At(at, [&fleet, daemon, length, kind, at] {
         if (!fleet.IsAlive(daemon)) {
           return;
@@ -241,6 +241,8 @@
           fleet.CutFromStore(daemon, length);
           fleet.SetGroup(daemon, 1);
           fleet.At(at + length, [&fleet, daemon] { fleet.SetGroup(daemon, 0); });
+        } else if (kind == 4) {
+          fleet.HangList(daemon, std::min<Duration>(length, seconds(4)));
         } else {
           fleet.SetGroup(daemon, 2);
           fleet.At(at + length, [&fleet, daemon] { fleet.SetGroup(daemon, 0); });
--- a/Tests/test_quota_credit.cc
+++ b/Tests/test_quota_credit.cc
@@ -205,17 +205,23 @@
   cr_assert(ends.size() == 1 && ends[0].take.outcome == CreditOutcome::kTaken);
 }
 
-Test(grant_fence, grants_between_its_settling_and_the_end_of_the_lease) {
+Test(grant_fence, grants_after_it_has_settled_while_in_touch) {
   GrantFence fence;
   cr_assert(!fence.MayGrant(kStart));
-  cr_assert(!fence.RecordRenewal(kStart, kStart, 1, seconds(4)));
-  cr_assert(!fence.MayGrant(kStart + GrantFence::kSettleTime - milliseconds(1)));
-  cr_assert(fence.MayGrant(kStart + GrantFence::kSettleTime));
-  // Credit that is granted ends before other daemons drop this one.
-  const TimePoint dropped = kStart + seconds(4) + HostDirectory::kRemovalDelay;
-  cr_assert(!fence.MayGrant(dropped - kCreditTime));
-  cr_assert(fence.RecordRenewal(kStart + seconds(3), kStart + seconds(3), 1, seconds(4)));
-  cr_assert(fence.MayGrant(dropped - kCreditTime));
+  cr_assert(!fence.RecordRenewal(kStart, kStart, 1, seconds(10)));
+  const TimePoint settled = kStart + GrantFence::kSettleTime;
+  const TimePoint sent = settled - seconds(1);
+  cr_assert(fence.RecordRenewal(sent, settled - milliseconds(900), 1, seconds(10)));
+  cr_assert(!fence.MayGrant(settled - milliseconds(1)));
+  cr_assert(fence.MayGrant(settled));
+  // Counted from when the call was sent.
+  cr_assert(!fence.MayGrant(sent + GrantFence::kContactTime));
+  // The lease may be shorter.
+  cr_assert(fence.RecordRenewal(settled, settled, 1, seconds(2)));
+  cr_assert(!fence.MayGrant(settled + seconds(2)));
+  fence.RecordRenewal(settled, settled, 1, seconds(10));
+  fence.RecordEnd();
+  cr_assert(!fence.MayGrant(settled));
 }
 
 Test(grant_fence, settles_again_after_others_may_have_dropped_this_daemon) {
