--- a/Tests/test_node_quota_fleet.cc
+++ b/Tests/test_node_quota_fleet.cc
@@ -5,6 +5,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <cmath>
 #include <cstdint>
@@ -200,6 +201,29 @@
   }
 }
 
+// Usual demand fills the bucket and what the daemons hold; a burst spends both, at once or after a
+// pause in which the held credit ends.
+Test(quota_fleet, credit_that_is_held_before_a_burst_counts) {
+  EventLog::Configure("", "error");
+  const QuotaBound bound{seconds(5), 0.1, 0};
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    for (const seconds pause : {seconds(0), seconds(3)}) {
+      QuotaFleet fleet(4, bound, seed);
+      fleet.SetLimit("w", 150, 300);
+      fleet.RunUntil(fleet.GetNow() + seconds(8));
+      const TimePoint burst = fleet.GetNow() + seconds(10);
+      Demand(fleet, "w", 135, burst - pause, ListAll(4));
+      fleet.RunUntil(burst);
+      Demand(fleet, "w", 900, burst + seconds(6), ListAll(4));
+      fleet.RunUntil(burst + seconds(7));
+      const std::size_t most = CountMost(fleet.GetRequests("w"), bound.window);
+      cr_assert_leq(most, GetAllowed(bound, 150, 300), "seed %d: %zu", static_cast<int>(seed),
+                    most);
+      cr_assert_geq(most, 0.9 * (750 + 300));
+    }
+  }
+}
+
 // Random fleets, demand, limits and faults: the bound holds in every window. A new limit binds one
 // window after all daemons have it; until then the larger one counts.
 Test(quota_fleet, the_bound_holds_in_every_window) {
@@ -208,8 +232,7 @@
     const auto count = *rc::gen::inRange<std::size_t>(2, 12);
     QuotaBound bound{seconds(5), 0.1, static_cast<double>(*rc::gen::element(0, 6, 20, 60))};
     const auto rate = static_cast<std::uint32_t>(*rc::gen::element(1, 5, 40, 150));
-    const auto burst = static_cast<std::uint32_t>(*rc::gen::element(1, 10, 150));
-    const double pressure = *rc::gen::element(0.6, 2.0, 6.0);
+    const auto burst = static_cast<std::uint32_t>(*rc::gen::element(1, 10, 150, 600));
     const auto seed = *rc::gen::arbitrary<std::uint64_t>();
     const auto faults = *rc::gen::inRange(0, 12);
     QuotaFleet fleet(count, bound, seed);
@@ -219,8 +242,18 @@
     fleet.RunUntil(fleet.GetNow() + seconds(7));
     const TimePoint begin = fleet.GetNow();
     const TimePoint end = begin + seconds(30);
-    Demand(fleet, "w", pressure * rate, end, ListAll(count), 0.1);
     std::mt19937_64& random = fleet.GetRandom();
+    // Pauses and usual demand fill the buckets and what is held; bursts spend both.
+    const auto change = milliseconds(*rc::gen::element(1500, 3000, 30000));
+    for (TimePoint from = begin; from < end; from += change) {
+      const double pressure = std::array{0.0, 0.6, 0.95, 6.0, 6.0}[random() % 5];
+      fleet.At(from,
+               [&fleet, count, until = std::min(from + change, end), demand = pressure * rate] {
+                 if (demand > 0) {
+                   Demand(fleet, "w", demand, until, ListAll(count), 0.1);
+                 }
+               });
+    }
     for (int i = 0; i < faults; ++i) {
       const TimePoint at = begin + milliseconds(random() % 25000);
       const std::size_t daemon = random() % count;
