--- a/Source/Core/digest.cc
+++ b/Source/Core/digest.cc
@@ -1,5 +1,6 @@
 #include "Core/digest.h"
 
+#include <openssl/crypto.h>
 #include <openssl/sha.h>
 
 #include <array>
@@ -12,6 +13,11 @@
   return {reinterpret_cast<const char*>(full.data()), kDigestBytes};
 }
 
+bool AreDigestsEqual(std::string_view first, std::string_view second) {
+  return first.size() == second.size() &&
+         CRYPTO_memcmp(first.data(), second.data(), first.size()) == 0;
+}
+
 std::string FormatHex(std::string_view bytes) {
   constexpr std::string_view kDigits = "0123456789abcdef";
   std::string text;
--- a/Source/Core/digest.h
+++ b/Source/Core/digest.h
@@ -12,6 +12,9 @@
 // First 16 bytes of the SHA-256 of the text.
 std::string ComputeDigest(std::string_view text);
 
+// Compares in a time that depends on the sizes only, not on how much of the digests is equal.
+bool AreDigestsEqual(std::string_view first, std::string_view second);
+
 // Lower-case hexadecimal form, for keys and messages.
 std::string FormatHex(std::string_view bytes);
 
--- a/Source/Generated/events.h
+++ b/Source/Generated/events.h
@@ -60,6 +60,8 @@
   kResponseOverLimit = 804,
   kRequestUnanswered = 805,
   kRequestFailed = 806,
+  kWorkspaceLeftOut = 810,
+  kKeyShared = 811,
   kOperatorCallFailed = 700,
 };
 
@@ -162,6 +164,10 @@
       return "request_unanswered";
     case Event::kRequestFailed:
       return "request_failed";
+    case Event::kWorkspaceLeftOut:
+      return "workspace_left_out";
+    case Event::kKeyShared:
+      return "key_shared";
     case Event::kOperatorCallFailed:
       return "operator_call_failed";
   }
@@ -175,7 +181,7 @@
   std::string_view action;
 };
 
-inline constexpr std::array<EventDescription, 49> kEventCatalogue = {{
+inline constexpr std::array<EventDescription, 51> kEventCatalogue = {{
     {Event::kNone, "info",
      "no event",
      ""},
@@ -320,6 +326,12 @@
     {Event::kRequestFailed, "error",
      "request could not be handled; its connection is closed",
      "Report the reason; if it is a lack of memory, look at the memory of the daemon."},
+    {Event::kWorkspaceLeftOut, "warning",
+     "workspace is left out of the version in force; its API keys are not accepted",
+     "Give each workspace a name of its own without control characters."},
+    {Event::kKeyShared, "warning",
+     "two workspaces have the same API key; the key is not accepted",
+     "Remove the key from one of the workspaces."},
     {Event::kOperatorCallFailed, "info",
      "operator call failed",
      ""},
--- a/Source/Generated/mesh.h
+++ b/Source/Generated/mesh.h
@@ -224,6 +224,7 @@
   std::uint32_t after_ms = 0;
   std::int32_t time_left_ms = 0;
   std::vector<HopTrace> hops;
+  std::string workspace;
 
   bool operator==(const RequestTrace&) const = default;
 };
--- a/Source/Generated/mesh_codec.cc
+++ b/Source/Generated/mesh_codec.cc
@@ -869,6 +869,7 @@
   for (const auto& element : plain.hops) {
     ToWire(element, *wire.add_hops());
   }
+  wire.set_workspace(plain.workspace);
 }
 
 void FromWire(const wire::RequestTrace& wire, RequestTrace& plain) {
@@ -886,6 +887,7 @@
   for (const auto& element : wire.hops()) {
     FromWire(element, plain.hops.emplace_back());
   }
+  plain.workspace = wire.workspace();
 }
 
 std::string Encode(const RequestTrace& plain) {
--- a/Source/Observe/metrics_registry.cc
+++ b/Source/Observe/metrics_registry.cc
@@ -36,6 +36,18 @@
   return fmt::format("# TYPE {} {}\n", family, type);
 }
 
+// The value of a label in the text format.
+std::string Quote(std::string_view value) {
+  std::string quoted = "\"";
+  for (const char character : value) {
+    if (character == '"' || character == '\\') {
+      quoted += '\\';
+    }
+    quoted += character;
+  }
+  return quoted + '"';
+}
+
 }  // namespace
 
 MetricsRegistry::MetricsRegistry(std::size_t shard_count)
@@ -47,6 +59,29 @@
                          [&](Series& shard) { shard.counts[MakeKey(name, labels)] += amount; });
 }
 
+std::string MetricsRegistry::LimitName(std::string_view label, std::string_view value) {
+  const std::lock_guard guard(this->names_mutex);
+  auto entry = this->names.find(label);
+  if (entry == this->names.end()) {
+    entry = this->names.emplace(std::string(label), std::set<std::string, std::less<>>()).first;
+  }
+  std::set<std::string, std::less<>>& known = entry->second;
+  if (known.find(value) == known.end()) {
+    if (known.size() >= kMaxNames) {
+      return Quote("other");
+    }
+    known.emplace(value);
+  }
+  return Quote(value);
+}
+
+void MetricsRegistry::AddNamedCount(std::string_view name, std::string_view label,
+                                    std::string_view value, std::string_view other_labels,
+                                    std::uint64_t amount) {
+  this->AddCount(name, fmt::format("{}={},{}", label, this->LimitName(label, value), other_labels),
+                 amount);
+}
+
 void MetricsRegistry::AddLatency(std::string_view name, std::string_view labels, Duration latency) {
   const double seconds = std::chrono::duration<double>(latency).count();
   this->series.WithShard(GetThreadHash(), [&](Series& shard) {
--- a/Source/Observe/metrics_registry.h
+++ b/Source/Observe/metrics_registry.h
@@ -4,7 +4,10 @@
 #include <boost/histogram.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <mutex>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -22,6 +25,12 @@
   // format, for example route="lookup".
   void AddCount(std::string_view name, std::string_view labels, std::uint64_t amount = 1);
 
+  // The same with a label whose values are names that operators choose. Names beyond the first
+  // kMaxNames of the label share the value "other", so the number of series is bounded.
+  static constexpr std::size_t kMaxNames = 200;
+  void AddNamedCount(std::string_view name, std::string_view label, std::string_view value,
+                     std::string_view other_labels, std::uint64_t amount = 1);
+
   // Records a latency in the histogram with bounds from 0.05 ms to about 50 s.
   void AddLatency(std::string_view name, std::string_view labels, Duration latency);
 
@@ -46,7 +55,13 @@
   static Latencies MakeLatencies();
   static std::string FormatLatencies(const std::string& key, const Latencies& latencies);
 
+  // Returns the value to show for the name: itself or "other", with quotation marks.
+  std::string LimitName(std::string_view label, std::string_view value);
+
   Sharded<Series> series;
+  std::mutex names_mutex;
+  // Names of each label that have series of their own.
+  std::map<std::string, std::set<std::string, std::less<>>, std::less<>> names;
 };
 
 }  // namespace lacewingbridge
--- a/Source/Proxy/caller_request.cc
+++ b/Source/Proxy/caller_request.cc
@@ -14,9 +14,7 @@
 #include "Proxy/daemon_stage.h"
 #include "Proxy/header_fields.h"
 #include "Proxy/mesh_state.h"
-#include "Proxy/recent_requests.h"
 #include "Proxy/target_gate.h"
-#include "Retry/resend_delay.h"
 
 namespace lacewingbridge {
 
@@ -40,8 +38,13 @@
 }  // namespace
 
 CallerRequest::CallerRequest(const ProxyContext& proxy_context, IoShard& io_shard,
-                             ServerExchange& server_exchange, const CallerHeaders& caller_headers)
-    : context(proxy_context), shard(io_shard), exchange(server_exchange), headers(caller_headers) {}
+                             ServerExchange& server_exchange, const CallerHeaders& caller_headers,
+                             const AccessHeaders& access_header_names)
+    : context(proxy_context),
+      shard(io_shard),
+      exchange(server_exchange),
+      headers(caller_headers),
+      access_headers(access_header_names) {}
 
 bool CallerRequest::FindRoute() {
   this->route = this->index->Find(this->exchange.GetHeader("Host"), this->exchange.GetTarget());
@@ -142,7 +145,7 @@
     co_return this->progress->HandleTimeout();
   }
   if (!this->IsAccessCurrent(now)) {
-    co_return this->progress->HandleNoCandidate(now);
+    co_return this->progress->HandleProofExpired();
   }
   if (this->context.containment.IsContained(now, this->service, this->crash_fingerprint)) {
     const HopEnd contained{HopOutcome::kQuarantined, 0};
@@ -171,6 +174,9 @@
 
 OutboundExchange::Request CallerRequest::MakeHopRequest(TimePoint now, const HopChoice& choice) {
   OutboundExchange::Request request = MakeForwardedRequest(this->exchange);
+  if (this->index->GetWorkspaces().HasWorkspaces()) {
+    RemoveAccessHeaders(this->access_headers, request);
+  }
   HopRequest hop_request;
   hop_request.service = this->service;
   hop_request.target_id = choice.target_id;
@@ -289,16 +295,6 @@
   this->hops.push_back(std::move(hop_trace));
 }
 
-std::optional<Duration> CallerRequest::EstimateResendDelay(TimePoint now) {
-  const std::optional<Duration> wait = this->context.state.EstimateMinWait(now, this->service);
-  if (!wait.has_value()) {
-    return std::nullopt;
-  }
-  const Duration objective = this->facts.objective_at - this->facts.arrived_at;
-  return ComputeResendDelay(*wait, this->facts.deadline - now, objective / 2,
-                            this->shard.GetRandom());
-}
-
 Awaitable<void> CallerRequest::Finish(const ProgressDecision& decision) {
   if (this->context.stage.IsStopping()) {
     this->exchange.CloseAfter();
@@ -332,9 +328,7 @@
     }
     case ProgressAction::kRefuse:
       co_await this->SendRefusal(http::status::service_unavailable, reason,
-                                 decision.reason == ProgressReason::kQuarantined
-                                     ? std::nullopt
-                                     : this->EstimateResendDelay(now));
+                                 this->EstimateResendDelay(now, decision.reason));
       break;
     case ProgressAction::kFailUnknown:
       co_await this->SendRefusal(http::status::bad_gateway, reason, std::nullopt);
@@ -348,24 +342,6 @@
                                    GetNow() - this->facts.arrived_at);
 }
 
-Awaitable<void> CallerRequest::SendRefusal(http::status status, std::string_view reason,
-                                           std::optional<Duration> resend_delay) {
-  const auto number = static_cast<unsigned>(status);
-  this->context.metrics.AddCount("requests_total", fmt::format("status=\"{}\"", number));
-  this->context.metrics.AddCount("refusals_total",
-                                 fmt::format("status=\"{}\",reason=\"{}\"", number, reason));
-  this->LogEnd(number, reason);
-  this->context.recent.Add(this->MakeTrace(number, reason));
-  ServerExchange::Answer response(status, 11);
-  if (resend_delay.has_value()) {
-    response.set(http::field::retry_after,
-                 fmt::format("{:.3f}", std::chrono::duration<double>(*resend_delay).count()));
-  }
-  response.set(http::field::content_type, "text/plain");
-  response.body() = fmt::format("{}\n", reason);
-  co_await this->exchange.Send(std::move(response));
-}
-
 RequestTrace CallerRequest::MakeTrace(unsigned status, std::string_view reason) const {
   const TimePoint now = GetNow();
   RequestTrace trace;
@@ -382,6 +358,7 @@
       this->headers.time_left.value_or(Duration{0}) - (now - this->facts.arrived_at);
   trace.time_left_ms = static_cast<std::int32_t>(CountMilliseconds(time_left));
   trace.hops = this->hops;
+  trace.workspace = this->workspace == nullptr ? std::string() : this->workspace->name;
   return trace;
 }
 
--- a/Source/Proxy/caller_request.h
+++ b/Source/Proxy/caller_request.h
@@ -29,18 +29,23 @@
 class CallerRequest {
  public:
   CallerRequest(const ProxyContext& proxy_context, IoShard& io_shard,
-                ServerExchange& server_exchange, const CallerHeaders& caller_headers);
+                ServerExchange& server_exchange, const CallerHeaders& caller_headers,
+                const AccessHeaders& access_header_names);
 
   Awaitable<void> Run();
 
  private:
+  // Retry-After while the daemon does not know whether its version is the newest one, which it
+  // learns as soon as it reaches the store or another daemon that does.
+  static constexpr Duration kProofResendDelay = std::chrono::milliseconds(500);
+
   Awaitable<void> Handle();
   // Sets the route; returns false if none matches.
   bool FindRoute();
   // Sets the workspace. Returns false if the request was refused because of its API key.
   Awaitable<bool> CheckAccess();
-  // Whether the version in force is still known to be the newest, so that the API key of the
-  // request is valid.
+  // Whether the API key of the request is valid in the version in force, and that version is still
+  // known to be the newest.
   bool IsAccessCurrent(TimePoint now) const;
   // Priority of the workspace, or that of the route.
   std::uint32_t GetPriority() const;
@@ -62,8 +67,9 @@
   Awaitable<void> Finish(const ProgressDecision& decision);
   Awaitable<void> SendRefusal(http::status status, std::string_view reason,
                               std::optional<Duration> resend_delay);
-  // Returns the value of Retry-After: the delay after which the caller should resend the request.
-  std::optional<Duration> EstimateResendDelay(TimePoint now);
+  // Returns the value of Retry-After in the refusal: the delay after which the caller should resend
+  // the request. Empty if a resend would be refused as well.
+  std::optional<Duration> EstimateResendDelay(TimePoint now, ProgressReason reason);
   void RecordHop(const HopChoice& choice, const HopEnd& end, const HopReport* report);
   void LogEnd(unsigned status, std::string_view reason) const;
   // Logs and counts a request whose connection ended before the whole response was sent.
@@ -74,6 +80,7 @@
   IoShard& shard;
   ServerExchange& exchange;
   const CallerHeaders headers;
+  const AccessHeaders access_headers;
   std::shared_ptr<const RouteIndex> index;
   const HostRoute* route = nullptr;
   // Null on public routes and without workspaces.
--- a/Source/Proxy/caller_request_log.cc
+++ b/Source/Proxy/caller_request_log.cc
@@ -27,11 +27,18 @@
   if (this->route != nullptr) {
     route_name = this->route->name;
   }
+  std::string_view workspace_name = "none";
+  if (this->workspace != nullptr) {
+    workspace_name = this->workspace->name;
+    this->context.metrics.AddNamedCount("workspace_requests_total", "workspace", workspace_name,
+                                        fmt::format("status=\"{}\"", status));
+  }
   EventLog::Write(
       Event::kRequestEnded,
-      "request={} path={} route={} version={} service={} status={} reason={} last={} refused={} "
+      "request={} path={} route={} workspace={} version={} service={} status={} reason={} last={} "
+      "refused={} "
       "time_left_ms={} age_ms={} after_ms={}",
-      this->headers.request_id, this->exchange.GetTarget(), route_name,
+      this->headers.request_id, this->exchange.GetTarget(), route_name, workspace_name,
       this->index == nullptr ? 0 : this->index->GetTable().version, this->service, status, reason,
       this->last_reason, this->refused_by.size(),
       CountMilliseconds(this->headers.time_left.value_or(Duration{0}) -
--- a/Source/Proxy/header_fields.cc
+++ b/Source/Proxy/header_fields.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "Core/base64.h"
+#include "Proxy/proxy_wire.h"
 #include "mesh_codec.h"
 
 namespace lacewingbridge {
@@ -70,6 +71,11 @@
   }
 }
 
+void RemoveAccessHeaders(const AccessHeaders& names, http::fields& fields) {
+  fields.erase(ToBoost(names.key));
+  fields.erase(ToBoost(names.workspace));
+}
+
 void SetHopRequest(http::fields& fields, const HopRequest& hop) {
   SetMessage(fields, kHopRequestHeader, hop);
 }
--- a/Source/Proxy/header_fields.h
+++ b/Source/Proxy/header_fields.h
@@ -9,10 +9,15 @@
 
 namespace lacewingbridge {
 
+struct AccessHeaders;
+
 // Copies the end-to-end headers. Leaves out the headers that define the framing, which the writer
 // sets, and the headers that daemons use among themselves.
 void CopyEndToEndHeaders(const http::fields& from, http::fields& to);
 
+// Removes the API key and the name of a workspace, also if they occur more than once.
+void RemoveAccessHeaders(const AccessHeaders& names, http::fields& fields);
+
 void SetHopRequest(http::fields& fields, const HopRequest& hop);
 std::optional<HopRequest> GetHopRequest(const http::fields& fields);
 
--- a/Source/Proxy/peer_request.cc
+++ b/Source/Proxy/peer_request.cc
@@ -175,9 +175,21 @@
   headers.time_left = std::max(this->offer.deadline - GetNow(), Duration{0});
   headers.target_id = this->hop.target_id;
   headers.caller_service = this->hop.caller_service;
+  headers.workspace = this->hop.workspace;
   return headers;
 }
 
+OutboundExchange::Request PeerRequest::MakeTargetRequest(const AccessHeaders& names) const {
+  OutboundExchange::Request request = MakeForwardedRequest(this->exchange);
+  // The caller's daemon may still have a version without workspaces.
+  const std::shared_ptr<const RouteIndex> index = this->context.state.GetIndex();
+  if (!this->hop.workspace.empty() ||
+      (index != nullptr && index->GetWorkspaces().HasWorkspaces())) {
+    RemoveAccessHeaders(names, request);
+  }
+  return request;
+}
+
 Awaitable<ExchangeStatus> PeerRequest::SendToTarget(const OutboundExchange::Request& request) {
   this->started_at = GetNow();
   this->context.gate.RecordRunStart(this->started_at, this->GetRepeatShare());
@@ -327,11 +339,12 @@
 void PeerRequest::Log(const HopReport& report, unsigned status) const {
   EventLog::Write(
       Event::kTargetHopEnded,
-      "request={} sender={} target={} outcome={} reason={} status={} priority={} running={} "
-      "waiting={} slots={} waited_ms={} predicted_ms={} objective_ms={} link_wait_ms={} "
+      "request={} sender={} target={} workspace={} outcome={} reason={} status={} priority={} "
+      "running={} waiting={} slots={} waited_ms={} predicted_ms={} objective_ms={} link_wait_ms={} "
       "after_ms={}",
-      this->request_id, this->hop.sender, report.target_id, GetName(report.outcome), report.reason,
-      status, this->hop.priority, report.running, report.waiting, report.slots,
+      this->request_id, this->hop.sender, report.target_id,
+      this->hop.workspace.empty() ? "none" : this->hop.workspace, GetName(report.outcome),
+      report.reason, status, this->hop.priority, report.running, report.waiting, report.slots,
       this->started_at == TimePoint() ? 0 : CountMilliseconds(this->started_at - this->arrived_at),
       this->offer.predicted_end == TimePoint()
           ? 0
--- a/Source/Proxy/peer_request.h
+++ b/Source/Proxy/peer_request.h
@@ -42,7 +42,7 @@
       this->EndContainment();
       co_return;
     }
-    OutboundExchange::Request request = MakeForwardedRequest(this->exchange);
+    OutboundExchange::Request request = this->MakeTargetRequest(Wire::GetAccessHeaders());
     Wire::WriteTargetHeaders(request, this->MakeTargetHeaders());
     ExchangeStatus status = co_await this->SendToTarget(request);
     for (int skipped = 0; status == ExchangeStatus::kOk; ++skipped) {
@@ -85,6 +85,8 @@
   // Waits until the gate admits or refuses a queued request, or the caller's daemon disconnects.
   Awaitable<bool> WaitForAdmission(const std::shared_ptr<SlotWait>& wait);
   TargetHeaders MakeTargetHeaders() const;
+  // Makes the request as it is forwarded, without the headers of the platform.
+  OutboundExchange::Request MakeTargetRequest(const AccessHeaders& names) const;
   Awaitable<ExchangeStatus> SendToTarget(const OutboundExchange::Request& request);
   bool IsFromThisHost() const;
   // Returns the probability that the run counts as a repeat.
--- a/Source/Proxy/proxy_wire.h
+++ b/Source/Proxy/proxy_wire.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "Core/time_point.h"
 #include "Http/asio_types.h"
@@ -20,13 +21,22 @@
   std::string api_key;
 };
 
+// Headers by which callers present API keys and targets learn the workspace. With workspaces in the
+// version in force, what a caller wrote into them ends at the daemons.
+struct AccessHeaders {
+  std::string_view key;
+  std::string_view workspace;
+  // Value of WWW-Authenticate when a request is denied because of its key.
+  std::string_view challenge;
+};
+
 // Content of the headers that are sent to a target.
 struct TargetHeaders {
   Duration time_left{0};
   // Only the target with this id may run the request. Empty if any target may.
   std::string target_id;
   std::string caller_service;
-  // Workspace of the caller; if empty, the target must not receive any.
+  // Workspace of the caller; empty on public routes and without workspaces.
   std::string workspace;
 };
 
@@ -57,6 +67,7 @@
 template <typename Wire>
 concept ProxyWire = requires(const http::fields& read, http::fields& written,
                              const TargetHeaders& headers) {
+  { Wire::GetAccessHeaders() } -> std::same_as<AccessHeaders>;
   { Wire::ReadCallerHeaders(read) } -> std::same_as<CallerHeaders>;
   { Wire::ReadResponseHeaders(read) } -> std::same_as<TargetResponseHeaders>;
   Wire::WriteTargetHeaders(written, headers);
--- a/Source/Retry/request_progress.cc
+++ b/Source/Retry/request_progress.cc
@@ -39,6 +39,8 @@
       return "quarantined";
     case ProgressReason::kCallFailed:
       return "call_failed";
+    case ProgressReason::kProofExpired:
+      return "proof_expired";
     case ProgressReason::kFalseRefusal:
       return "false_refusal";
   }
--- a/Source/Retry/request_progress.h
+++ b/Source/Retry/request_progress.h
@@ -37,6 +37,7 @@
   kNoTarget,          // there is no daemon to send it to, and none has refused it
   kQuarantined,       // the request is quarantined because it crashed too many targets
   kCallFailed,        // a call of the run failed; running it again would make its calls again
+  kProofExpired,      // the API key of the request is no longer known to be valid
   kFalseRefusal,      // the target ran it and responded with a status that means "not run"
 };
 
@@ -89,6 +90,8 @@
   ProgressDecision HandleHopEnd(TimePoint now, const HopEnd& end, FleetRetryBudget& budget);
   // Decides how the request ends if there is no other daemon to send it to.
   ProgressDecision HandleNoCandidate(TimePoint now) const;
+  // Decides how the request ends if its API key is no longer known to be valid.
+  ProgressDecision HandleProofExpired() const { return this->End(ProgressReason::kProofExpired); }
   // Decides how the request ends if its deadline or timeout has passed.
   ProgressDecision HandleTimeout() const;
 
--- a/Source/Routing/route_index.cc
+++ b/Source/Routing/route_index.cc
@@ -26,7 +26,11 @@
 }  // namespace
 
 Result<RouteIndex> RouteIndex::Create(RouteTable new_table) {
-  RouteIndex index(std::move(new_table));
+  Result<WorkspaceIndex> workspaces = WorkspaceIndex::Create(new_table.workspaces);
+  if (!IsOk(workspaces)) {
+    return GetError(workspaces);
+  }
+  RouteIndex index(std::move(new_table), std::move(GetValue(workspaces)));
   for (std::size_t i = 0; i < index.table.routes.size(); ++i) {
     const Status added = index.AddRoute(i);
     if (!IsOk(added)) {
--- a/Source/Routing/route_index.h
+++ b/Source/Routing/route_index.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 
 #include "Core/result.h"
+#include "Workspaces/workspace_index.h"
 #include "mesh.h"
 
 namespace lacewingbridge {
@@ -18,7 +19,7 @@
  public:
   // Returns an error for a table in which a route names an unknown service, a path prefix does not
   // begin and end with a slash, two routes have the same host and prefix, or the weights of a route
-  // are all zero.
+  // are all zero, or the digest of an API key has the wrong size.
   static Result<RouteIndex> Create(RouteTable new_table);
 
   // Returns the route with the longest matching prefix; null if no route matches. The host may
@@ -29,6 +30,12 @@
   const MeshService* FindService(std::string_view name) const;
 
   const RouteTable& GetTable() const { return this->table; }
+  const WorkspaceIndex& GetWorkspaces() const { return this->workspaces; }
+
+  // The workspaces refer to the table, and stay valid when it is moved.
+  RouteIndex(RouteIndex&&) = default;
+  RouteIndex(const RouteIndex&) = delete;
+  RouteIndex& operator=(const RouteIndex&) = delete;
 
  private:
   struct StringHash {
@@ -39,10 +46,12 @@
     }
   };
 
-  explicit RouteIndex(RouteTable new_table) : table(std::move(new_table)) {}
+  RouteIndex(RouteTable new_table, WorkspaceIndex workspace_index)
+      : table(std::move(new_table)), workspaces(std::move(workspace_index)) {}
   Status AddRoute(std::size_t position);
 
   RouteTable table;
+  WorkspaceIndex workspaces;
   // Positions of the routes in the table. The key is the host followed by the path prefix; it is
   // unambiguous because a host contains no slash.
   std::unordered_map<std::string, std::size_t, StringHash, std::equal_to<>> positions;
--- a/Tests/Fakes/fake_platform.h
+++ b/Tests/Fakes/fake_platform.h
@@ -30,8 +30,12 @@
       if (std::from_chars(text.data(), text.data() + text.size(), milliseconds).ec == std::errc()) {
         headers.time_left = std::chrono::milliseconds(milliseconds);
       }
+      if (fields.count("X-Key") == 1) {
+        headers.api_key = std::string(fields["X-Key"]);
+      }
       return headers;
     }
+    static AccessHeaders GetAccessHeaders() { return {"X-Key", "X-Workspace", "Key"}; }
     static TargetResponseHeaders ReadResponseHeaders(const http::fields& fields) {
       TargetResponseHeaders headers;
       headers.request_id = std::string(fields["X-Id"]);
@@ -45,6 +49,9 @@
       fields.set("X-Time-Left-Ms", std::to_string(CountMilliseconds(headers.time_left)));
       fields.set("X-Caller-Service", headers.caller_service);
       fields.set("X-Expected-Target", headers.target_id);
+      if (!headers.workspace.empty()) {
+        fields.set("X-Workspace", headers.workspace);
+      }
     }
   };
 
