--- a/Source/Proxy/caller_handler.h
+++ b/Source/Proxy/caller_handler.h
@@ -45,8 +45,7 @@
 
   Awaitable<void> Handle(IoShard& shard, ServerExchange& exchange) {
     CallerRequest request(this->context, shard, exchange,
-                          Wire::ReadCallerHeaders(exchange.GetHead()),
-                          Wire::GetAccessHeaders());
+                          Wire::ReadCallerHeaders(exchange.GetHead()), Wire::GetAccessHeaders());
     co_await request.Run();
   }
 
--- a/Source/Proxy/caller_request_access.cc
+++ b/Source/Proxy/caller_request_access.cc
@@ -28,8 +28,8 @@
   if (this->context.state.GetIndex() != this->index) {
     certainty = {};
   }
-  const AccessDecision decision = DecideAccess(this->index->GetWorkspaces(), *this->route,
-                                               this->headers.api_key, certainty);
+  const AccessDecision decision =
+      DecideAccess(this->index->GetWorkspaces(), *this->route, this->headers.api_key, certainty);
   this->workspace = decision.workspace;
   const std::string_view reason = DescribeAccessVerdict(decision.verdict);
   switch (decision.verdict) {
--- a/Tests/Fakes/fake_platform.h
+++ b/Tests/Fakes/fake_platform.h
@@ -222,6 +222,7 @@
     settings.retry_slack = 100;
     settings.retry_window_ms = 10000;
     settings.table_bound_ms = 200;
+    settings.revoke_bound_ms = 2000;
     return settings;
   }
 
