--- a/Source/Generated/events.h
+++ b/Source/Generated/events.h
@@ -63,6 +63,8 @@
   kQuotaRefused = 820,
   kQuotaSharesMoved = 821,
   kQuotaGrantsBegin = 822,
+  kWorkspaceLeftOut = 810,
+  kKeyShared = 811,
   kOperatorCallFailed = 700,
 };
 
@@ -171,6 +173,10 @@
       return "quota_shares_moved";
     case Event::kQuotaGrantsBegin:
       return "quota_grants_begin";
+    case Event::kWorkspaceLeftOut:
+      return "workspace_left_out";
+    case Event::kKeyShared:
+      return "key_shared";
     case Event::kOperatorCallFailed:
       return "operator_call_failed";
   }
@@ -184,7 +190,7 @@
   std::string_view action;
 };
 
-inline constexpr std::array<EventDescription, 52> kEventCatalogue = {{
+inline constexpr std::array<EventDescription, 54> kEventCatalogue = {{
     {Event::kNone, "info",
      "no event",
      ""},
@@ -338,6 +344,12 @@
     {Event::kQuotaGrantsBegin, "info",
      "this daemon begins to grant credit with empty buckets after a pause",
      ""},
+    {Event::kWorkspaceLeftOut, "warning",
+     "workspace is left out of the version in force; its API keys are not accepted",
+     "Give each workspace a name of its own without control characters."},
+    {Event::kKeyShared, "warning",
+     "two workspaces have the same API key; the key is not accepted",
+     "Remove the key from one of the workspaces."},
     {Event::kOperatorCallFailed, "info",
      "operator call failed",
      ""},
