--- a/Source/Quota/credit_bucket.cc
+++ b/Source/Quota/credit_bucket.cc
@@ -71,7 +71,7 @@
                     [now](const auto& item) { return now < item.second.hungry_until; }));
   // The bucket must not run over until the holder asks again.
   const double longest = std::max(kShortestTurn_s, kLongestPart * this->limit.capacity / rate);
-  const double turn = std::min(kRefusedBatch * hungry / rate, longest);
+  const double turn = std::min((hungry - 1) / rate, longest);
   return ToDuration(std::max((1 - this->available) / rate, turn));
 }
 
--- a/Source/Quota/credit_bucket.h
+++ b/Source/Quota/credit_bucket.h
@@ -36,8 +36,6 @@
   static constexpr Duration kHolderMemory = std::chrono::seconds(10);
   // Holders that were refused within this time are expected to ask again.
   static constexpr Duration kHungerMemory = std::chrono::seconds(1);
-  // Requests that a holder can get with one ask once others wait too; bounds the messages.
-  static constexpr double kRefusedBatch = 3;
 
   struct Holder {
     std::uint64_t serial = 0;
