schema: Add log events of proofs and eras of positions in the store

Cause: proofs of the newest version need log events, and a store that was restored from a copy gives out its revisions again. Change: events 815 to 817, HostRecord.store_era, PeerProgress.hosts_era. Without an era in the store's responses the fields are 0 and take no bytes.

--- a/Source/Generated/events.h
+++ b/Source/Generated/events.h
@@ -60,6 +60,9 @@
   kResponseOverLimit = 804,
   kRequestUnanswered = 805,
   kRequestFailed = 806,
+  kProofGained = 815,
+  kProofExpired = 816,
+  kStoreEraChanged = 817,
   kOperatorCallFailed = 700,
 };
 
@@ -162,6 +165,12 @@
       return "request_unanswered";
     case Event::kRequestFailed:
       return "request_failed";
+    case Event::kProofGained:
+      return "proof_gained";
+    case Event::kProofExpired:
+      return "proof_expired";
+    case Event::kStoreEraChanged:
+      return "store_era_changed";
     case Event::kOperatorCallFailed:
       return "operator_call_failed";
   }
@@ -175,7 +184,7 @@
   std::string_view action;
 };
 
-inline constexpr std::array<EventDescription, 49> kEventCatalogue = {{
+inline constexpr std::array<EventDescription, 52> kEventCatalogue = {{
     {Event::kNone, "info",
      "no event",
      ""},
@@ -320,6 +329,15 @@
     {Event::kRequestFailed, "error",
      "request could not be handled; its connection is closed",
      "Report the reason; if it is a lack of memory, look at the memory of the daemon."},
+    {Event::kProofGained, "info",
+     "version in force is known to be the newest; API keys are served",
+     ""},
+    {Event::kProofExpired, "warning",
+     "version in force may not be the newest; requests with API keys are refused",
+     "Check the links of this host to the store and to other hosts."},
+    {Event::kStoreEraChanged, "warning",
+     "store was restored from a copy; reading everything again",
+     "Ask the platform's team what was lost; check that the operators' configuration is the newest."},
     {Event::kOperatorCallFailed, "info",
      "operator call failed",
      ""},
--- a/Source/Generated/mesh.h
+++ b/Source/Generated/mesh.h
@@ -136,6 +136,7 @@
   std::string peer_address;
   std::uint64_t revision = 0;
   std::optional<LocalTargetRecord> target;
+  std::uint64_t store_era = 0;
 
   bool operator==(const HostRecord&) const = default;
 };
@@ -151,6 +152,7 @@
   std::uint64_t table_version = 0;
   std::uint64_t hosts_revision = 0;
   std::optional<std::uint32_t> proof_age_ms;
+  std::uint64_t hosts_era = 0;
 
   bool operator==(const PeerProgress&) const = default;
 };
--- a/Source/Generated/mesh_codec.cc
+++ b/Source/Generated/mesh_codec.cc
@@ -447,6 +447,7 @@
   if (plain.target.has_value()) {
     ToWire(*plain.target, *wire.mutable_target());
   }
+  wire.set_store_era(plain.store_era);
 }
 
 void FromWire(const wire::HostRecord& wire, HostRecord& plain) {
@@ -458,6 +459,7 @@
   if (wire.has_target()) {
     FromWire(wire.target(), plain.target.emplace());
   }
+  plain.store_era = wire.store_era();
 }
 
 std::string Encode(const HostRecord& plain) {
@@ -565,6 +567,7 @@
   if (plain.proof_age_ms.has_value()) {
     wire.set_proof_age_ms(*plain.proof_age_ms);
   }
+  wire.set_hosts_era(plain.hosts_era);
 }
 
 void FromWire(const wire::PeerProgress& wire, PeerProgress& plain) {
@@ -573,6 +576,7 @@
   if (wire.has_proof_age_ms()) {
     plain.proof_age_ms = wire.proof_age_ms();
   }
+  plain.hosts_era = wire.hosts_era();
 }
 
 std::string Encode(const PeerProgress& plain) {
