platform: Read the bounds on removed keys and quotas

Cause: the settings state revoke, strict_revoke and the bounds on quotas; no daemon read them. Change: all are optional; revoke is required where strict_revoke is true, and ignored where it is not.

--- a/Source/Node/setting_differences.cc
+++ b/Source/Node/setting_differences.cc
@@ -33,6 +33,10 @@
   compare("retry_window_ms", &MeshSettings::retry_window_ms);
   compare("table_bound_ms", &MeshSettings::table_bound_ms);
   compare("link_bytes_per_second", &MeshSettings::link_bytes_per_second);
+  compare("revoke_bound_ms", &MeshSettings::revoke_bound_ms);
+  compare("quota_window_ms", &MeshSettings::quota_window_ms);
+  compare("quota_overage", &MeshSettings::quota_overage);
+  compare("quota_slack", &MeshSettings::quota_slack);
   return names;
 }
 
--- a/Tests/test_platform_decoding.cc
+++ b/Tests/test_platform_decoding.cc
@@ -81,6 +81,8 @@
   cr_assert_eq(GetValue(settings).retry_slack, 60);
   cr_assert_eq(GetValue(settings).table_bound_ms, 2000);
   cr_assert_eq(GetValue(settings).link_bytes_per_second, 0);
+  cr_assert_eq(GetValue(settings).revoke_bound_ms, 0);
+  cr_assert_eq(GetValue(settings).quota_window_ms, 0);
   const std::string with_link = Replace(kSettings, "cores = 1", "cores = 1\nlink_mbps = 9.6");
   const Result<MeshSettings> linked = ParseMeshSettings(with_link, "test");
   cr_assert(IsOk(linked));
@@ -88,6 +90,29 @@
   cr_assert(!IsOk(ParseMeshSettings(Replace(with_link, "9.6", "-1"), "test")));
 }
 
+Test(platform_decoding, reads_the_bounds_of_workspaces) {
+  const std::string bounds =
+      "revoke = \"5s\"\nquota_window = \"5s\"\nquota_overage = 0.1\nquota_slack = 20\n";
+  const Result<MeshSettings> strict =
+      ParseMeshSettings(kSettings + bounds + "strict_revoke = true\n", "test");
+  cr_assert(IsOk(strict));
+  cr_assert_eq(GetValue(strict).revoke_bound_ms, 5000);
+  cr_assert_eq(GetValue(strict).quota_window_ms, 5000);
+  cr_assert_eq(GetValue(strict).quota_overage, 0.1);
+  cr_assert_eq(GetValue(strict).quota_slack, 20);
+  // Daemons that cannot reach the store are bound only where this is asked for.
+  const Result<MeshSettings> lenient =
+      ParseMeshSettings(kSettings + bounds + "strict_revoke = false\n", "test");
+  cr_assert(IsOk(lenient));
+  cr_assert_eq(GetValue(lenient).revoke_bound_ms, 0);
+  const Result<MeshSettings> wrong = ParseMeshSettings(
+      std::string(kSettings) + "strict_revoke = true\nquota_slack = \"x\"\n", "test");
+  cr_assert(!IsOk(wrong));
+  cr_assert(GetError(wrong).GetMessage().find("terms.bounds.revoke") != std::string::npos);
+  cr_assert(GetError(wrong).GetMessage().find("terms.bounds.quota_slack") != std::string::npos);
+  cr_assert(!IsOk(ParseMeshSettings(std::string(kSettings) + "strict_revoke = 1\n", "test")));
+}
+
 Test(platform_decoding, names_every_wrong_field_of_the_settings) {
   std::string text = Replace(kSettings, "\"6s\"", "6");
   text = Replace(text, "inbound = \"10.0.0.1:8624\"", "");
