workspaces: Prove that the version in force is the newest

Cause: a daemon that is cut off, suspended or gets its answers late goes on serving API keys that the operators have removed. Change: TableProof holds the time at which the call was sent whose answer returned the version in force as the newest, and counts its age on a clock that goes on while the process is suspended. Two daemons, or one in 32, ask the store about once a second with a short watch; the others learn the proof from responses of daemons, counted from their own request. TableFollower takes the route table over from StoreSync.

--- a/Source/Node/mesh_node.h
+++ b/Source/Node/mesh_node.h
@@ -110,20 +110,22 @@
         asio::detached);
   }
 
-  // Applies the settings that can change while the daemon runs: the retry budget, the minimum lease
-  // and the stop limit. Returns the names of other changed settings, which need a restart. Has to
-  // be called on the control shard's thread.
+  // Applies the settings that can change while the daemon runs: the retry budget, the minimum
+  // lease, the stop limit and the bound on removed keys. Returns the names of other changed
+  // settings, which need a restart. Has to be called on the control shard's thread.
   std::vector<std::string> ApplySettings(const MeshSettings& changed) {
     this->stop_limit = std::chrono::milliseconds(changed.stop_limit_ms);
     this->state.SetRetryBound(MakeRetryBound(changed, this->started_at));
     this->gate.SetRunWindow(std::chrono::milliseconds(changed.retry_window_ms));
     this->sync.SetMinLease(std::chrono::milliseconds(changed.min_lease_ms));
+    this->state.SetRevokeBound(std::chrono::milliseconds(changed.revoke_bound_ms));
     MeshSettings applied = this->settings;
     applied.stop_limit_ms = changed.stop_limit_ms;
     applied.retry_ratio = changed.retry_ratio;
     applied.retry_slack = changed.retry_slack;
     applied.retry_window_ms = changed.retry_window_ms;
     applied.min_lease_ms = changed.min_lease_ms;
+    applied.revoke_bound_ms = changed.revoke_bound_ms;
     this->settings = applied;
     return ListSettingDifferences(applied, changed);
   }
@@ -173,6 +175,7 @@
                 }),
         prober(*this->control_shards[0], this->state, this->gate) {
     this->gate.SetRunWindow(std::chrono::milliseconds(given.retry_window_ms));
+    this->state.SetRevokeBound(std::chrono::milliseconds(given.revoke_bound_ms));
   }
 
   static std::vector<std::unique_ptr<IoShard>> MakeShards(std::size_t count, std::uint64_t seed) {
--- a/Source/Node/operator_handler.cc
+++ b/Source/Node/operator_handler.cc
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <utility>
 
 #include "Http/boot_clock.h"
@@ -18,7 +19,7 @@
 
 std::string OperatorHandler::FormatMetrics() const {
   const HopReport report = this->context.gate.MakeReport(GetNow(), 0);
-  const std::string gauges = fmt::format(
+  std::string gauges = fmt::format(
       "lacewingbridge_table_version {}\nlacewingbridge_hosts {}\n"
       "lacewingbridge_target_running {}\nlacewingbridge_target_waiting {}\n"
       "lacewingbridge_target_slots {}\nlacewingbridge_target_accepting {}\n"
@@ -26,6 +27,10 @@
       this->context.state.GetTableVersion(), this->context.state.GetHosts().size(), report.running,
       report.waiting, report.slots, report.accepting ? 1 : 0, this->context.stage.GetRequestCount(),
       this->context.stage.GetConnectionCount());
+  if (const std::optional<Duration> age = this->context.state.GetProofAge(GetNow())) {
+    gauges += fmt::format("lacewingbridge_proof_age_seconds {:.3f}\n",
+                          std::chrono::duration<double>(*age).count());
+  }
   return this->context.metrics.Format(gauges);
 }
 
--- a/Source/Node/peer_checker.cc
+++ b/Source/Node/peer_checker.cc
@@ -1,13 +1,17 @@
 #include "Node/peer_checker.h"
 
+#include <algorithm>
 #include <random>
 #include <utility>
 #include <vector>
 
+#include "Http/boot_clock.h"
 #include "Http/io_shard.h"
 #include "Http/outbound_exchange.h"
 #include "Proxy/mesh_state.h"
 #include "Proxy/peer_handler.h"
+#include "Workspaces/proof_readers.h"
+#include "Workspaces/proof_schedule.h"
 #include "mesh_codec.h"
 
 namespace lacewingbridge {
@@ -25,7 +29,7 @@
   asio::steady_timer timer(this->shard.GetContext());
   ErrorCode code;
   while (!code) {
-    timer.expires_after(kCheckInterval);
+    timer.expires_after(this->GetInterval());
     co_await timer.async_wait(AwaitInto(code));
     const std::string peer_address = this->ChoosePeer();
     if (peer_address.empty()) {
@@ -38,11 +42,32 @@
   }
 }
 
-std::string PeerChecker::ChoosePeer() {
+Duration PeerChecker::GetInterval() const {
+  const std::optional<Duration> bound = this->state.GetProofBound();
+  return bound.has_value() ? std::min(ProofSchedule::GetPeerInterval(*bound), kCheckInterval)
+                           : kCheckInterval;
+}
+
+std::vector<HostRecord> PeerChecker::ListCandidates() const {
   std::vector<HostRecord> hosts = this->state.GetHosts();
-  std::erase_if(hosts, [this](const HostRecord& record) {
+  const auto is_no_peer = [this](const HostRecord& record) {
     return record.host == this->state.GetIdentity().host || record.peer_address.empty();
-  });
+  };
+  const std::optional<Duration> bound = this->state.GetProofBound();
+  if (bound.has_value() &&
+      ProofSchedule::ShouldAskReader(GetNow(), this->state.GetProvenAt(), *bound)) {
+    std::vector<HostRecord> readers = ChooseProofReaders(hosts);
+    std::erase_if(readers, is_no_peer);
+    if (!readers.empty()) {
+      return readers;
+    }
+  }
+  std::erase_if(hosts, is_no_peer);
+  return hosts;
+}
+
+std::string PeerChecker::ChoosePeer() {
+  const std::vector<HostRecord> hosts = this->ListCandidates();
   if (hosts.empty()) {
     return {};
   }
@@ -55,6 +80,7 @@
   OutboundExchange::Request request(http::verb::get, kProgressPath, 11);
   request.set(http::field::host, peer_address);
   const OutboundOptions options{kConnectLimit, kPeerIdleLimit, kPeerIdleLimit};
+  const TimePoint sent = GetNow();
   const ExchangeStatus status = co_await exchange.Start(request, nullptr, kResponseLimit, options);
   std::optional<PeerProgress> progress;
   if (status == ExchangeStatus::kOk && exchange.GetHead().result() == http::status::ok) {
@@ -63,6 +89,7 @@
     PeerProgress decoded;
     if (read == BodyStatus::kComplete && Decode(body, decoded)) {
       progress = decoded;
+      this->state.RecordPeerProof(sent, decoded.table_version, decoded.proof_age_ms);
     }
   }
   exchange.Finish();
--- a/Source/Node/peer_checker.h
+++ b/Source/Node/peer_checker.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "Core/time_point.h"
 #include "Http/asio_types.h"
@@ -36,8 +37,11 @@
   static constexpr std::size_t kMaxBytes = 256;
 
   Awaitable<void> Run();
-  // Returns the peer address of a random daemon; empty if there is no other one.
+  Duration GetInterval() const;
+  // Returns the peer address of a random daemon; empty if there is no other one. While the proof of
+  // the newest version is old, it is that of a daemon that asks the store for proofs.
   std::string ChoosePeer();
+  std::vector<HostRecord> ListCandidates() const;
   Awaitable<std::optional<PeerProgress>> Ask(const std::string& peer_address);
 
   IoShard& shard;
--- a/Source/Proxy/caller_request.cc
+++ b/Source/Proxy/caller_request.cc
@@ -217,10 +217,11 @@
   const ExchangeStatus status = co_await this->hop->Start(request, whole ? nullptr : &rest,
                                                           this->facts.GetEnd() - now, options);
   this->body_consumed = !whole && status != ExchangeStatus::kNotConnected;
-  co_return co_await this->ReadHopResponse(choice, status);
+  co_return co_await this->ReadHopResponse(choice, now, status);
 }
 
-Awaitable<HopEnd> CallerRequest::ReadHopResponse(const HopChoice& choice, ExchangeStatus status) {
+Awaitable<HopEnd> CallerRequest::ReadHopResponse(const HopChoice& choice, TimePoint sent,
+                                                 ExchangeStatus status) {
   std::optional<HopReport> report;
   if (status == ExchangeStatus::kOk) {
     report = GetHopReport(this->hop->GetHead());
@@ -239,6 +240,7 @@
                                    report.has_value() ? &*report : nullptr, failed);
   if (report.has_value()) {
     this->context.containment.Merge(GetNow(), this->service, report->strikes);
+    this->context.state.RecordPeerProof(sent, report->table_version, report->proof_age_ms);
     if (report->table_version > this->context.state.GetTableVersion()) {
       this->context.on_newer_table(choice.peer_address);
     }
--- a/Source/Proxy/caller_request.h
+++ b/Source/Proxy/caller_request.h
@@ -55,7 +55,7 @@
   // Makes one attempt: chooses a target, sends the request and decides what to do next.
   Awaitable<ProgressDecision> PlaceOnce();
   Awaitable<HopEnd> SendHop(const HopChoice& choice);
-  Awaitable<HopEnd> ReadHopResponse(const HopChoice& choice, ExchangeStatus status);
+  Awaitable<HopEnd> ReadHopResponse(const HopChoice& choice, TimePoint sent, ExchangeStatus status);
   OutboundExchange::Request MakeHopRequest(TimePoint now, const HopChoice& choice);
   // Returns what the next hop has to fulfil: the time left and the expected size of the response.
   HopRequirements MakeHopRequirements(TimePoint now);
--- a/Source/Proxy/mesh_state.cc
+++ b/Source/Proxy/mesh_state.cc
@@ -35,15 +35,77 @@
 }
 
 std::uint64_t MeshState::GetTableVersion() const {
-  const std::shared_ptr<const RouteIndex> current = this->GetIndex();
-  return current == nullptr ? 0 : current->GetTable().version;
+  const std::lock_guard guard(this->index_mutex);
+  return this->GetVersion();
 }
 
-std::optional<Duration> MeshState::GetProofAge(TimePoint) const { return std::nullopt; }
+std::uint64_t MeshState::GetVersion() const {
+  return this->index == nullptr ? 0 : this->index->GetTable().version;
+}
 
-bool MeshState::IsTableProven(TimePoint) const { return true; }
+bool MeshState::NeedsProof() const {
+  return this->proof.GetBound() > Duration{0} && this->index != nullptr &&
+         !this->index->GetTable().workspaces.empty();
+}
+
+std::optional<Duration> MeshState::GetProofAge(TimePoint now) const {
+  const std::lock_guard guard(this->index_mutex);
+  return this->NeedsProof() ? this->proof.GetAge(now) : std::nullopt;
+}
+
+bool MeshState::IsTableProven(TimePoint now) const {
+  const std::lock_guard guard(this->index_mutex);
+  return !this->NeedsProof() || this->proof.MayServeKeys(now);
+}
 
-void MeshState::RequestProof() {}
+void MeshState::SetRevokeBound(Duration bound) {
+  const std::lock_guard guard(this->index_mutex);
+  this->proof.SetBound(bound);
+}
+
+std::optional<Duration> MeshState::GetProofBound() const {
+  const std::lock_guard guard(this->index_mutex);
+  return this->NeedsProof() ? std::optional<Duration>(this->proof.GetBound()) : std::nullopt;
+}
+
+std::optional<TimePoint> MeshState::GetProvenAt() const {
+  const std::lock_guard guard(this->index_mutex);
+  return this->proof.GetProvenAt();
+}
+
+void MeshState::RecordNewestVersion(TimePoint sent, std::uint64_t version) {
+  const std::lock_guard guard(this->index_mutex);
+  if (this->NeedsProof()) {
+    this->proof.RecordNewest(sent, version, this->GetVersion());
+  }
+}
+
+void MeshState::RecordPeerProof(TimePoint sent, std::uint64_t version,
+                                std::optional<std::uint32_t> age_ms) {
+  if (!age_ms.has_value()) {
+    return;
+  }
+  const std::lock_guard guard(this->index_mutex);
+  if (this->NeedsProof()) {
+    this->proof.RecordPeerProof(sent, std::chrono::milliseconds(*age_ms), version,
+                                this->GetVersion());
+  }
+}
+
+std::optional<std::uint32_t> MeshState::GetProofAgeMs(TimePoint now) const {
+  const std::optional<Duration> age =
+      this->NeedsProof() ? this->proof.GetAge(now) : std::optional<Duration>();
+  if (!age.has_value()) {
+    return std::nullopt;
+  }
+  return static_cast<std::uint32_t>(std::chrono::ceil<std::chrono::milliseconds>(*age).count());
+}
+
+void MeshState::FillVersion(TimePoint now, HopReport& report) const {
+  const std::lock_guard guard(this->index_mutex);
+  report.table_version = this->GetVersion();
+  report.proof_age_ms = this->GetProofAgeMs(now);
+}
 
 Result<TableOffer> MeshState::OfferTable(RouteTable table) {
   if (table.version <= this->GetTableVersion()) {
@@ -94,9 +156,13 @@
   return this->directory.GetHosts();
 }
 
-PeerProgress MeshState::GetProgress() const {
+PeerProgress MeshState::GetProgress(TimePoint now) const {
   PeerProgress progress;
-  progress.table_version = this->GetTableVersion();
+  {
+    const std::lock_guard guard(this->index_mutex);
+    progress.table_version = this->GetVersion();
+    progress.proof_age_ms = this->GetProofAgeMs(now);
+  }
   const std::lock_guard guard(this->hosts_mutex);
   progress.hosts_revision = this->directory.GetNewestRevision();
   return progress;
--- a/Source/Proxy/mesh_state.h
+++ b/Source/Proxy/mesh_state.h
@@ -1,6 +1,7 @@
 #ifndef LACEWINGBRIDGE_SOURCE_PROXY_MESH_STATE_H_
 #define LACEWINGBRIDGE_SOURCE_PROXY_MESH_STATE_H_
 
+#include <atomic>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -22,6 +23,7 @@
 #include "Routing/hop_placement.h"
 #include "Routing/route_index.h"
 #include "Routing/weighted_round_robin.h"
+#include "Workspaces/table_proof.h"
 #include "mesh.h"
 
 namespace lacewingbridge {
@@ -42,12 +44,28 @@
   std::shared_ptr<const RouteIndex> GetIndex() const;
   std::uint64_t GetTableVersion() const;
 
-  // Age of the newest proof that the version in force is the newest; empty without one.
+  // Age of the newest proof that the version in force is the newest; empty without one that is
+  // young enough. See TableProof.
   std::optional<Duration> GetProofAge(TimePoint now) const;
-  // Whether that proof is young enough for API keys to be served.
+  // Whether API keys of the version in force may be served to requests that have arrived by now.
+  // The key has to be looked up in a version that was read after this call, or in the same one.
   bool IsTableProven(TimePoint now) const;
   // Asks for a new proof without waiting for it.
-  void RequestProof();
+  void RequestProof() { this->proof_requested = true; }
+  // Returns whether RequestProof was called since the last call.
+  bool TakeProofRequest() { return this->proof_requested.exchange(false); }
+  // Sets the time from the acknowledgement of a removal until a key must not be served; 0: no
+  // proofs are needed.
+  void SetRevokeBound(Duration bound);
+  // Empty if no proofs are needed, because there is no bound or the version has no workspaces.
+  std::optional<Duration> GetProofBound() const;
+  // When the call of the newest proof was sent, of whatever age.
+  std::optional<TimePoint> GetProvenAt() const;
+  // Records that the answer of the store to a call that was sent at the time returned this version
+  // as the newest.
+  void RecordNewestVersion(TimePoint sent, std::uint64_t version);
+  // Records the proof in the response to a request that this daemon sent to another one.
+  void RecordPeerProof(TimePoint sent, std::uint64_t version, std::optional<std::uint32_t> age_ms);
   // Applies a newer version as a whole. A version that is not newer changes nothing.
   Result<TableOffer> OfferTable(RouteTable table);
 
@@ -58,7 +76,9 @@
   void DropRemovedHosts(TimePoint now);
   std::vector<HostRecord> GetHosts() const;
   // Returns what another daemon compares with its own state.
-  PeerProgress GetProgress() const;
+  PeerProgress GetProgress(TimePoint now) const;
+  // Fills in the version in force and its proof.
+  void FillVersion(TimePoint now, HopReport& report) const;
 
   // Chooses the service that runs the next request of the route.
   std::string PickDestination(const HostRoute& route, std::mt19937_64& random);
@@ -108,6 +128,11 @@
     UnservedRequests unserved_requests;
   };
 
+  // The caller holds index_mutex.
+  bool NeedsProof() const;
+  std::uint64_t GetVersion() const;
+  std::optional<std::uint32_t> GetProofAgeMs(TimePoint now) const;
+
   template <typename Action>
   decltype(auto) WithService(std::string_view service, Action&& action);
   // The caller holds hosts_mutex. The locks of the shards are taken one at a time.
@@ -116,6 +141,9 @@
   const MeshIdentity identity;
   mutable std::mutex index_mutex;
   std::shared_ptr<const RouteIndex> index;
+  // Under the same lock as the version that it is about.
+  TableProof proof;
+  std::atomic<bool> proof_requested = false;
   mutable std::mutex hosts_mutex;
   HostDirectory directory;
   RetryBound retry_bound;
--- a/Source/Proxy/peer_handler.h
+++ b/Source/Proxy/peer_handler.h
@@ -66,7 +66,7 @@
     const std::shared_ptr<const RouteIndex> index = this->context.state.GetIndex();
     if (exchange.GetTarget() == kProgressPath) {
       response.result(http::status::ok);
-      response.body() = Encode(this->context.state.GetProgress());
+      response.body() = Encode(this->context.state.GetProgress(GetNow()));
     } else if (exchange.GetTarget() == kSnapshotPath && index != nullptr) {
       PeerSnapshot snapshot;
       snapshot.table = index->GetTable();
--- a/Source/Proxy/peer_request.cc
+++ b/Source/Proxy/peer_request.cc
@@ -228,7 +228,7 @@
   HopReport report = this->context.gate.MakeReport(GetNow(), this->hop.priority);
   report.outcome = this->outcome;
   report.reason = this->reason;
-  report.table_version = this->context.state.GetTableVersion();
+  this->context.state.FillVersion(GetNow(), report);
   report.hop_id = this->hop.hop_id;
   report.call_failed = this->call_failed;
   report.strikes =
--- a/Source/Store/store_sync.h
+++ b/Source/Store/store_sync.h
@@ -1,7 +1,6 @@
 #ifndef LACEWINGBRIDGE_SOURCE_STORE_STORE_SYNC_H_
 #define LACEWINGBRIDGE_SOURCE_STORE_STORE_SYNC_H_
 
-#include <concepts>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -20,22 +19,15 @@
 #include "Store/hosts_pause.h"
 #include "Store/lease_store.h"
 #include "Store/renewal_pause.h"
-#include "Store/store_backoff.h"
 #include "Store/store_bounds.h"
+#include "Store/store_reach.h"
 #include "Store/store_watches.h"
-#include "Store/table_offer_log.h"
-#include "Store/table_pause.h"
+#include "Store/table_follower.h"
+#include "Store/table_source.h"
 #include "mesh_codec.h"
 
 namespace lacewingbridge {
 
-// The key of the operators' configuration in the store, and its decoder.
-template <typename Source>
-concept TableSource = requires(std::string_view bytes) {
-  { Source::GetKey() } -> std::convertible_to<std::string_view>;
-  { Source::Decode(bytes) } -> std::same_as<Result<RouteTable>>;
-};
-
 // Synchronises this daemon with the store: applies the newest route table and the list of hosts,
 // and lists this host under a lease. Runs on one shard's thread.
 template <LeaseStore Client, TableSource Source>
@@ -48,12 +40,13 @@
         gate(target_gate),
         client(store_client),
         lease_time(std::max(store_bounds.min_lease, kLeaseTime)),
-        bounds(store_bounds),
         record_changed(io_shard.GetContext()),
-        watches(io_shard, mesh_state, store_client) {}
+        watches(io_shard, mesh_state, store_client),
+        table(io_shard, mesh_state, store_client, this->watches, store_bounds) {}
 
   void Start() {
     this->Spawn(&StoreSync::FollowTable);
+    this->Spawn(&StoreSync::ProveTable);
     this->Spawn(&StoreSync::FollowHosts);
     this->Spawn(&StoreSync::MaintainRecord);
   }
@@ -75,6 +68,7 @@
   // for it, and the lease expires by itself.
   void Leave() {
     this->ended = true;
+    this->table.End();
     this->record_changed.Notify();
     this->Spawn(&StoreSync::EndLease);
   }
@@ -103,79 +97,8 @@
     co_await timer.async_wait(AwaitInto(code));
   }
 
-  // Logs the loss of the store once per outage, and waits before the next call.
-  Awaitable<void> PauseAfterError(const Error& error, std::string_view call, bool& reached,
-                                  StoreBackoff& backoff) {
-    if (reached) {
-      EventLog::Write(Event::kStoreUnreachable, "call={} reason=\"{}\"", call, error.detail);
-      reached = false;
-    }
-    co_await this->Pause(backoff.GetNext(this->shard.GetRandom()));
-  }
-
-  void RecordReached(std::string_view call, bool& reached, StoreBackoff& backoff) {
-    if (!reached) {
-      EventLog::Write(Event::kStoreReached, "call={}", call);
-      reached = true;
-    }
-    backoff.Reset();
-  }
-
-  void ApplyTable(const StoreItem& item) {
-    if (!item.value.has_value()) {
-      return;
-    }
-    Result<RouteTable> decoded = Source::Decode(*item.value);
-    if (!IsOk(decoded)) {
-      EventLog::Write(Event::kTableRejected, "revision={} reason=\"{}\"", item.revision,
-                      GetError(decoded).GetMessage());
-      return;
-    }
-    this->store_version = std::max(this->store_version, GetValue(decoded).version);
-    OfferAndLog(this->state, std::move(GetValue(decoded)), "store");
-  }
-
-  Awaitable<void> FollowTable() {
-    StoreBackoff backoff;
-    bool reached = true;
-    std::optional<std::uint64_t> known;
-    while (!this->ended) {
-      Result<StoreView> view = StoreView();
-      if (known.has_value()) {
-        view = co_await this->watches.WatchTable(Source::GetKey(), *known, this->store_version);
-      } else {
-        Result<StoreItem> item = co_await this->client.Get(Source::GetKey());
-        if (IsOk(item)) {
-          GetValue(view).revision = GetValue(item).revision;
-          GetValue(view).items.push_back(std::move(GetValue(item)));
-        } else {
-          view = GetError(item);
-        }
-      }
-      if (!IsOk(view)) {
-        // Reading the key returns any version that was missed.
-        known.reset();
-        if (GetError(view).kind != ErrorKind::kStoreHistoryGone) {
-          co_await this->PauseAfterError(GetError(view), "follow_table", reached, backoff);
-        }
-        continue;
-      }
-      this->RecordReached("follow_table", reached, backoff);
-      std::size_t bytes = 0;
-      for (const StoreItem& item : GetValue(view).items) {
-        if (item.key == Source::GetKey()) {
-          bytes += item.value.has_value() ? item.value->size() : 0;
-          this->ApplyTable(item);
-        }
-      }
-      const bool first = !known.has_value();
-      known = std::max(known.value_or(0), GetValue(view).revision);
-      if (!first && bytes > 0) {
-        co_await this->Pause(
-            ComputeTablePause(bytes, this->bounds.link_bytes_per_second, this->bounds.table_bound));
-      }
-    }
-  }
+  Awaitable<void> FollowTable() { return this->table.Follow(); }
+  Awaitable<void> ProveTable() { return this->table.Prove(); }
 
   std::string GetOwnKey() const {
     return std::string(kHostPrefix) + this->state.GetIdentity().host;
@@ -234,8 +157,7 @@
   }
 
   Awaitable<void> FollowHosts() {
-    StoreBackoff backoff;
-    bool reached = true;
+    StoreReach reach(this->shard, "follow_hosts");
     std::optional<std::uint64_t> known;
     while (!this->ended) {
       const bool listing = !known.has_value();
@@ -250,11 +172,11 @@
           EventLog::Write(Event::kStoreHistoryGone, "after={}", known.value_or(0));
           known.reset();
         } else {
-          co_await this->PauseAfterError(GetError(view), "follow_hosts", reached, backoff);
+          co_await reach.PauseAfterError(GetError(view));
         }
         continue;
       }
-      this->RecordReached("follow_hosts", reached, backoff);
+      reach.RecordReached();
       known = GetValue(view).revision;
       if (listing) {
         this->ApplyHostList(GetValue(view));
@@ -351,21 +273,19 @@
   }
 
   Awaitable<void> MaintainRecord() {
-    StoreBackoff backoff;
-    bool reached = true;
+    StoreReach reach(this->shard, "keep_record");
     co_await this->WaitBeforeListing();
     while (!this->ended) {
       const Status status = co_await this->RenewOrWrite();
       if (IsOk(status)) {
-        if (!reached) {
+        if (reach.RecordReached()) {
           // The outage may have lost the event that a pending watch waits for.
           this->client.CancelWatches();
         }
-        this->RecordReached("keep_record", reached, backoff);
         co_await this->WaitForRenewal(
             GetNow() + ComputeRenewalPause(this->lease_time, this->shard.GetRandom()));
       } else if (GetError(status).kind != ErrorKind::kLeaseEnded) {
-        co_await this->PauseAfterError(GetError(status), "keep_record", reached, backoff);
+        co_await reach.PauseAfterError(GetError(status));
       }
     }
   }
@@ -375,12 +295,10 @@
   TargetGate& gate;
   Client& client;
   Duration lease_time;
-  const StoreBounds bounds;
   AsyncSignal record_changed;
   const TimePoint started_at = GetNow();
   StoreWatches<Client> watches;
-  // Newest version that the store has returned to this daemon.
-  std::uint64_t store_version = 0;
+  TableFollower<Client, Source> table;
   std::uint64_t lease = 0;
   // The record that the store holds under the lease.
   std::optional<HostRecord> written;
--- /dev/null
+++ b/Tests/test_node_table_proof.cc
@@ -0,0 +1,151 @@
+// Guards against API keys that are served although the version in force may not be the newest, keys
+// that are refused although it is, and needless calls to the store.
+
+#include <string>
+
+#include "Fakes/fake_lease_store.h"
+#include "Fakes/fake_table_source.h"
+#include "Http/io_shard.h"
+#include "Proxy/mesh_state.h"
+#include "Proxy/target_gate.h"
+#include "Store/store_sync.h"
+
+// Criterion defines macros that break headers of Boost.Intrusive, so it comes last.
+#include <criterion/criterion.h>
+
+using namespace lacewingbridge;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr Duration kBound = milliseconds(1500);
+
+std::string MakeTable(std::uint64_t version, bool with_workspace = true) {
+  RouteTable table;
+  table.version = version;
+  if (with_workspace) {
+    table.workspaces.push_back({"acme", {}, std::nullopt, 0, 0});
+  }
+  return Encode(table);
+}
+
+// The part of a daemon that synchronises with the store, and its shard.
+class ProvingDaemon {
+ public:
+  explicit ProvingDaemon(Duration bound = kBound)
+      : state({"h1", "a1", "a", "127.0.0.1:1", "book", "127.0.0.1:2"}, {}),
+        gate("book", 0),
+        client(this->shard, ""),
+        sync(this->shard, this->state, this->gate, this->client,
+             {milliseconds(100), milliseconds(200), 0}) {
+    this->state.SetRevokeBound(bound);
+    this->sync.Start();
+  }
+
+  void RunFor(Duration time) { this->shard.GetContext().run_for(time); }
+  bool IsProven() const { return this->state.IsTableProven(GetNow()); }
+  FakeLeaseStore& GetStore() { return FakeStoreClient::GetStore(); }
+
+  IoShard shard{1};
+  MeshState state;
+  TargetGate gate;
+  FakeStoreClient client;
+  StoreSync<FakeStoreClient, FakeTableSource> sync;
+};
+
+}  // namespace
+
+Test(node_table_proof, keys_are_served_through_new_versions) {
+  ProvingDaemon daemon;
+  daemon.GetStore().Put("table", MakeTable(5));
+  daemon.RunFor(milliseconds(200));
+  for (int step = 0; step < 40; ++step) {
+    if (step % 4 == 0) {
+      daemon.GetStore().Put("table", MakeTable(6 + step));
+    }
+    daemon.RunFor(milliseconds(100));
+    cr_assert(daemon.IsProven());
+  }
+}
+
+Test(node_table_proof, keys_are_refused_in_an_outage_and_served_soon_after_it) {
+  ProvingDaemon daemon;
+  daemon.GetStore().Put("table", MakeTable(5));
+  daemon.RunFor(milliseconds(700));
+  daemon.GetStore().SetRefusing(true);
+  daemon.RunFor(milliseconds(500));
+  cr_assert(daemon.IsProven());
+  daemon.RunFor(milliseconds(1200));
+  cr_assert_not(daemon.IsProven());
+  daemon.GetStore().SetRefusing(false);
+  daemon.RunFor(milliseconds(1200));
+  cr_assert(daemon.IsProven());
+}
+
+Test(node_table_proof, the_proof_of_another_daemon_stands_in_for_the_store) {
+  ProvingDaemon daemon;
+  daemon.GetStore().Put("table", MakeTable(5));
+  daemon.RunFor(milliseconds(200));
+  daemon.GetStore().SetRefusing(true);
+  for (int step = 0; step < 20; ++step) {
+    const TimePoint sent = GetNow();
+    daemon.RunFor(milliseconds(100));
+    daemon.state.RecordPeerProof(sent, 5, 40);
+    cr_assert(daemon.IsProven());
+  }
+  const PeerProgress progress = daemon.state.GetProgress(GetNow());
+  cr_assert_eq(progress.table_version, 5);
+  cr_assert_geq(progress.proof_age_ms.value_or(0), 140);
+  cr_assert_leq(progress.proof_age_ms.value_or(9999), 1000);
+}
+
+// Nothing that the store returns proves the version in force after these writes.
+Test(node_table_proof, an_older_or_unreadable_configuration_proves_nothing) {
+  for (const std::string& value : {MakeTable(4), std::string("\xff not a table")}) {
+    ProvingDaemon daemon;
+    daemon.GetStore().Put("table", MakeTable(5));
+    daemon.RunFor(milliseconds(200));
+    cr_assert(daemon.IsProven());
+    daemon.GetStore().Put("table", value);
+    daemon.RunFor(milliseconds(1700));
+    cr_assert_not(daemon.IsProven());
+    daemon.GetStore().ForgetHistory();
+    daemon.RunFor(milliseconds(500));
+    cr_assert_not(daemon.IsProven());
+    daemon.GetStore().Put("table", MakeTable(6));
+    daemon.RunFor(milliseconds(1000));
+    cr_assert(daemon.IsProven());
+  }
+}
+
+Test(node_table_proof, a_requested_proof_is_read_soon_and_not_for_each_request) {
+  ProvingDaemon daemon(seconds(10));
+  daemon.GetStore().Put("table", MakeTable(5));
+  daemon.RunFor(milliseconds(700));
+  const int calls = daemon.GetStore().GetCalls();
+  const TimePoint requested = GetNow();
+  for (int request = 0; request < 50; ++request) {
+    daemon.state.RequestProof();
+    daemon.RunFor(milliseconds(10));
+  }
+  daemon.RunFor(milliseconds(200));
+  cr_assert(*daemon.state.GetProvenAt() >= requested);
+  cr_assert_leq(daemon.GetStore().GetCalls() - calls, 3);
+}
+
+Test(node_table_proof, without_workspaces_or_a_bound_no_call_is_made) {
+  for (const bool with_workspace : {false, true}) {
+    ProvingDaemon daemon(with_workspace ? Duration{0} : kBound);
+    daemon.GetStore().Put("table", MakeTable(5, with_workspace));
+    daemon.RunFor(milliseconds(700));
+    const int calls = daemon.GetStore().GetCalls();
+    daemon.state.RequestProof();
+    daemon.RunFor(seconds(3));
+    // Three renewals of the lease and two watches each of the table and of the hosts.
+    cr_assert_leq(daemon.GetStore().GetCalls() - calls, 7);
+    cr_assert(daemon.IsProven());
+    cr_assert_not(daemon.state.GetProvenAt().has_value());
+    cr_assert_not(daemon.state.GetProgress(GetNow()).proof_age_ms.has_value());
+  }
+}
