store: Read everything anew when the store was restored from a copy

Cause: a store that comes back from a copy gives out revisions and leases again. Records with lower revisions were ignored, a daemon renewed a lease that another host had been given, and the older configuration in the copy counted as the newest.

Change: the store's responses state their era (header Store-Era). A position of a host record is its era and revision. A new era ends the lease in memory, cancels the watches and reads the table and the hosts again; the record is written at once under a new lease. Responses of an older era count as not received. RestoreHold withholds proofs until the operators have written the configuration in this era, or for the bound on removed keys. A store that states no era is handled as before.

--- a/Source/Membership/host_directory.cc
+++ b/Source/Membership/host_directory.cc
@@ -4,10 +4,16 @@
 
 namespace lacewingbridge {
 
+namespace {
+
+StorePosition GetPosition(const HostRecord& record) { return {record.store_era, record.revision}; }
+
+}  // namespace
+
 bool HostDirectory::Merge(const HostRecord& record) {
   auto [found, added] = this->entries.try_emplace(record.host);
   Entry& entry = found->second;
-  if (!added && !entry.removed_at.has_value() && record.revision < entry.record.revision) {
+  if (!added && !entry.removed_at.has_value() && GetPosition(record) < GetPosition(entry.record)) {
     return false;
   }
   const bool changed = added || !(entry.record == record);
@@ -75,10 +81,10 @@
   return hosts;
 }
 
-std::uint64_t HostDirectory::GetNewestRevision() const {
-  std::uint64_t newest = 0;
+StorePosition HostDirectory::GetNewestPosition() const {
+  StorePosition newest;
   for (const auto& [host, entry] : this->entries) {
-    newest = std::max(newest, entry.record.revision);
+    newest = std::max(newest, GetPosition(entry.record));
   }
   return newest;
 }
--- a/Source/Membership/host_directory.h
+++ b/Source/Membership/host_directory.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "Core/time_point.h"
+#include "Membership/store_position.h"
 #include "mesh.h"
 
 namespace lacewingbridge {
@@ -24,8 +25,8 @@
   // becomes available.
   static constexpr Duration kRemovalDelay = std::chrono::seconds(3);
 
-  // Adds or replaces a record unless a record of the host with a higher revision is known.
-  // After a removal any revision is accepted. Returns whether a record was added or changed.
+  // Adds or replaces a record unless a record of the host with a higher position is known.
+  // After a removal any position is accepted. Returns whether a record was added or changed.
   bool Merge(const HostRecord& record);
   // Marks the host as removed from the store. DropRemoved drops it later.
   void Remove(TimePoint now, std::string_view host);
@@ -40,8 +41,8 @@
   bool DropRemoved(TimePoint now);
 
   std::vector<HostRecord> GetHosts() const;
-  // Returns the newest revision among the records; 0 without any.
-  std::uint64_t GetNewestRevision() const;
+  // Returns the newest position among the records.
+  StorePosition GetNewestPosition() const;
 
  private:
   struct Entry {
--- a/Source/Proxy/mesh_state.cc
+++ b/Source/Proxy/mesh_state.cc
@@ -164,7 +164,9 @@
     progress.proof_age_ms = this->GetProofAgeMs(now);
   }
   const std::lock_guard guard(this->hosts_mutex);
-  progress.hosts_revision = this->directory.GetNewestRevision();
+  const StorePosition position = this->directory.GetNewestPosition();
+  progress.hosts_revision = position.revision;
+  progress.hosts_era = position.era;
   return progress;
 }
 
--- a/Source/Store/host_records.cc
+++ b/Source/Store/host_records.cc
@@ -12,7 +12,8 @@
 
 namespace lacewingbridge {
 
-std::optional<HostRecord> ReadHostRecord(const StoreItem& item, std::string_view prefix) {
+std::optional<HostRecord> ReadHostRecord(const StoreItem& item, std::uint64_t store_era,
+                                         std::string_view prefix) {
   HostRecord record;
   Status status = Error{ErrorKind::kMalformedMessage, "the value is not a record of a host"};
   if (Decode(*item.value, record)) {
@@ -24,6 +25,7 @@
     return std::nullopt;
   }
   record.revision = item.revision;
+  record.store_era = store_era;
   return record;
 }
 
--- a/Source/Store/host_records.h
+++ b/Source/Store/host_records.h
@@ -1,6 +1,7 @@
 #ifndef LACEWINGBRIDGE_SOURCE_STORE_HOST_RECORDS_H_
 #define LACEWINGBRIDGE_SOURCE_STORE_HOST_RECORDS_H_
 
+#include <cstdint>
 #include <optional>
 #include <string_view>
 
@@ -14,7 +15,8 @@
 
 // Reads the record of a host from an item of the store that has a value. The key of the item is the
 // prefix and the name of the host. An unreadable record is logged and gives no host.
-std::optional<HostRecord> ReadHostRecord(const StoreItem& item, std::string_view prefix);
+std::optional<HostRecord> ReadHostRecord(const StoreItem& item, std::uint64_t store_era,
+                                         std::string_view prefix);
 
 // Returns the record of this host.
 HostRecord MakeHostRecord(const MeshIdentity& self, TargetGate& gate);
--- a/Source/Store/lease_store.h
+++ b/Source/Store/lease_store.h
@@ -3,6 +3,7 @@
 
 #include <concepts>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -31,9 +32,12 @@
 // kStoreUnavailable, the response was not received, and a write may have taken effect;
 // kStoreHistoryGone, a watch has to start again from the current items; kLeaseEnded, the lease does
 // not exist.
+//
+// A store that is restored from a copy begins a new era: revisions and leases are given out again.
+// Responses of an era that is older than the newest one count as not received.
 template <typename Client>
 concept LeaseStore = requires(Client& client, std::string_view text, std::uint64_t number,
-                              Duration duration) {
+                              Duration duration, std::function<void()> listener) {
   // Returns the item; without a value if the key does not exist.
   { client.Get(text) } -> std::same_as<Awaitable<Result<StoreItem>>>;
   { client.List(text) } -> std::same_as<Awaitable<Result<StoreView>>>;
@@ -46,6 +50,10 @@
   { client.EndLease(number) } -> std::same_as<Awaitable<Status>>;
   // Makes pending watches return an error at once.
   client.CancelWatches();
+  // Newest era in a response; 0 if the store states none.
+  { client.GetEra() } -> std::same_as<std::uint64_t>;
+  // Calls the listener when a response shows a new era, before the call returns.
+  client.SetEraListener(listener);
 };
 
 }  // namespace lacewingbridge
--- a/Source/Store/store_sync.h
+++ b/Source/Store/store_sync.h
@@ -12,6 +12,7 @@
 #include "Http/async_signal.h"
 #include "Http/boot_clock.h"
 #include "Http/io_shard.h"
+#include "Membership/store_position.h"
 #include "Observe/event_log.h"
 #include "Proxy/mesh_state.h"
 #include "Proxy/target_gate.h"
@@ -45,6 +46,7 @@
         table(io_shard, mesh_state, store_client, this->watches, store_bounds) {}
 
   void Start() {
+    this->client.SetEraListener([this] { this->HandleNewEra(); });
     this->Spawn(&StoreSync::FollowTable);
     this->Spawn(&StoreSync::ProveTable);
     this->Spawn(&StoreSync::FollowHosts);
@@ -100,6 +102,22 @@
   Awaitable<void> FollowTable() { return this->table.Follow(); }
   Awaitable<void> ProveTable() { return this->table.Prove(); }
 
+  // The store was restored from a copy. Its revisions and leases do not continue the known ones,
+  // and the lease of this host may be given to another one.
+  void HandleNewEra() {
+    const std::uint64_t before = std::exchange(this->era, this->client.GetEra());
+    this->table.HandleNewEra();
+    if (before == 0) {
+      return;
+    }
+    EventLog::Write(Event::kStoreEraChanged, "era={} before={} lease={}", this->era, before,
+                    this->lease);
+    this->lease = 0;
+    this->written.reset();
+    this->record_changed.Notify();
+    this->client.CancelWatches();
+  }
+
   std::string GetOwnKey() const {
     return std::string(kHostPrefix) + this->state.GetIdentity().host;
   }
@@ -107,7 +125,7 @@
   void ApplyHostChanges(const StoreView& view) {
     for (const StoreItem& item : view.items) {
       if (item.value.has_value()) {
-        if (const std::optional<HostRecord> record = ReadHostRecord(item, kHostPrefix)) {
+        if (const std::optional<HostRecord> record = ReadHostRecord(item, this->era, kHostPrefix)) {
           this->state.MergeHost(GetNow(), *record);
         } else {
           this->CheckOwnRecord(item.key != this->GetOwnKey());
@@ -123,7 +141,7 @@
     std::vector<HostRecord> records;
     bool own_listed = false;
     for (const StoreItem& item : view.items) {
-      std::optional<HostRecord> record = ReadHostRecord(item, kHostPrefix);
+      std::optional<HostRecord> record = ReadHostRecord(item, this->era, kHostPrefix);
       if (item.key == this->GetOwnKey()) {
         own_listed = record.has_value();
         this->ApplyEarlierRecord(record);
@@ -158,7 +176,7 @@
 
   Awaitable<void> FollowHosts() {
     StoreReach reach(this->shard, "follow_hosts");
-    std::optional<std::uint64_t> known;
+    std::optional<StorePosition> known;
     while (!this->ended) {
       const bool listing = !known.has_value();
       Result<StoreView> view = StoreView();
@@ -167,9 +185,14 @@
       } else {
         view = co_await this->watches.WatchHosts(kHostPrefix, *known);
       }
+      if (!listing && known->era != this->era) {
+        known.reset();
+        continue;
+      }
       if (!IsOk(view)) {
         if (GetError(view).kind == ErrorKind::kStoreHistoryGone) {
-          EventLog::Write(Event::kStoreHistoryGone, "after={}", known.value_or(0));
+          EventLog::Write(Event::kStoreHistoryGone, "after={}",
+                          known.value_or(StorePosition{}).revision);
           known.reset();
         } else {
           co_await reach.PauseAfterError(GetError(view));
@@ -177,7 +200,7 @@
         continue;
       }
       reach.RecordReached();
-      known = GetValue(view).revision;
+      known = StorePosition{this->era, GetValue(view).revision};
       if (listing) {
         this->ApplyHostList(GetValue(view));
       } else {
@@ -201,7 +224,8 @@
     const std::string value = Encode(MakeHostRecord(this->state.GetIdentity(), this->gate));
     Status status = co_await this->client.Write(key, value, this->lease);
     co_await this->Pause(kLeaveNotice);
-    if (IsOk(status)) {
+    // No lease is left after a new era.
+    if (IsOk(status) && this->lease != 0) {
       status = co_await this->client.EndLease(this->lease);
     }
     if (!IsOk(status)) {
@@ -231,13 +255,15 @@
       co_return status;
     }
     HostRecord record = MakeHostRecord(this->state.GetIdentity(), this->gate);
+    const std::uint64_t used_lease = this->lease;
     if (this->written == record) {
       status = co_await this->client.RenewLease(this->lease);
     } else {
       const std::string key = this->GetOwnKey();
       const std::string value = Encode(record);
       status = co_await this->client.Write(key, value, this->lease);
-      if (IsOk(status)) {
+      // A new era has ended the lease.
+      if (IsOk(status) && this->lease == used_lease) {
         this->written = std::move(record);
       }
     }
@@ -299,6 +325,8 @@
   const TimePoint started_at = GetNow();
   StoreWatches<Client> watches;
   TableFollower<Client, Source> table;
+  // Newest era of the store; 0 if it states none.
+  std::uint64_t era = 0;
   std::uint64_t lease = 0;
   // The record that the store holds under the lease.
   std::optional<HostRecord> written;
--- a/Source/Store/store_watches.h
+++ b/Source/Store/store_watches.h
@@ -8,6 +8,7 @@
 #include "Core/result.h"
 #include "Http/boot_clock.h"
 #include "Http/io_shard.h"
+#include "Membership/store_position.h"
 #include "Observe/event_log.h"
 #include "Proxy/mesh_state.h"
 #include "Store/lease_store.h"
@@ -31,18 +32,25 @@
                                           std::uint64_t version) {
     return this->Watch(key, revision, version, this->table);
   }
-  // Watches the records of the hosts for changes after the revision.
-  Awaitable<Result<StoreView>> WatchHosts(std::string_view prefix, std::uint64_t revision) {
-    return this->Watch(prefix, revision, revision, this->hosts);
+  // Watches the records of the hosts for changes after the position.
+  Awaitable<Result<StoreView>> WatchHosts(std::string_view prefix, StorePosition position) {
+    return this->Watch(prefix, position.revision, position, this->hosts);
   }
 
   // Has to be called regularly with the state of other daemons.
   void HandlePeerProgress(TimePoint now, const PeerProgress& progress) {
     // The version in force may have come from another daemon.
     this->table.RecordChange(now, std::max(progress.table_version, this->state.GetTableVersion()));
-    this->hosts.RecordChange(now, progress.hosts_revision);
-    const bool table_silent = TakeSilence(now, this->table, "table");
-    const bool hosts_silent = TakeSilence(now, this->hosts, "hosts");
+    this->hosts.RecordChange(now, StorePosition{progress.hosts_era, progress.hosts_revision});
+    const bool table_silent = this->table.TakeSilence(now);
+    const bool hosts_silent = this->hosts.TakeSilence(now);
+    if (table_silent) {
+      LogSilence("table", this->table.GetWatchedAfter(), this->table.GetNewestChange());
+    }
+    if (hosts_silent) {
+      LogSilence("hosts", this->hosts.GetWatchedAfter().revision,
+                 this->hosts.GetNewestChange().revision);
+    }
     if (table_silent || hosts_silent) {
       this->client.CancelWatches();
     }
@@ -50,8 +58,9 @@
 
  private:
   // `position` is what the state of other daemons is compared with; see WatchSilence.
+  template <typename Position>
   Awaitable<Result<StoreView>> Watch(std::string_view prefix, std::uint64_t revision,
-                                     std::uint64_t position, WatchSilence& watch) {
+                                     Position position, WatchSilence<Position>& watch) {
     const Duration time = ComputeWatchTime(this->state.GetHosts().size(), this->shard.GetRandom());
     watch.Begin(GetNow(), position);
     Result<StoreView> view = co_await this->client.Watch(prefix, revision, time);
@@ -59,20 +68,15 @@
     co_return view;
   }
 
-  static bool TakeSilence(TimePoint now, WatchSilence& watch, std::string_view name) {
-    const bool silent = watch.TakeSilence(now);
-    if (silent) {
-      EventLog::Write(Event::kWatchSilent, "watch={} after={} known={}", name,
-                      watch.GetWatchedAfter(), watch.GetNewestChange());
-    }
-    return silent;
+  static void LogSilence(std::string_view name, std::uint64_t after, std::uint64_t known) {
+    EventLog::Write(Event::kWatchSilent, "watch={} after={} known={}", name, after, known);
   }
 
   IoShard& shard;
   MeshState& state;
   Client& client;
-  WatchSilence table;
-  WatchSilence hosts;
+  WatchSilence<std::uint64_t> table;
+  WatchSilence<StorePosition> hosts;
 };
 
 }  // namespace lacewingbridge
--- a/Source/Store/table_follower.h
+++ b/Source/Store/table_follower.h
@@ -22,6 +22,7 @@
 #include "Store/table_source.h"
 #include "Workspaces/proof_readers.h"
 #include "Workspaces/proof_schedule.h"
+#include "Workspaces/restore_hold.h"
 
 namespace lacewingbridge {
 
@@ -45,12 +46,16 @@
     while (!this->ended) {
       const TimePoint sent = GetNow();
       const bool read_key = this->reading;
+      const std::uint64_t era = this->client.GetEra();
       Result<StoreView> view = StoreView();
       if (read_key) {
         view = co_await this->ReadKey();
       } else {
         view = co_await this->watches.WatchTable(Source::GetKey(), this->known, this->version);
       }
+      if (!read_key && era != this->client.GetEra()) {
+        continue;
+      }
       if (!IsOk(view)) {
         // Reading the key returns any version that was missed.
         this->reading = true;
@@ -61,6 +66,9 @@
       }
       reach.RecordReached();
       const std::size_t bytes = this->Apply(GetValue(view));
+      if (!read_key && bytes > 0) {
+        this->restore.RecordWrite();
+      }
       if (read_key) {
         this->RecordProof(sent, GetValue(view));
       }
@@ -95,6 +103,14 @@
 
   void End() { this->ended = true; }
 
+  // Has to be called when the store shows the first era, or a new one. Reads the key again: the
+  // store may hold an older version than before, and its revisions do not continue the known ones.
+  void HandleNewEra() {
+    this->reading = true;
+    this->newest.reset();
+    this->restore.BeginEra(GetNow());
+  }
+
  private:
   static constexpr Duration kProofCheckInterval = std::chrono::milliseconds(100);
   // The shortest watch.
@@ -166,7 +182,8 @@
   // Records that the call of this answer was sent at the time. The answer has been applied.
   void RecordProof(TimePoint sent, const StoreView& view) {
     if (this->newest.has_value() && view.revision == this->newest->revision &&
-        this->newest->version.has_value()) {
+        this->newest->version.has_value() &&
+        this->restore.IsOver(sent, this->state.GetProofBound().value_or(Duration{0}))) {
       this->state.RecordNewestVersion(sent, *this->newest->version);
     }
   }
@@ -175,7 +192,7 @@
     this->proof_requested = this->state.TakeProofRequest() || this->proof_requested;
     const std::optional<Duration> bound = this->state.GetProofBound();
     // Follow proves the version when it reads the key.
-    if (!bound.has_value() || this->reading) {
+    if (!bound.has_value() || this->reading || !this->restore.IsOver(GetNow(), *bound)) {
       return false;
     }
     if (!this->schedule.has_value() || this->schedule->GetBound() != *bound) {
@@ -200,6 +217,7 @@
   Awaitable<Status> AskForProof() {
     this->proof_requested = false;
     const TimePoint sent = GetNow();
+    const std::uint64_t era = this->client.GetEra();
     this->schedule->RecordAsked(sent);
     Result<StoreView> view = StoreView();
     if (this->newest.has_value()) {
@@ -215,8 +233,10 @@
       }
       co_return gone ? MakeOkStatus() : Status(GetError(view));
     }
-    this->Apply(GetValue(view));
-    this->RecordProof(sent, GetValue(view));
+    if (era == this->client.GetEra()) {
+      this->Apply(GetValue(view));
+      this->RecordProof(sent, GetValue(view));
+    }
     co_return MakeOkStatus();
   }
 
@@ -244,6 +264,7 @@
   // Newest version that the store has returned to this daemon.
   std::uint64_t version = 0;
   std::optional<Newest> newest;
+  RestoreHold restore;
   std::optional<ProofSchedule> schedule;
   bool proof_requested = false;
   bool was_proven = false;
--- a/Source/Store/watch_silence.h
+++ b/Source/Store/watch_silence.h
@@ -16,14 +16,15 @@
 //
 // The store responds to a watch as soon as there is a change after the position of the watch. A
 // watch is silent if it is still pending a while after this daemon got to know of such a change
-// from another daemon.
+// from another daemon. `Position` is a StorePosition, or the version of the route table.
+template <typename Position = std::uint64_t>
 class WatchSilence {
  public:
   // Time in which a slow store responds and the response arrives over a busy link.
   static constexpr Duration kResponseTime = std::chrono::seconds(2);
 
   // Records that a watch for changes after the position was sent.
-  void Begin(TimePoint now, std::uint64_t position) {
+  void Begin(TimePoint now, Position position) {
     this->pending_since = now;
     this->watched_after = position;
   }
@@ -31,7 +32,7 @@
   void End() { this->pending_since.reset(); }
 
   // Records that another daemon knows a change at the position.
-  void RecordChange(TimePoint now, std::uint64_t position) {
+  void RecordChange(TimePoint now, Position position) {
     if (position > this->newest_change) {
       this->newest_change = position;
       this->changed_at = now;
@@ -51,16 +52,16 @@
     return true;
   }
 
-  std::uint64_t GetWatchedAfter() const { return this->watched_after; }
-  std::uint64_t GetNewestChange() const { return this->newest_change; }
+  Position GetWatchedAfter() const { return this->watched_after; }
+  Position GetNewestChange() const { return this->newest_change; }
 
  private:
   std::optional<TimePoint> pending_since;
-  std::uint64_t watched_after = 0;
-  std::uint64_t newest_change = 0;
+  Position watched_after{};
+  Position newest_change{};
   TimePoint changed_at;
   // Position of the newest change for which TakeSilence has returned true.
-  std::uint64_t reported = 0;
+  Position reported{};
 };
 
 }  // namespace lacewingbridge
--- a/Tests/Fakes/fake_lease_store.h
+++ b/Tests/Fakes/fake_lease_store.h
@@ -3,10 +3,12 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "Core/result.h"
 #include "Http/boot_clock.h"
@@ -67,10 +69,38 @@
     this->history_from = ++this->revision;
   }
 
+  // Keeps a copy of all items and leases for RestoreCopy.
+  void SaveCopy() {
+    const std::lock_guard guard(this->mutex);
+    this->copy = Copy{this->items, this->revision, this->last_lease};
+  }
+  // Returns to the copy and begins a new era. Watches fail, and revisions and leases that were
+  // given out since the copy are given out again.
+  void RestoreCopy() {
+    const std::lock_guard guard(this->mutex);
+    this->items = this->copy.items;
+    this->revision = this->copy.revision;
+    this->last_lease = this->copy.last_lease;
+    ++this->era;
+  }
+  // 0 until it is set, and then rises with each restore.
+  void SetEra(std::uint64_t value) {
+    const std::lock_guard guard(this->mutex);
+    this->era = value;
+  }
+  std::uint64_t GetEra() {
+    const std::lock_guard guard(this->mutex);
+    return this->era;
+  }
+
   bool Has(const std::string& key) {
     const std::lock_guard guard(this->mutex);
     return this->items.count(key) > 0;
   }
+  std::uint64_t GetLease(const std::string& key) {
+    const std::lock_guard guard(this->mutex);
+    return this->items[key].lease;
+  }
   int GetCalls() {
     const std::lock_guard guard(this->mutex);
     return this->calls;
@@ -101,7 +131,7 @@
   }
   bool IsHistoryGone(std::uint64_t after) {
     const std::lock_guard guard(this->mutex);
-    return after < this->history_from;
+    return after < this->history_from || after > this->revision;
   }
   // Returns false if the lease has ended.
   bool Write(const std::string& key, const std::string& value, std::uint64_t lease) {
@@ -130,7 +160,15 @@
     return lease > this->first_lease && lease <= this->last_lease;
   }
 
+  struct Copy {
+    std::map<std::string, Entry> items;
+    std::uint64_t revision = 1;
+    std::uint64_t last_lease = 0;
+  };
+
   std::mutex mutex;
+  Copy copy;
+  std::uint64_t era = 0;
   std::map<std::string, Entry> items;
   std::uint64_t revision = 1;
   std::uint64_t history_from = 0;
@@ -158,13 +196,17 @@
     if (!GetStore().BeginCall()) {
       co_return MakeRefused();
     }
-    co_return GetStore().Get(std::string(key));
+    StoreItem item = GetStore().Get(std::string(key));
+    this->ObserveEra();
+    co_return item;
   }
   Awaitable<Result<StoreView>> List(std::string_view prefix) {
     if (!GetStore().BeginCall()) {
       co_return MakeRefused();
     }
-    co_return GetStore().List(prefix, 0);
+    StoreView view = GetStore().List(prefix, 0);
+    this->ObserveEra();
+    co_return view;
   }
   Awaitable<Result<StoreView>> Watch(std::string_view prefix, std::uint64_t after, Duration wait) {
     constexpr Duration kPollInterval = std::chrono::milliseconds(5);
@@ -186,10 +228,12 @@
         continue;
       }
       if (GetStore().IsHistoryGone(after)) {
+        this->ObserveEra();
         co_return Error{ErrorKind::kStoreHistoryGone, "forgotten"};
       }
       StoreView view = GetStore().List(prefix, after);
       if (!view.items.empty() || GetNow() >= until) {
+        this->ObserveEra();
         co_return view;
       }
       ErrorCode code;
@@ -201,38 +245,55 @@
     if (!GetStore().BeginCall()) {
       co_return MakeRefused();
     }
-    if (!GetStore().Write(std::string(key), std::string(value), lease)) {
-      co_return Error{ErrorKind::kLeaseEnded, "ended"};
-    }
-    if (GetStore().TryLoseResponse()) {
+    const bool written = GetStore().Write(std::string(key), std::string(value), lease);
+    if (written && GetStore().TryLoseResponse()) {
       co_return MakeRefused();
     }
+    this->ObserveEra();
+    if (!written) {
+      co_return Error{ErrorKind::kLeaseEnded, "ended"};
+    }
     co_return MakeOkStatus();
   }
   Awaitable<Result<std::uint64_t>> GrantLease(Duration) {
     if (!GetStore().BeginCall()) {
       co_return MakeRefused();
     }
-    co_return GetStore().Grant();
+    const std::uint64_t lease = GetStore().Grant();
+    this->ObserveEra();
+    co_return lease;
   }
   Awaitable<Status> RenewLease(std::uint64_t lease) {
     if (!GetStore().BeginCall()) {
       co_return MakeRefused();
     }
-    if (!GetStore().Renew(lease)) {
+    const bool renewed = GetStore().Renew(lease);
+    this->ObserveEra();
+    if (!renewed) {
       co_return Error{ErrorKind::kLeaseEnded, "ended"};
     }
     co_return MakeOkStatus();
   }
   Awaitable<Status> EndLease(std::uint64_t) { co_return MakeOkStatus(); }
   void CancelWatches() { ++this->cancelled; }
+  std::uint64_t GetEra() const { return this->era; }
+  void SetEraListener(std::function<void()> listener) { this->on_new_era = std::move(listener); }
 
  private:
   static Error MakeRefused() { return {ErrorKind::kStoreUnavailable, "refused"}; }
 
+  void ObserveEra() {
+    const std::uint64_t before = std::exchange(this->era, GetStore().GetEra());
+    if (this->era != before && this->on_new_era) {
+      this->on_new_era();
+    }
+  }
+
   IoShard& shard;
   const std::string address;
   int cancelled = 0;
+  std::uint64_t era = 0;
+  std::function<void()> on_new_era;
 };
 
 }  // namespace lacewingbridge
--- a/Tests/Fakes/proof_fleet.h
+++ b/Tests/Fakes/proof_fleet.h
@@ -9,6 +9,7 @@
 
 #include "Workspaces/proof_readers.h"
 #include "Workspaces/proof_schedule.h"
+#include "Workspaces/restore_hold.h"
 #include "Workspaces/table_proof.h"
 
 namespace lacewingbridge {
@@ -19,6 +20,8 @@
   bool runs_while_suspended = true;
   // Proofs count from the sending of the call, not from the arrival of the answer.
   bool counts_from_sending = true;
+  // A store that was restored proves nothing for a while.
+  bool holds_after_restore = true;
 };
 
 // Daemons that read versions of the configuration and pass their proofs on, with random delays. A
@@ -37,7 +40,16 @@
   }
 
   // Writes a version, which is acknowledged at once.
-  void WriteVersion() { this->acknowledged_at.push_back(this->now); }
+  void WriteVersion() {
+    this->acknowledged_at.push_back(this->now);
+    this->rewritten_at = this->now;
+  }
+  // Restores the store from a copy without the newest version, which the operators write again
+  // after the time.
+  void Restore(Duration rewritten_after) {
+    ++this->era;
+    this->rewritten_at = this->now + rewritten_after;
+  }
   // Delays of most messages, and of one in fifty.
   void SetDelays(Duration usual, Duration rare) {
     this->usual_delay = usual;
@@ -96,7 +108,8 @@
     std::uint64_t version = 0;
     // Age of the proof of another daemon; empty without one.
     std::optional<Duration> age;
-    bool from_store = false;
+    // 0: from another daemon.
+    std::uint64_t era = 0;
   };
   struct Daemon {
     std::uint64_t process = 0;
@@ -109,6 +122,8 @@
     TimePoint isolated_until;
     TimePoint next_peer;
     std::vector<Answer> answers;
+    std::uint64_t era = 0;
+    RestoreHold restore;
   };
 
   TimePoint GetLocalTime(const Daemon& daemon) const {
@@ -127,12 +142,21 @@
         std::partition(daemon.answers.begin(), daemon.answers.end(),
                        [&](const Answer& answer) { return answer.arrives > this->now; });
     for (auto answer = due; answer != daemon.answers.end(); ++answer) {
+      if (answer->era > daemon.era) {
+        daemon.era = answer->era;
+        daemon.restore.BeginEra(this->GetLocalTime(daemon));
+      }
+      if (answer->era > 0 && answer->era < daemon.era) {
+        continue;
+      }
       daemon.version = std::max(daemon.version, answer->version);
       const TimePoint from =
           this->aging.counts_from_sending ? answer->sent : this->GetLocalTime(daemon);
-      if (answer->from_store) {
+      const bool proves =
+          !this->aging.holds_after_restore || daemon.restore.IsOver(answer->sent, kBound);
+      if (answer->era > 0 && proves) {
         daemon.proof.RecordNewest(from, answer->version, daemon.version);
-      } else if (answer->age.has_value()) {
+      } else if (answer->era == 0 && answer->age.has_value()) {
         daemon.proof.RecordPeerProof(from, *answer->age, answer->version, daemon.version);
       }
     }
@@ -155,8 +179,10 @@
     }
     // The store reads when the call is sent; all of the delay is that of the answer. That is the
     // worst case, because the answer is then as old as it can be.
+    const std::uint64_t newest = this->acknowledged_at.size();
+    const std::uint64_t stored = this->now < this->rewritten_at ? newest - 1 : newest;
     daemon.answers.push_back(
-        {this->now + this->DrawDelay(), local, this->acknowledged_at.size(), std::nullopt, true});
+        {this->now + this->DrawDelay(), local, stored, std::nullopt, this->era});
   }
 
   void AskPeer(std::size_t index) {
@@ -178,7 +204,7 @@
       return;
     }
     daemon.answers.push_back({this->now + this->DrawDelay(), this->GetLocalTime(daemon),
-                              peer.version, peer.proof.GetAge(this->GetLocalTime(peer)), false});
+                              peer.version, peer.proof.GetAge(this->GetLocalTime(peer)), 0});
   }
 
   const ProofAging aging;
@@ -189,6 +215,8 @@
   std::mt19937_64 random;
   Duration usual_delay = std::chrono::milliseconds(20);
   Duration rare_delay = std::chrono::milliseconds(20);
+  std::uint64_t era = 1;
+  TimePoint rewritten_at;
   std::uint64_t store_calls = 0;
   std::uint64_t restarts = 0;
 };
--- a/Tests/test_host_directory.cc
+++ b/Tests/test_host_directory.cc
@@ -55,3 +55,14 @@
   cr_assert(directory.Merge(MakeRecord("a", 2)));
   cr_assert_eq(directory.GetHosts()[0].revision, 2);
 }
+
+Test(host_directory, takes_records_of_a_new_era_whatever_their_revision) {
+  HostDirectory directory;
+  directory.Merge(MakeRecord("a", 5));
+  HostRecord restored = MakeRecord("a", 2);
+  restored.store_era = 1;
+  cr_assert(directory.Merge(restored));
+  cr_assert(!directory.Merge(MakeRecord("a", 6)));
+  cr_assert_eq(directory.GetNewestPosition().era, 1);
+  cr_assert_eq(directory.GetNewestPosition().revision, 2);
+}
--- a/Tests/test_platform_store_client.cc
+++ b/Tests/test_platform_store_client.cc
@@ -69,6 +69,29 @@
 
 }  // namespace
 
+// Guards against a response that was sent before the store was restored and arrives after it.
+Test(platform_store_client, responses_of_an_older_era_are_failed_calls) {
+  KeepAliveTarget store(
+      [](const std::string&, int number) -> TargetReply {
+        return {"HTTP/1.1 200 OK\r\nStore-Era: " + std::to_string(number == 1 ? 4 : 3) +
+                "\r\nContent-Length: " + std::to_string(kItem.size()) + "\r\n\r\n" + kItem};
+      },
+      "");
+  IoShard shard(1);
+  PlatformStoreClient client(shard, store.GetAddress());
+  int eras = 0;
+  client.SetEraListener([&eras] { ++eras; });
+  Result<StoreItem> first = StoreItem();
+  Result<StoreItem> second = StoreItem();
+  asio::co_spawn(shard.GetContext(), GetTwice(client, first, second), asio::detached);
+  shard.GetContext().run();
+  cr_assert(IsOk(first));
+  cr_assert_not(IsOk(second));
+  cr_assert_eq(GetError(second).kind, ErrorKind::kStoreUnavailable);
+  cr_assert_eq(client.GetEra(), 4);
+  cr_assert_eq(eras, 1);
+}
+
 Test(outbound_exchange, bytes_without_end_are_not_kept) {
   for (const TargetReply& reply : MakeEndlessReplies()) {
     for (const std::size_t max_bytes : {std::size_t{4096}, std::size_t{8} << 20U}) {
--- a/Tests/test_table_proof.cc
+++ b/Tests/test_table_proof.cc
@@ -1,9 +1,10 @@
 // Guards against an API key that is served longer than the bound after its removal was
-// acknowledged, by a daemon that is cut off, suspended, restarted or gets its answers late, and
-// against proofs that cost many calls to the store.
+// acknowledged, by a daemon that is cut off, suspended, restarted or gets its answers late, or
+// after the store was restored from a copy, and against proofs that cost many calls to the store.
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <random>
@@ -30,7 +31,7 @@
   const std::size_t daemon =
       std::uniform_int_distribution<std::size_t>(0, fleet.GetSize() - 1)(random);
   const Duration time = milliseconds(std::uniform_int_distribution<int>(100, 12'000)(random));
-  switch (std::uniform_int_distribution<int>(0, 4)(random)) {
+  switch (std::uniform_int_distribution<int>(0, 9)(random)) {
     case 0:
       fleet.Suspend(daemon, time);
       break;
@@ -43,6 +44,9 @@
     case 3:
       fleet.Kill(daemon);
       break;
+    case 4:
+      fleet.Restore(std::min<Duration>(time, seconds(4)));
+      break;
     default:
       fleet.WriteVersion();
       break;
@@ -93,6 +97,10 @@
   cr_assert(FailsForSomeSeed({.counts_from_sending = false}));
 }
 
+Test(table_proof, a_restored_store_would_serve_removed_keys_without_a_hold) {
+  cr_assert(FailsForSomeSeed({.holds_after_restore = false}));
+}
+
 Test(table_proof, is_used_for_less_than_the_bound) {
   TableProof proof = MakeProof();
   cr_assert_not(proof.MayServeKeys(kStart));
@@ -124,7 +132,7 @@
   for (const std::size_t size : {1U, 18U, 80U, 900U}) {
     ProofFleet fleet(size, {}, 7);
     fleet.WriteVersion();
-    for (int step = 0; step < 100; ++step) {
+    for (int step = 0; step < 400; ++step) {
       fleet.Step();
     }
     const std::uint64_t before = fleet.GetStoreCalls();
