--- a/Source/Generated/events.h
+++ b/Source/Generated/events.h
@@ -65,6 +65,9 @@
   kQuotaGrantsBegin = 822,
   kWorkspaceLeftOut = 810,
   kKeyShared = 811,
+  kProofGained = 815,
+  kProofExpired = 816,
+  kStoreEraChanged = 817,
   kOperatorCallFailed = 700,
 };
 
@@ -177,6 +180,12 @@
       return "workspace_left_out";
     case Event::kKeyShared:
       return "key_shared";
+    case Event::kProofGained:
+      return "proof_gained";
+    case Event::kProofExpired:
+      return "proof_expired";
+    case Event::kStoreEraChanged:
+      return "store_era_changed";
     case Event::kOperatorCallFailed:
       return "operator_call_failed";
   }
@@ -190,7 +199,7 @@
   std::string_view action;
 };
 
-inline constexpr std::array<EventDescription, 54> kEventCatalogue = {{
+inline constexpr std::array<EventDescription, 57> kEventCatalogue = {{
     {Event::kNone, "info",
      "no event",
      ""},
@@ -350,6 +359,15 @@
     {Event::kKeyShared, "warning",
      "two workspaces have the same API key; the key is not accepted",
      "Remove the key from one of the workspaces."},
+    {Event::kProofGained, "info",
+     "version in force is known to be the newest; API keys are served",
+     ""},
+    {Event::kProofExpired, "warning",
+     "version in force may not be the newest; requests with API keys are refused",
+     "Check the links of this host to the store and to other hosts."},
+    {Event::kStoreEraChanged, "warning",
+     "store was restored from a copy; reading everything again",
+     "Ask the platform's team what was lost; check that the operators' configuration is the newest."},
     {Event::kOperatorCallFailed, "info",
      "operator call failed",
      ""},
--- a/Source/Store/store_sync.h
+++ b/Source/Store/store_sync.h
@@ -1,7 +1,6 @@
 #ifndef LACEWINGBRIDGE_SOURCE_STORE_STORE_SYNC_H_
 #define LACEWINGBRIDGE_SOURCE_STORE_STORE_SYNC_H_
 
-#include <concepts>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -14,6 +13,7 @@
 #include "Http/async_signal.h"
 #include "Http/boot_clock.h"
 #include "Http/io_shard.h"
+#include "Membership/store_position.h"
 #include "Observe/event_log.h"
 #include "Proxy/mesh_state.h"
 #include "Proxy/target_gate.h"
@@ -21,22 +21,15 @@
 #include "Store/hosts_pause.h"
 #include "Store/lease_store.h"
 #include "Store/renewal_pause.h"
-#include "Store/store_backoff.h"
 #include "Store/store_bounds.h"
+#include "Store/store_reach.h"
 #include "Store/store_watches.h"
-#include "Store/table_offer_log.h"
-#include "Store/table_pause.h"
+#include "Store/table_follower.h"
+#include "Store/table_source.h"
 #include "mesh_codec.h"
 
 namespace lacewingbridge {
 
-// The key of the operators' configuration in the store, and its decoder.
-template <typename Source>
-concept TableSource = requires(std::string_view bytes) {
-  { Source::GetKey() } -> std::convertible_to<std::string_view>;
-  { Source::Decode(bytes) } -> std::same_as<Result<RouteTable>>;
-};
-
 // A call that the store confirmed while this host's lease was alive.
 struct LeaseProof {
   TimePoint sent_at;
@@ -56,12 +49,14 @@
         gate(target_gate),
         client(store_client),
         lease_time(std::max(store_bounds.min_lease, kLeaseTime)),
-        bounds(store_bounds),
         record_changed(io_shard.GetContext()),
-        watches(io_shard, mesh_state, store_client) {}
+        watches(io_shard, mesh_state, store_client),
+        table(io_shard, mesh_state, store_client, this->watches, store_bounds) {}
 
   void Start() {
+    this->client.SetEraListener([this] { this->HandleNewEra(); });
     this->Spawn(&StoreSync::FollowTable);
+    this->Spawn(&StoreSync::ProveTable);
     this->Spawn(&StoreSync::FollowHosts);
     this->Spawn(&StoreSync::MaintainRecord);
   }
@@ -87,6 +82,7 @@
   // for it, and the lease expires by itself.
   void Leave() {
     this->ended = true;
+    this->table.End();
     this->record_changed.Notify();
     this->Spawn(&StoreSync::EndLease);
   }
@@ -115,78 +111,24 @@
     co_await timer.async_wait(AwaitInto(code));
   }
 
-  // Logs the loss of the store once per outage, and waits before the next call.
-  Awaitable<void> PauseAfterError(const Error& error, std::string_view call, bool& reached,
-                                  StoreBackoff& backoff) {
-    if (reached) {
-      EventLog::Write(Event::kStoreUnreachable, "call={} reason=\"{}\"", call, error.detail);
-      reached = false;
-    }
-    co_await this->Pause(backoff.GetNext(this->shard.GetRandom()));
-  }
+  Awaitable<void> FollowTable() { return this->table.Follow(); }
+  Awaitable<void> ProveTable() { return this->table.Prove(); }
 
-  void RecordReached(std::string_view call, bool& reached, StoreBackoff& backoff) {
-    if (!reached) {
-      EventLog::Write(Event::kStoreReached, "call={}", call);
-      reached = true;
-    }
-    backoff.Reset();
-  }
-
-  void ApplyTable(const StoreItem& item) {
-    if (!item.value.has_value()) {
-      return;
-    }
-    Result<RouteTable> decoded = Source::Decode(*item.value);
-    if (!IsOk(decoded)) {
-      EventLog::Write(Event::kTableRejected, "revision={} reason=\"{}\"", item.revision,
-                      GetError(decoded).GetMessage());
+  // The store was restored from a copy. Its revisions and leases do not continue the known ones,
+  // and the lease of this host may be given to another one.
+  void HandleNewEra() {
+    const std::uint64_t before = std::exchange(this->era, this->client.GetEra());
+    this->table.HandleNewEra();
+    if (before == 0) {
       return;
     }
-    this->store_version = std::max(this->store_version, GetValue(decoded).version);
-    OfferAndLog(this->state, std::move(GetValue(decoded)), "store");
-  }
-
-  Awaitable<void> FollowTable() {
-    StoreBackoff backoff;
-    bool reached = true;
-    std::optional<std::uint64_t> known;
-    while (!this->ended) {
-      Result<StoreView> view = StoreView();
-      if (known.has_value()) {
-        view = co_await this->watches.WatchTable(Source::GetKey(), *known, this->store_version);
-      } else {
-        Result<StoreItem> item = co_await this->client.Get(Source::GetKey());
-        if (IsOk(item)) {
-          GetValue(view).revision = GetValue(item).revision;
-          GetValue(view).items.push_back(std::move(GetValue(item)));
-        } else {
-          view = GetError(item);
-        }
-      }
-      if (!IsOk(view)) {
-        // Reading the key returns any version that was missed.
-        known.reset();
-        if (GetError(view).kind != ErrorKind::kStoreHistoryGone) {
-          co_await this->PauseAfterError(GetError(view), "follow_table", reached, backoff);
-        }
-        continue;
-      }
-      this->RecordReached("follow_table", reached, backoff);
-      std::size_t bytes = 0;
-      for (const StoreItem& item : GetValue(view).items) {
-        if (item.key == Source::GetKey()) {
-          bytes += item.value.has_value() ? item.value->size() : 0;
-          this->ApplyTable(item);
-        }
-      }
-      const bool first = !known.has_value();
-      known = std::max(known.value_or(0), GetValue(view).revision);
-      if (!first && bytes > 0) {
-        co_await this->Pause(
-            ComputeTablePause(bytes, this->bounds.link_bytes_per_second, this->bounds.table_bound));
-      }
-    }
+    EventLog::Write(Event::kStoreEraChanged, "era={} before={} lease={}", this->era, before,
+                    this->lease);
+    this->lease = 0;
+    this->written.reset();
+    this->on_lease(nullptr);
+    this->record_changed.Notify();
+    this->client.CancelWatches();
   }
 
   std::string GetOwnKey() const {
@@ -196,7 +138,7 @@
   void ApplyHostChanges(const StoreView& view) {
     for (const StoreItem& item : view.items) {
       if (item.value.has_value()) {
-        if (const std::optional<HostRecord> record = ReadHostRecord(item, kHostPrefix)) {
+        if (const std::optional<HostRecord> record = ReadHostRecord(item, this->era, kHostPrefix)) {
           this->state.MergeHost(GetNow(), *record);
         } else {
           this->CheckOwnRecord(item.key != this->GetOwnKey());
@@ -212,7 +154,7 @@
     std::vector<HostRecord> records;
     bool own_listed = false;
     for (const StoreItem& item : view.items) {
-      std::optional<HostRecord> record = ReadHostRecord(item, kHostPrefix);
+      std::optional<HostRecord> record = ReadHostRecord(item, this->era, kHostPrefix);
       if (item.key == this->GetOwnKey()) {
         own_listed = record.has_value();
         this->ApplyEarlierRecord(record);
@@ -246,9 +188,8 @@
   }
 
   Awaitable<void> FollowHosts() {
-    StoreBackoff backoff;
-    bool reached = true;
-    std::optional<std::uint64_t> known;
+    StoreReach reach(this->shard, "follow_hosts");
+    std::optional<StorePosition> known;
     while (!this->ended) {
       const bool listing = !known.has_value();
       Result<StoreView> view = StoreView();
@@ -257,17 +198,22 @@
       } else {
         view = co_await this->watches.WatchHosts(kHostPrefix, *known);
       }
+      if (!listing && known->era != this->era) {
+        known.reset();
+        continue;
+      }
       if (!IsOk(view)) {
         if (GetError(view).kind == ErrorKind::kStoreHistoryGone) {
-          EventLog::Write(Event::kStoreHistoryGone, "after={}", known.value_or(0));
+          EventLog::Write(Event::kStoreHistoryGone, "after={}",
+                          known.value_or(StorePosition{}).revision);
           known.reset();
         } else {
-          co_await this->PauseAfterError(GetError(view), "follow_hosts", reached, backoff);
+          co_await reach.PauseAfterError(GetError(view));
         }
         continue;
       }
-      this->RecordReached("follow_hosts", reached, backoff);
-      known = GetValue(view).revision;
+      reach.RecordReached();
+      known = StorePosition{this->era, GetValue(view).revision};
       if (listing) {
         this->ApplyHostList(GetValue(view));
       } else {
@@ -292,7 +238,8 @@
     Status status = co_await this->client.Write(key, value, this->lease);
     co_await this->Pause(kLeaveNotice);
     this->on_lease(nullptr);
-    if (IsOk(status)) {
+    // No lease is left after a new era.
+    if (IsOk(status) && this->lease != 0) {
       status = co_await this->client.EndLease(this->lease);
     }
     if (!IsOk(status)) {
@@ -330,7 +277,8 @@
       const std::string key = this->GetOwnKey();
       const std::string value = Encode(record);
       status = co_await this->client.Write(key, value, this->lease);
-      if (IsOk(status)) {
+      // A new era has ended the lease.
+      if (IsOk(status) && this->lease == proof.lease) {
         this->written = std::move(record);
       }
     }
@@ -339,7 +287,7 @@
       this->lease = 0;
       this->written.reset();
     }
-    if (IsOk(status) && !this->ended) {
+    if (IsOk(status) && !this->ended && this->lease == proof.lease) {
       this->on_lease(&proof);
     }
     co_return status;
@@ -369,21 +317,19 @@
   }
 
   Awaitable<void> MaintainRecord() {
-    StoreBackoff backoff;
-    bool reached = true;
+    StoreReach reach(this->shard, "keep_record");
     co_await this->WaitBeforeListing();
     while (!this->ended) {
       const Status status = co_await this->RenewOrWrite();
       if (IsOk(status)) {
-        if (!reached) {
+        if (reach.RecordReached()) {
           // The outage may have lost the event that a pending watch waits for.
           this->client.CancelWatches();
         }
-        this->RecordReached("keep_record", reached, backoff);
         co_await this->WaitForRenewal(
             GetNow() + ComputeRenewalPause(this->lease_time, this->shard.GetRandom()));
       } else if (GetError(status).kind != ErrorKind::kLeaseEnded) {
-        co_await this->PauseAfterError(GetError(status), "keep_record", reached, backoff);
+        co_await reach.PauseAfterError(GetError(status));
       }
     }
   }
@@ -396,12 +342,12 @@
   // Of the lease that this daemon holds.
   Duration held_lease_time{0};
   LeaseListener on_lease = [](const LeaseProof*) {};
-  const StoreBounds bounds;
   AsyncSignal record_changed;
   const TimePoint started_at = GetNow();
   StoreWatches<Client> watches;
-  // Newest version that the store has returned to this daemon.
-  std::uint64_t store_version = 0;
+  TableFollower<Client, Source> table;
+  // Newest era of the store; 0 if it states none.
+  std::uint64_t era = 0;
   std::uint64_t lease = 0;
   // The record that the store holds under the lease.
   std::optional<HostRecord> written;
