http: Keep connections whose receiver pauses while it reads

A caller that paused for 6 s in a response of 24 MB was reset after 128,144 bytes. The kernel ends a connection with TCP_USER_TIMEOUT (1.5 s) not only when sent bytes stay unacknowledged, but also when the receiver keeps its window closed and answers every window probe. The same cut a response of 400 KB that had been written whole (128,000 bytes, reset) and an upload of 24 MB whose target paused for 4 s (502).

The limit of a write now counts from the last byte that the receiver took, so that a slow reader of a long response is not cut, and ends at the deadline of the caller, so that one that never reads again holds no slot of the target. A caller without a deadline has the idle timeout (60 s).

Ruled out: no TCP_USER_TIMEOUT and a limit of our own for every write. A silent connection would then be noticed only by reading TCP_INFO, also for short requests, and not at all where it is not supported.

--- a/Source/Http/io_shard.h
+++ b/Source/Http/io_shard.h
@@ -6,6 +6,7 @@
 
 #include "Http/asio_types.h"
 #include "Http/connection_pool.h"
+#include "Http/send_watch.h"
 
 namespace lacewingbridge {
 
@@ -17,11 +18,13 @@
 
   asio::io_context& GetContext() { return this->context; }
   ConnectionPool& GetPool() { return this->pool; }
+  SendWatch& GetSendWatch() { return this->send_watch; }
   std::mt19937_64& GetRandom() { return this->random; }
 
  private:
   asio::io_context context{1};
   ConnectionPool pool;
+  SendWatch send_watch{this->context};
   std::mt19937_64 random;
 };
 
--- a/Source/Http/outbound_connection.h
+++ b/Source/Http/outbound_connection.h
@@ -2,10 +2,12 @@
 #define LACEWINGBRIDGE_SOURCE_HTTP_OUTBOUND_CONNECTION_H_
 
 #include <cstddef>
+#include <memory>
 #include <string>
 
 #include "Core/time_point.h"
 #include "Http/asio_types.h"
+#include "Http/send_watch.h"
 
 namespace lacewingbridge {
 
@@ -15,9 +17,11 @@
   // a head, the line of a chunk and the trailers as a whole, and has no limit for the latter two.
   static constexpr std::size_t kMaxHeldBytes = std::size_t{128} * 1024;
 
-  explicit OutboundConnection(asio::io_context& context) : socket(context), buffer(kMaxHeldBytes) {}
+  OutboundConnection(asio::io_context& context, SendWatch& send_watch)
+      : socket(context), sends(send_watch.MakeEntry(this->socket)), buffer(kMaxHeldBytes) {}
 
   TcpSocket socket;
+  std::shared_ptr<SendWatch::Entry> sends;
   boost::beast::flat_buffer buffer;
   TimePoint idle_since;
   // From then on the other side may close it.
--- a/Source/Http/outbound_exchange.cc
+++ b/Source/Http/outbound_exchange.cc
@@ -75,7 +75,8 @@
   if (!IsOk(parsed)) {
     co_return ExchangeStatus::kNotConnected;
   }
-  this->connection = std::make_unique<OutboundConnection>(this->shard.GetContext());
+  this->connection =
+      std::make_unique<OutboundConnection>(this->shard.GetContext(), this->shard.GetSendWatch());
   ErrorCode code;
   const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(GetValue(parsed).GetIp(), code),
                                          GetValue(parsed).GetPort());
@@ -104,6 +105,9 @@
   this->is_head_request = request.method() == http::verb::head;
   this->timer.Start(this->connection->socket, limit);
   this->end_at = GetNow() + limit;
+  if (rest != nullptr || !request.body().empty()) {
+    this->connection->sends->Hold();
+  }
   ErrorCode code;
   if (rest == nullptr) {
     co_await http::async_write(this->connection->socket, request, AwaitInto(code));
@@ -228,6 +232,7 @@
   if (this->connection == nullptr) {
     return;
   }
+  this->connection->sends->Release();
   const bool reusable = !this->broken && !this->cancelled && !this->timer.HasExpired() &&
                         this->request_sent && this->parser.has_value() && this->parser->is_done() &&
                         this->parser->keep_alive() && this->connection->buffer.size() == 0 &&
--- a/Source/Http/server_connection.h
+++ b/Source/Http/server_connection.h
@@ -45,6 +45,7 @@
   ServerConnection(IoShard& io_shard, TcpSocket accepted, Handler& exchange_handler)
       : shard(io_shard),
         socket(std::move(accepted)),
+        sends(io_shard.GetSendWatch().MakeEntry(this->socket)),
         handler(exchange_handler),
         bytes(io_shard.GetContext(), this->socket),
         order(io_shard.GetContext()),
@@ -110,8 +111,8 @@
   // taken; its caller sends it again.
   Awaitable<bool> ReadOne() {
     auto exchange =
-        std::make_shared<ServerExchange>(this->shard.GetContext(), this->socket, this->bytes,
-                                         this->order, this->handler.GetLimits());
+        std::make_shared<ServerExchange>(this->shard.GetContext(), this->socket, *this->sends,
+                                         this->bytes, this->order, this->handler.GetLimits());
     const ReadProblem problem = co_await exchange->ReadRequest();
     if (problem == ReadProblem::kEnded || this->order.IsEnding() || this->order.IsClosed()) {
       co_return false;
@@ -200,8 +201,11 @@
     return ServerExchange::Answer(status, 11);
   }
 
-  // Closing with unread bytes would reset the connection and lose the last answer.
+  // Closing with unread bytes would reset the connection and lose the last answer. The operating
+  // system delivers what the caller has not read yet.
   Awaitable<void> Close() {
+    this->sends->Release();
+    SetSilenceLimit(this->socket, SilenceLimit::kPaused);
     ErrorCode ignored;
     this->socket.shutdown(TcpSocket::shutdown_send, ignored);
     const TimePoint until = GetNow() + kCloseLimit;
@@ -214,6 +218,7 @@
 
   IoShard& shard;
   TcpSocket socket;
+  const std::shared_ptr<SendWatch::Entry> sends;
   Handler& handler;
   InboundBytes bytes;
   AnswerOrder order;
--- a/Source/Http/server_exchange.cc
+++ b/Source/Http/server_exchange.cc
@@ -7,9 +7,24 @@
 
 namespace lacewingbridge {
 
-ServerExchange::ServerExchange(asio::io_context& context, TcpSocket& to, InboundBytes& from,
+namespace {
+
+// Time for a caller to accept a byte of an answer after its deadline.
+constexpr Duration kLateWriteLimit = std::chrono::seconds(1);
+// Largest write, so that the time limit starts anew as the caller reads.
+constexpr std::size_t kMaxWriteBytes = std::size_t{64} * 1024;
+
+}  // namespace
+
+ServerExchange::ServerExchange(asio::io_context& context, TcpSocket& to,
+                               SendWatch::Entry& send_entry, InboundBytes& from,
                                AnswerOrder& answer_order, const ServerLimits& server_limits)
-    : socket(to), bytes(from), order(answer_order), limits(server_limits), write_timer(context) {
+    : socket(to),
+      sends(send_entry),
+      bytes(from),
+      order(answer_order),
+      limits(server_limits),
+      write_timer(context) {
   this->parser.header_limit(this->limits.max_header_bytes);
   this->parser.body_limit(this->limits.max_body_bytes);
   this->parser.eager(false);
@@ -173,19 +188,15 @@
   this->Finalize(answer);
   if (this->GetHead().method() == http::verb::head) {
     http::response<http::empty_body> head(std::move(answer.base()));
-    this->write_timer.Start(this->socket, this->limits.idle_timeout);
-    ErrorCode code;
     http::response_serializer<http::empty_body> serializer(head);
-    co_await http::async_write_header(this->socket, serializer, AwaitInto(code));
-    this->write_timer.Stop();
-    co_return this->EndAnswer(!code, ConnectionEnd::kWriteFailed);
+    serializer.split(true);
+    const bool written = co_await this->WriteMessage(serializer);
+    co_return this->EndAnswer(written, ConnectionEnd::kWriteFailed);
   }
   answer.prepare_payload();
-  this->write_timer.Start(this->socket, this->limits.idle_timeout);
-  ErrorCode code;
-  co_await http::async_write(this->socket, answer, AwaitInto(code));
-  this->write_timer.Stop();
-  co_return this->EndAnswer(!code, ConnectionEnd::kWriteFailed);
+  http::response_serializer<http::string_body> serializer(answer);
+  const bool written = co_await this->WriteMessage(serializer);
+  co_return this->EndAnswer(written, ConnectionEnd::kWriteFailed);
 }
 
 Awaitable<bool> ServerExchange::SendHead(http::response_header<> head,
@@ -207,17 +218,44 @@
     this->chunked = true;
   }
   http::response_serializer<http::empty_body> serializer(answer);
-  this->write_timer.Start(this->socket, this->limits.idle_timeout);
+  serializer.split(true);
+  co_return co_await this->WriteMessage(serializer);
+}
+
+void ServerExchange::StartWriteLimit() {
+  Duration limit = this->limits.idle_timeout;
+  if (this->end_at.has_value()) {
+    limit = std::min(limit, std::max(*this->end_at - GetNow(), kLateWriteLimit));
+  }
+  this->write_timer.Start(this->socket, limit);
+}
+
+template <typename Buffers>
+Awaitable<bool> ServerExchange::Write(const Buffers& data) {
+  this->sends.NoteWrite();
+  const std::size_t size = asio::buffer_size(data);
+  const auto limit_next = [this, size](const ErrorCode& code, std::size_t written) {
+    if (code || written == size) {
+      return std::size_t{0};
+    }
+    this->StartWriteLimit();
+    return kMaxWriteBytes;
+  };
   ErrorCode code;
-  co_await http::async_write_header(this->socket, serializer, AwaitInto(code));
+  co_await asio::async_write(this->socket, data, limit_next, AwaitInto(code));
   this->write_timer.Stop();
   co_return !code;
 }
 
-Awaitable<bool> ServerExchange::Write(asio::const_buffer data) {
-  this->write_timer.Start(this->socket, this->limits.idle_timeout);
+template <typename Serializer>
+Awaitable<bool> ServerExchange::WriteMessage(Serializer& serializer) {
+  this->sends.NoteWrite();
   ErrorCode code;
-  co_await asio::async_write(this->socket, data, AwaitInto(code));
+  const bool head_only = serializer.split();
+  while (!code && !(head_only ? serializer.is_header_done() : serializer.is_done())) {
+    this->StartWriteLimit();
+    co_await http::async_write_some(this->socket, serializer, AwaitInto(code));
+  }
   this->write_timer.Stop();
   co_return !code;
 }
@@ -226,25 +264,21 @@
   if (part.empty()) {
     co_return true;
   }
+  const asio::const_buffer data(part.data(), part.size());
   if (!this->chunked) {
-    const asio::const_buffer data(part.data(), part.size());
     co_return co_await this->Write(data);
   }
-  this->write_timer.Start(this->socket, this->limits.idle_timeout);
-  ErrorCode code;
-  const auto chunk = http::make_chunk(asio::const_buffer(part.data(), part.size()));
-  co_await asio::async_write(this->socket, chunk, AwaitInto(code));
-  this->write_timer.Stop();
-  co_return !code;
+  const auto chunk = http::make_chunk(data);
+  co_return co_await this->Write(chunk);
 }
 
 Awaitable<bool> ServerExchange::SendEnd() {
-  ErrorCode code;
+  bool written = true;
   if (this->chunked) {
     const auto last = http::make_chunk_last();
-    co_await asio::async_write(this->socket, last, AwaitInto(code));
+    written = co_await this->Write(last);
   }
-  co_return this->EndAnswer(!code, ConnectionEnd::kWriteFailed);
+  co_return this->EndAnswer(written, ConnectionEnd::kWriteFailed);
 }
 
 void ServerExchange::Abort() {
--- a/Source/Http/server_exchange.h
+++ b/Source/Http/server_exchange.h
@@ -12,6 +12,7 @@
 #include "Http/asio_types.h"
 #include "Http/connection_end.h"
 #include "Http/inbound_bytes.h"
+#include "Http/send_watch.h"
 #include "Http/server_limits.h"
 #include "Http/socket_timer.h"
 
@@ -29,8 +30,8 @@
   // A body up to this size is held in memory, so that the request can be sent again.
   static constexpr std::size_t kMaxHeldBody = std::size_t{64} * 1024;
 
-  ServerExchange(asio::io_context& context, TcpSocket& to, InboundBytes& from,
-                 AnswerOrder& answer_order, const ServerLimits& server_limits);
+  ServerExchange(asio::io_context& context, TcpSocket& to, SendWatch::Entry& send_entry,
+                 InboundBytes& from, AnswerOrder& answer_order, const ServerLimits& server_limits);
   ~ServerExchange();
   ServerExchange(const ServerExchange&) = delete;
   ServerExchange& operator=(const ServerExchange&) = delete;
@@ -66,6 +67,9 @@
   Awaitable<bool> SendEnd();
   // The answer ends early and must not look complete.
   void Abort();
+  // The caller stops waiting then. An answer that is late is delivered to a caller that reads it,
+  // but no longer waits for one that does not.
+  void SetEnd(TimePoint new_end) { this->end_at = new_end; }
 
   // Whether a further request may follow on the connection.
   bool IsReusable() const;
@@ -93,16 +97,24 @@
   ReadProblem GetProblem(const ErrorCode& code) const;
   template <typename Message>
   void Finalize(Message& answer);
-  Awaitable<bool> Write(asio::const_buffer data);
+  // Both write until everything is written or the caller accepts no byte for too long.
+  template <typename Buffers>
+  Awaitable<bool> Write(const Buffers& data);
+  template <typename Serializer>
+  Awaitable<bool> WriteMessage(Serializer& serializer);
+  // Starts the limit of the next byte that is written.
+  void StartWriteLimit();
   // The answer has been sent whole, or cannot be because the connection ends.
   bool EndAnswer(bool sound, ConnectionEnd otherwise);
 
   TcpSocket& socket;
+  SendWatch::Entry& sends;
   InboundBytes& bytes;
   AnswerOrder& order;
   std::uint64_t ticket = 0;
   ServerLimits limits;
   SocketTimer write_timer;
+  std::optional<TimePoint> end_at;
   http::request_parser<http::buffer_body> parser;
   std::string body;
   bool answered = false;
--- a/Source/Http/socket_options.cc
+++ b/Source/Http/socket_options.cc
@@ -9,6 +9,8 @@
 // Longest time that sent bytes may stay unacknowledged. Longer than the first repeats of
 // a lost packet (about 200, 400 and 800 ms), shorter than most deadlines.
 constexpr int kUnacknowledgedMilliseconds = 1500;
+// Longest pause of a receiver. Deadlines and the limits of a listener are mostly shorter.
+constexpr int kPausedMilliseconds = 60'000;
 // A connection on which nothing moves is probed after this time, then at this interval,
 // and given up after this many probes without an answer.
 constexpr int kProbeAfterSeconds = 1;
@@ -28,7 +30,14 @@
   socket.set_option(TcpOption<TCP_KEEPIDLE>(kProbeAfterSeconds), ignored);
   socket.set_option(TcpOption<TCP_KEEPINTVL>(kProbeIntervalSeconds), ignored);
   socket.set_option(TcpOption<TCP_KEEPCNT>(kProbeCount), ignored);
-  socket.set_option(TcpOption<TCP_USER_TIMEOUT>(kUnacknowledgedMilliseconds), ignored);
+  SetSilenceLimit(socket, SilenceLimit::kShort);
+}
+
+void SetSilenceLimit(TcpSocket& socket, SilenceLimit limit) {
+  const int milliseconds =
+      limit == SilenceLimit::kShort ? kUnacknowledgedMilliseconds : kPausedMilliseconds;
+  ErrorCode ignored;
+  socket.set_option(TcpOption<TCP_USER_TIMEOUT>(milliseconds), ignored);
 }
 
 }  // namespace lacewingbridge
--- a/Source/Proxy/caller_request.cc
+++ b/Source/Proxy/caller_request.cc
@@ -324,6 +324,9 @@
       this->hop->SetEnd(this->headers.time_left.has_value()
                             ? std::optional<TimePoint>(this->facts.deadline)
                             : std::nullopt);
+      if (this->headers.time_left.has_value()) {
+        this->exchange.SetEnd(this->facts.deadline);
+      }
       // Callers are on this host, so their responses do not use its link.
       const std::uint64_t bytes =
           co_await RelayResponse(*this->hop, this->buffered, this->exchange);
--- a/Tests/Fakes/fake_mesh.h
+++ b/Tests/Fakes/fake_mesh.h
@@ -17,7 +17,7 @@
 
 // Two daemons: callers send to one, and the target is beside the other. The route /read/ allows
 // retries of requests that may have run, /write/ does not. Both time out after 1.5 s and allow two
-// attempts.
+// attempts. /slow/ is like /write/ but times out after 12 s.
 template <typename Target>
 class FakeMesh {
  public:
@@ -34,6 +34,7 @@
     table.services.push_back({"desk", "/health", 100});
     table.routes.push_back({"read", "a", "/read/", {{"book", 1}}, true, 1500, 500, 1, 2});
     table.routes.push_back({"write", "a", "/write/", {{"book", 1}}, false, 1500, 500, 1, 2});
+    table.routes.push_back({"slow", "a", "/slow/", {{"book", 1}}, false, 12000, 500, 1, 2});
     FakeStoreClient::GetStore().Put("table", Encode(table));
     this->WaitUntilListed();
   }
--- a/Tests/test_node_slow_reader.cc
+++ b/Tests/test_node_slow_reader.cc
@@ -1,10 +1,14 @@
-// Guards against a sound response that is cut because its caller pauses while it reads: the system
-// ends a connection with TCP_USER_TIMEOUT whose receiver keeps its window closed.
+// Guards against sound responses and uploads that are cut because their receiver pauses while it
+// reads: the system ends a connection with TCP_USER_TIMEOUT whose receiver keeps its window closed.
+// Guards also against a receiver that never reads again and holds a slot of the target.
 
 #include <chrono>
+#include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
+#include "Fakes/early_target.h"
 #include "Fakes/fake_mesh.h"
 #include "Fakes/keep_alive_target.h"
 
@@ -37,3 +41,61 @@
   cr_assert(HasStatus(received, "200"));
   cr_assert(received.size() > body.size(), "only %zu bytes", received.size());
 }
+
+Test(slow_reader, a_response_that_is_written_whole_outlasts_a_caller_that_pauses) {
+  // Longer than the window of the caller, shorter than the buffer of the daemon's socket.
+  const std::string body(std::size_t{400} * 1024, 'x');
+  FakeMesh<KeepAliveTarget> mesh(
+      0,
+      [&](const std::string&, int) {
+        return TargetReply{kHead + std::to_string(body.size()) + "\r\n\r\n" + body};
+      },
+      std::string(kHead) + "0\r\n\r\n");
+  for (const std::string connection : {"keep-alive", "close"}) {
+    RawClient client(mesh.GetFront().GetSettings().caller_address);
+    client.Write("GET /read/1 HTTP/1.1\r\nHost: a\r\nX-Id: r1\r\nConnection: " + connection +
+                 "\r\n\r\n");
+    std::this_thread::sleep_for(seconds(4));
+    const std::string received = client.ReadFor(milliseconds(1500));
+    cr_assert(received.size() > body.size(), "%s: only %zu bytes", connection.c_str(),
+              received.size());
+  }
+}
+
+Test(slow_reader, an_upload_outlasts_a_target_that_pauses) {
+  FakeMesh<EarlyTarget> mesh(0, EarlyReply{"", seconds(4), false, std::string(kHead) + "0\r\n\r\n"},
+                             std::string(kHead) + "0\r\n\r\n");
+  const std::string body(std::size_t{24} * 1024 * 1024, 'u');
+  RawClient client(mesh.GetFront().GetSettings().caller_address);
+  client.Write("POST /slow/1 HTTP/1.1\r\nHost: a\r\nX-Id: r1\r\nContent-Length: " +
+               std::to_string(body.size()) + "\r\n\r\n");
+  client.Write(body);
+  const std::string received = client.ReadFor(seconds(5));
+  cr_assert(HasStatus(received, "200"), "%s", received.substr(0, 200).c_str());
+}
+
+// The target has 4 slots.
+Test(slow_reader, callers_that_stop_reading_hold_no_slot_beyond_their_deadline) {
+  const std::string body(std::size_t{24} * 1024 * 1024, 'x');
+  FakeMesh<KeepAliveTarget> mesh(
+      0,
+      [&](const std::string& request, int) {
+        const std::string& sent = request.starts_with("GET /read/long") ? body : std::string();
+        return TargetReply{kHead + std::to_string(sent.size()) + "\r\n\r\n" + sent};
+      },
+      std::string(kHead) + "0\r\n\r\n");
+  std::vector<std::unique_ptr<RawClient>> callers;
+  for (int i = 0; i < 4; ++i) {
+    callers.push_back(std::make_unique<RawClient>(mesh.GetFront().GetSettings().caller_address));
+    callers.back()->Write(
+        "GET /read/long HTTP/1.1\r\nHost: a\r\nX-Id: r1\r\nX-Time-Left-Ms: 2000\r\n\r\n");
+  }
+  std::this_thread::sleep_for(seconds(5));
+  const std::string received = mesh.Send("GET", "/read/short", "r1");
+  cr_assert(HasStatus(received, "200"), "%s", received.substr(0, 200).c_str());
+  for (const auto& caller : callers) {
+    const std::string part = caller->ReadFor(milliseconds(500));
+    cr_assert(part.size() < body.size());
+    cr_assert(caller->IsEnded());
+  }
+}
