http: Do not take a response that was reset during an upload for a whole one

A target that answers a long upload at once without a length, sends part of the body and resets the connection had that part delivered as a complete response: 200 for a part of 3,000 bytes, and 128,117 bytes with an end for one of 200,000. The kernel reports a reset once, here to the write of the upload; the read behind it sees an orderly end, which ends a body without a length.

Writers of request bodies now return the error. After a failed write, a body that ends with the connection is broken. EPIPE is the exception: it is reported only if the orderly end arrived before the reset.

--- a/Source/Http/outbound_exchange.cc
+++ b/Source/Http/outbound_exchange.cc
@@ -111,14 +111,17 @@
   ErrorCode code;
   if (rest == nullptr) {
     co_await http::async_write(this->connection->socket, request, AwaitInto(code));
-    this->request_sent = !code;
   } else {
     http::request_serializer<http::string_body> serializer(request);
     co_await http::async_write_header(this->connection->socket, serializer, AwaitInto(code));
     if (!code) {
-      this->request_sent = co_await (*rest)(this->connection->socket);
+      code = co_await (*rest)(this->connection->socket);
     }
   }
+  this->request_sent = !code;
+  // The failed write takes the error of the connection, and reading then shows an orderly end. A
+  // broken pipe means that the orderly end came before the error.
+  this->end_is_unknown = code && code != asio::error::broken_pipe;
   // An answer may already be there although the target stopped reading, so the head is
   // read even after a failed write.
   co_return co_await this->ReadHead();
@@ -197,6 +200,10 @@
     const std::size_t received = room - this->parser->get().body().size;
     body.resize(old_size + received);
     read += received;
+    const bool cut = this->parser->is_done() && this->parser->need_eof() && this->end_is_unknown;
+    if (cut) {
+      code = http::error::partial_message;
+    }
     if (code && code != http::error::need_buffer) {
       this->NoteBroken(code);
       co_return BodyStatus::kBroken;
--- a/Source/Http/outbound_exchange.h
+++ b/Source/Http/outbound_exchange.h
@@ -44,8 +44,8 @@
 class OutboundExchange {
  public:
   using Request = http::request<http::string_body>;
-  // Writes the rest of a long request body to the socket; false breaks the request off.
-  using BodyWriter = std::function<Awaitable<bool>(TcpSocket&)>;
+  // Writes the rest of a long request body to the socket; an error breaks the request off.
+  using BodyWriter = std::function<Awaitable<ErrorCode>(TcpSocket&)>;
 
   OutboundExchange(IoShard& io_shard, std::string_view to_address);
   OutboundExchange(const OutboundExchange&) = delete;
@@ -114,6 +114,8 @@
   ErrorCode failure;
   bool is_head_request = false;
   bool request_sent = false;
+  // Whether the connection was reset cannot be told from reading it.
+  bool end_is_unknown = false;
   bool cancelled = false;
   bool broken = false;
   bool kept = false;
--- a/Source/Proxy/response_relay.cc
+++ b/Source/Proxy/response_relay.cc
@@ -17,10 +17,10 @@
 // Size of one part of a paced response. A short response waits behind one such part at most.
 constexpr std::size_t kPacedPartBytes = std::size_t{16} * 1024;
 
-Awaitable<bool> WritePart(TcpSocket& to, std::string_view part, bool chunked) {
+Awaitable<ErrorCode> WritePart(TcpSocket& to, std::string_view part, bool chunked) {
   ErrorCode code;
   if (part.empty()) {
-    co_return true;
+    co_return code;
   }
   const asio::const_buffer data(part.data(), part.size());
   if (chunked) {
@@ -29,7 +29,7 @@
   } else {
     co_await asio::async_write(to, data, AwaitInto(code));
   }
-  co_return !code;
+  co_return code;
 }
 
 }  // namespace
@@ -124,24 +124,21 @@
   return request;
 }
 
-Awaitable<bool> RelayRequestBody(ServerExchange& from, bool chunked, TcpSocket& to) {
-  bool ok = co_await WritePart(to, from.GetBody(), chunked);
+Awaitable<ErrorCode> RelayRequestBody(ServerExchange& from, bool chunked, TcpSocket& to) {
+  ErrorCode code = co_await WritePart(to, from.GetBody(), chunked);
   std::string part;
-  while (ok && !from.IsBodyComplete()) {
-    ok = co_await from.ReadBodyPart(part);
-    if (ok) {
-      ok = co_await WritePart(to, part, chunked);
+  while (!code && !from.IsBodyComplete()) {
+    const bool arrived = co_await from.ReadBodyPart(part);
+    if (!arrived) {
+      co_return asio::error::operation_aborted;
     }
+    code = co_await WritePart(to, part, chunked);
   }
-  if (!ok) {
-    co_return false;
-  }
-  ErrorCode code;
-  if (chunked) {
+  if (!code && chunked) {
     const auto last = http::make_chunk_last();
     co_await asio::async_write(to, last, AwaitInto(code));
   }
-  co_return !code;
+  co_return code;
 }
 
 }  // namespace lacewingbridge
--- a/Source/Proxy/response_relay.h
+++ b/Source/Proxy/response_relay.h
@@ -51,8 +51,9 @@
 OutboundExchange::Request MakeForwardedRequest(const ServerExchange& from);
 
 // Writes the body of a request to another process: first the part in memory, then the rest as it
-// arrives, with the framing of the request. Returns whether the whole body was written.
-Awaitable<bool> RelayRequestBody(ServerExchange& from, bool chunked, TcpSocket& to);
+// arrives, with the framing of the request. Returns the error of the first write that failed, or
+// operation_aborted if the rest does not arrive.
+Awaitable<ErrorCode> RelayRequestBody(ServerExchange& from, bool chunked, TcpSocket& to);
 
 }  // namespace lacewingbridge
 
