http: Check the head of a response before it is parsed

Folded lines in the head of a response were passed on as one line, in final and in interim responses, and transfer encodings other than "chunked" were taken for a body that ends with the connection. An interim response whose status the library does not list, such as 103, was taken for the final one.

CheckResponseHead decides on the bytes of a head: a status of three digits from 100 to 599, names that are tokens, no control characters in values, no folded lines, one length, and no transfer encoding other than "chunked" or beside a length. OutboundExchange reads a whole head, checks it and then gives it to the parser, so every reader of responses has the check, for interim responses too. A head that is refused counts as a lost response and is logged as LW0830 with the fault. Interim responses are told by their number.

--- a/Source/Generated/events.h
+++ b/Source/Generated/events.h
@@ -60,6 +60,7 @@
   kResponseOverLimit = 804,
   kRequestUnanswered = 805,
   kRequestFailed = 806,
+  kResponseMalformed = 830,
   kOperatorCallFailed = 700,
 };
 
@@ -162,6 +163,8 @@
       return "request_unanswered";
     case Event::kRequestFailed:
       return "request_failed";
+    case Event::kResponseMalformed:
+      return "response_malformed";
     case Event::kOperatorCallFailed:
       return "operator_call_failed";
   }
@@ -175,7 +178,7 @@
   std::string_view action;
 };
 
-inline constexpr std::array<EventDescription, 49> kEventCatalogue = {{
+inline constexpr std::array<EventDescription, 50> kEventCatalogue = {{
     {Event::kNone, "info",
      "no event",
      ""},
@@ -320,6 +323,9 @@
     {Event::kRequestFailed, "error",
      "request could not be handled; its connection is closed",
      "Report the reason; if it is a lack of memory, look at the memory of the daemon."},
+    {Event::kResponseMalformed, "warning",
+     "head of a response is not well-formed; connection closed",
+     "Look at the process at the address; the fault names the part of the head."},
     {Event::kOperatorCallFailed, "info",
      "operator call failed",
      ""},
--- a/Source/Http/outbound_exchange.cc
+++ b/Source/Http/outbound_exchange.cc
@@ -12,15 +12,22 @@
 #include "Http/io_shard.h"
 #include "Http/socket_options.h"
 #include "Observe/event_log.h"
+#include "Transfer/response_head.h"
 
 namespace lacewingbridge {
 
 namespace {
 
+constexpr std::string_view kHeadEnd = "\r\n\r\n";
 // A connection is no longer used this long before the other side may close it: a request
 // that crosses the close would be lost.
 constexpr Duration kIdleMargin = std::chrono::milliseconds(700);
 
+std::string_view GetBytes(const boost::beast::flat_buffer& buffer) {
+  const asio::const_buffer data = buffer.data();
+  return {static_cast<const char*>(data.data()), data.size()};
+}
+
 std::optional<Duration> ReadKeepAliveTimeout(const http::response_header<>& head) {
   const std::string_view value(head["Keep-Alive"].data(), head["Keep-Alive"].size());
   constexpr std::string_view kKey = "timeout=";
@@ -141,15 +148,15 @@
     // Without any limit, Boost 1.74 rejects every body of a stated length.
     this->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
     this->parser->skip(this->is_head_request);
-    ErrorCode code;
-    co_await http::async_read_header(this->connection->socket, this->connection->buffer,
-                                     *this->parser, AwaitInto(code));
-    if (code) {
-      this->NoteBroken(code);
+    this->parser->eager(false);
+    const std::optional<std::size_t> size = co_await this->ReadHeadBytes();
+    if (!size.has_value() || !this->ParseHead(*size)) {
       co_return this->GetFailure(ExchangeStatus::kLost);
     }
-    // Interim answers come before the final one.
-    if (http::to_status_class(this->parser->get().result()) != http::status_class::informational) {
+    // Interim answers come before the final one. The number, because the list of statuses of the
+    // library is not complete.
+    if (http::to_status_class(this->parser->get().result_int()) !=
+        http::status_class::informational) {
       co_return ExchangeStatus::kOk;
     }
   }
@@ -157,6 +164,56 @@
   co_return ExchangeStatus::kLost;
 }
 
+Awaitable<std::optional<std::size_t>> OutboundExchange::ReadHeadBytes() {
+  boost::beast::flat_buffer& buffer = this->connection->buffer;
+  std::size_t searched = 0;
+  while (true) {
+    const std::string_view bytes = GetBytes(buffer);
+    const std::size_t end = bytes.find(kHeadEnd, searched);
+    if (end != std::string_view::npos) {
+      co_return end + kHeadEnd.size();
+    }
+    searched = bytes.size() - std::min(bytes.size(), kHeadEnd.size() - 1);
+    ErrorCode code;
+    if (!CanBeginResponse(bytes)) {
+      code = http::error::bad_version;
+    } else if (bytes.size() >= kMaxHeadBytes) {
+      code = http::error::header_limit;
+    } else {
+      const auto space = buffer.prepare(boost::beast::read_size(buffer, kMaxHeadBytes));
+      const std::size_t count =
+          co_await this->connection->socket.async_read_some(space, AwaitInto(code));
+      buffer.commit(count);
+    }
+    if (code) {
+      this->NoteBroken(code);
+      co_return std::nullopt;
+    }
+  }
+}
+
+bool OutboundExchange::ParseHead(std::size_t size) {
+  const std::string_view head = GetBytes(this->connection->buffer).substr(0, size);
+  const HeadFault fault = CheckResponseHead(head);
+  ErrorCode code;
+  if (fault == HeadFault::kNone) {
+    this->parser->put(asio::const_buffer(head.data(), head.size()), code);
+  } else {
+    EventLog::Write(Event::kResponseMalformed, "address={} fault={}", this->address,
+                    GetName(fault));
+    code = http::error::bad_field;
+  }
+  if (!code && !this->parser->is_header_done()) {
+    code = http::error::partial_message;
+  }
+  if (code) {
+    this->NoteBroken(code);
+    return false;
+  }
+  this->connection->buffer.consume(size);
+  return true;
+}
+
 Awaitable<ExchangeStatus> OutboundExchange::ReadNextHead() {
   if (!this->parser->is_done() || !this->parser->keep_alive()) {
     co_return ExchangeStatus::kLost;
--- a/Source/Http/outbound_exchange.h
+++ b/Source/Http/outbound_exchange.h
@@ -96,6 +96,10 @@
 
   Awaitable<ExchangeStatus> Connect(const OutboundOptions& options);
   Awaitable<ExchangeStatus> ReadHead();
+  // Reads until the buffer begins with a whole head, and returns the size of the head.
+  Awaitable<std::optional<std::size_t>> ReadHeadBytes();
+  // Checks the head at the begin of the buffer and gives it to the parser.
+  bool ParseHead(std::size_t size);
   ExchangeStatus GetFailure(ExchangeStatus otherwise) const;
   // Starts the limit of the next read of the body.
   void StartReadLimit();
