--- a/Source/Generated/events.h
+++ b/Source/Generated/events.h
@@ -68,6 +68,7 @@
   kProofGained = 815,
   kProofExpired = 816,
   kStoreEraChanged = 817,
+  kResponseMalformed = 830,
   kOperatorCallFailed = 700,
 };
 
@@ -186,6 +187,8 @@
       return "proof_expired";
     case Event::kStoreEraChanged:
       return "store_era_changed";
+    case Event::kResponseMalformed:
+      return "response_malformed";
     case Event::kOperatorCallFailed:
       return "operator_call_failed";
   }
@@ -199,7 +202,7 @@
   std::string_view action;
 };
 
-inline constexpr std::array<EventDescription, 57> kEventCatalogue = {{
+inline constexpr std::array<EventDescription, 58> kEventCatalogue = {{
     {Event::kNone, "info",
      "no event",
      ""},
@@ -368,6 +371,9 @@
     {Event::kStoreEraChanged, "warning",
      "store was restored from a copy; reading everything again",
      "Ask the platform's team what was lost; check that the operators' configuration is the newest."},
+    {Event::kResponseMalformed, "warning",
+     "head of a response is not well-formed; connection closed",
+     "Look at the process at the address; the fault names the part of the head."},
     {Event::kOperatorCallFailed, "info",
      "operator call failed",
      ""},
