routing: Place work by momentary speed of targets and by class of work

Targets tell how long work takes on their machine at this moment, and it changes many times a second; nothing used the figure. One moving average of the service time stood for light and heavy requests alike, so a target that runs many light ones looked fast.

- WorkPace follows the figure beside the target: the newest one counts by its age against the time after which figures have been seen to change, then the mean.
TargetAdmission keeps its service time at the mean pace and predicts with the pace at the expected start.
- A request that would miss its objective on a machine that is slow now is refused as not passed on if its sender has tried no target and knows others (idempotent requests only; once for each choice of targets).
- Reports carry the service time of the request's own priority and the pace with its lifetime; HopPlacement compares targets by these.

Both are in one commit, because they share the report and the replay.

Tried and left out: more drawn candidates for the swing of demand, a load assumed for targets without a report, other prices of bytes, a larger load penalty. The processors of the daemons are not part of the expected time yet.

--- a/Source/Admission/admission_types.h
+++ b/Source/Admission/admission_types.h
@@ -23,7 +23,8 @@
   kRefusedQueueFull,
   kRefusedDeadline,  // the deadline has passed or cannot be met
   kRefusedLowPriority,
-  kRefusedNoSlots,  // no target accepts work
+  kRefusedSlowMoment,  // the target's machine is slow at this moment
+  kRefusedNoSlots,     // no target accepts work
 };
 
 // Requests that have left the queue because of a call. The caller has to start the admitted ones
--- a/Source/Admission/target_admission.cc
+++ b/Source/Admission/target_admission.cc
@@ -10,6 +10,10 @@
   average += (newest - average) / divisor;
 }
 
+Duration Scale(Duration duration, double factor) {
+  return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
+}
+
 }  // namespace
 
 Duration TargetAdmission::GetServiceTimeOf(std::uint32_t priority) const {
@@ -17,8 +21,16 @@
   return found == this->service_times.end() ? this->service_time : found->second;
 }
 
-Duration TargetAdmission::GetServiceTimeWithMargin(std::uint32_t priority) const {
-  return this->GetServiceTimeOf(priority) * kServiceMarginTenths / 10;
+Duration TargetAdmission::EstimateServiceTime(TimePoint start, std::uint32_t priority) const {
+  return Scale(this->GetServiceTimeOf(priority), this->pace.EstimateFactor(start));
+}
+
+Duration TargetAdmission::GetServiceTimeWithMargin(TimePoint start, std::uint32_t priority) const {
+  return this->EstimateServiceTime(start, priority) * kServiceMarginTenths / 10;
+}
+
+Duration TargetAdmission::EstimateQueueTime(TimePoint now, std::int64_t requests) const {
+  return Scale(this->service_time, this->pace.EstimateFactor(now)) * requests / this->slots;
 }
 
 TimePoint TargetAdmission::ComputeResponseEnd(TimePoint ready, const WorkOffer& offer) {
@@ -27,7 +39,7 @@
 }
 
 bool TargetAdmission::IsOnTime(TimePoint start, const WorkOffer& offer) const {
-  const TimePoint ready = start + this->GetServiceTimeWithMargin(offer.priority);
+  const TimePoint ready = start + this->GetServiceTimeWithMargin(start, offer.priority);
   return ComputeResponseEnd(ready, offer) + offer.transfer * kLinkMarginResponses <=
          offer.objective_at;
 }
@@ -36,7 +48,8 @@
   if (this->slots == 0) {
     return now;
   }
-  const TimePoint ready = this->EstimateStart(now, offer) + this->GetServiceTimeOf(offer.priority);
+  const TimePoint start = this->EstimateStart(now, offer);
+  const TimePoint ready = start + this->EstimateServiceTime(start, offer.priority);
   return ComputeResponseEnd(ready, offer);
 }
 
@@ -56,13 +69,16 @@
   if (!on_time && !IsLinkFreeBy(now + offer.transfer, offer)) {
     return AdmissionVerdict::kRefusedQueueFull;
   }
+  if (!on_time && offer.has_alternatives && this->pace.EstimateFactor(now) > kSlowFactor) {
+    return AdmissionVerdict::kRefusedSlowMoment;
+  }
   if (this->running.size() < this->slots && this->waiting.empty()) {
     this->Start(now, offer);
     return AdmissionVerdict::kAdmitted;
   }
   if (on_time) {
     latest_start = std::min(
-        offer.objective_at - offer.transfer - this->GetServiceTimeWithMargin(offer.priority),
+        offer.objective_at - offer.transfer - this->GetServiceTimeWithMargin(start, offer.priority),
         now + this->service_time);
   }
   if (start > latest_start) {
@@ -73,7 +89,7 @@
 }
 
 void TargetAdmission::Start(TimePoint now, const WorkOffer& offer) {
-  this->running.emplace(offer.id, Running{offer.priority, now});
+  this->running.emplace(offer.id, Running{offer.priority, now, this->pace.EstimateFactor(now)});
 }
 
 void TargetAdmission::RecordServiceTime(std::uint32_t priority, Duration taken) {
@@ -87,7 +103,8 @@
   if (found == this->running.end()) {
     return {};
   }
-  const Duration taken = now - found->second.started_at;
+  const double factor = (found->second.start_factor + this->pace.EstimateFactor(now)) / 2;
+  const Duration taken = Scale(now - found->second.started_at, 1 / factor);
   const std::uint32_t priority = found->second.priority;
   if (served || taken > this->GetServiceTimeOf(priority)) {
     this->RecordServiceTime(priority, taken);
@@ -125,17 +142,17 @@
   const auto ahead =
       std::count_if(this->waiting.begin(), this->waiting.end(),
                     [&](const Waiting& other) { return !this->GoesBefore(now, entry, other); });
-  return now + this->service_time * (ahead + 1) / this->slots;
+  return now + this->EstimateQueueTime(now, ahead + 1);
 }
 
-Duration TargetAdmission::EstimateWait(std::uint32_t priority) const {
+Duration TargetAdmission::EstimateWait(TimePoint now, std::uint32_t priority) const {
   if (this->slots == 0 || (this->running.size() < this->slots && this->waiting.empty())) {
     return Duration{0};
   }
   const auto ahead =
       std::count_if(this->waiting.begin(), this->waiting.end(),
                     [priority](const Waiting& entry) { return entry.offer.priority <= priority; });
-  return this->service_time * (ahead + 1) / this->slots;
+  return this->EstimateQueueTime(now, ahead + 1);
 }
 
 bool TargetAdmission::GoesBefore(TimePoint now, const Waiting& left, const Waiting& right) const {
--- a/Source/Admission/target_admission.h
+++ b/Source/Admission/target_admission.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "Admission/admission_types.h"
+#include "Admission/work_pace.h"
 #include "Core/time_point.h"
 
 namespace lacewingbridge {
@@ -26,6 +27,8 @@
   Duration transfer{0};
   // When the response is expected to have left this host, as predicted when the request arrived.
   TimePoint predicted_end;
+  // Whether the sender can choose another target after a refusal.
+  bool has_alternatives = false;
 };
 
 // Admits requests to the slots of the target beside this daemon and queues those that have to
@@ -43,7 +46,8 @@
 // service times vary.
 //
 // A request is also refused, even while a slot is free, if the link of this host cannot carry its
-// response in time.
+// response in time, or if it would miss its objective because the target's machine is slow at this
+// moment and its sender has other targets. The sender cannot know of the moment in time.
 //
 // Not thread-safe; the caller passes the current time.
 class TargetAdmission {
@@ -60,6 +64,8 @@
   // predicted end, and only their mean size is known. Without a margin, most responses would be
   // slightly late.
   static constexpr int kLinkMarginResponses = 3;
+  // The machine of the target is slow while work takes longer than this multiple of its mean time.
+  static constexpr double kSlowFactor = 1.3;
 
   // Admits, queues or refuses a request.
   AdmissionVerdict Offer(TimePoint now, const WorkOffer& offer);
@@ -83,10 +89,18 @@
   AdmissionRelease SetSlots(TimePoint now, std::uint32_t new_slots);
 
   // Estimates the time until a request of the priority that arrives now starts.
-  Duration EstimateWait(std::uint32_t priority) const;
+  Duration EstimateWait(TimePoint now, std::uint32_t priority) const;
 
-  // Moving average of the time from admission to the end of a request.
+  // Records how long work takes on the target's machine at this moment, as the target states it.
+  void RecordWorkPercent(TimePoint now, std::uint32_t percent) { this->pace.Record(now, percent); }
+
+  // Moving average of the time from admission to the end of a request, at the mean pace of the
+  // target's machine.
   Duration GetServiceTime() const { return this->service_time; }
+  // Returns the moving average for the priority, or the one for all requests if no request of the
+  // priority has ended.
+  Duration GetServiceTimeOf(std::uint32_t priority) const;
+  const WorkPace& GetPace() const { return this->pace; }
   std::size_t GetRunningCount() const { return this->running.size(); }
   std::size_t GetWaitingCount() const { return this->waiting.size(); }
   std::uint32_t GetSlots() const { return this->slots; }
@@ -100,6 +114,7 @@
   struct Running {
     std::uint32_t priority = 0;
     TimePoint started_at;
+    double start_factor = 1;
   };
   struct Waiting {
     WorkOffer offer;
@@ -114,11 +129,12 @@
   static TimePoint ComputeResponseEnd(TimePoint ready, const WorkOffer& offer);
   // Estimates when a request that arrives now starts. Requires at least one slot.
   TimePoint EstimateStart(TimePoint now, const WorkOffer& offer) const;
-  // Returns the moving average for the priority, or the one for all requests if no request of the
-  // priority has ended.
-  Duration GetServiceTimeOf(std::uint32_t priority) const;
+  // Estimates the service time of a request that starts at the given time.
+  Duration EstimateServiceTime(TimePoint start, std::uint32_t priority) const;
   // Returns the service time that kServiceMarginTenths allows for.
-  Duration GetServiceTimeWithMargin(std::uint32_t priority) const;
+  Duration GetServiceTimeWithMargin(TimePoint start, std::uint32_t priority) const;
+  // Returns how long the slots are taken on average by the given number of requests.
+  Duration EstimateQueueTime(TimePoint now, std::int64_t requests) const;
   // Whether the response is expected by the objective if the request starts at the given time.
   bool IsOnTime(TimePoint start, const WorkOffer& offer) const;
   // Whether the left request starts before the right one.
@@ -131,6 +147,7 @@
   std::uint32_t slots = 0;
   std::unordered_map<RequestId, Running> running;
   std::vector<Waiting> waiting;
+  WorkPace pace;
   Duration service_time = kInitialServiceTime;
   // Moving averages of the service time by priority.
   std::unordered_map<std::uint32_t, Duration> service_times;
--- a/Source/Generated/mesh.h
+++ b/Source/Generated/mesh.h
@@ -172,6 +172,7 @@
   std::uint64_t hop_id = 0;
   std::uint32_t repeat_percent = 0;
   std::string workspace;
+  bool has_alternatives = false;
 
   bool operator==(const HopRequest&) const = default;
 };
@@ -194,6 +195,10 @@
   bool call_failed = false;
   bool failing = false;
   std::optional<std::uint32_t> proof_age_ms;
+  std::uint32_t class_time_ms = 0;
+  std::uint32_t priority = 0;
+  std::uint32_t work_percent = 0;
+  std::uint32_t work_lifetime_ms = 0;
 
   bool operator==(const HopReport&) const = default;
 };
--- a/Source/Generated/mesh_codec.cc
+++ b/Source/Generated/mesh_codec.cc
@@ -635,6 +635,7 @@
   wire.set_hop_id(plain.hop_id);
   wire.set_repeat_percent(plain.repeat_percent);
   wire.set_workspace(plain.workspace);
+  wire.set_has_alternatives(plain.has_alternatives);
 }
 
 void FromWire(const wire::HopRequest& wire, HopRequest& plain) {
@@ -657,6 +658,7 @@
   plain.hop_id = wire.hop_id();
   plain.repeat_percent = wire.repeat_percent();
   plain.workspace = wire.workspace();
+  plain.has_alternatives = wire.has_alternatives();
 }
 
 std::string Encode(const HopRequest& plain) {
@@ -722,6 +724,10 @@
   if (plain.proof_age_ms.has_value()) {
     wire.set_proof_age_ms(*plain.proof_age_ms);
   }
+  wire.set_class_time_ms(plain.class_time_ms);
+  wire.set_priority(plain.priority);
+  wire.set_work_percent(plain.work_percent);
+  wire.set_work_lifetime_ms(plain.work_lifetime_ms);
 }
 
 void FromWire(const wire::HopReport& wire, HopReport& plain) {
@@ -747,6 +753,10 @@
   if (wire.has_proof_age_ms()) {
     plain.proof_age_ms = wire.proof_age_ms();
   }
+  plain.class_time_ms = wire.class_time_ms();
+  plain.priority = wire.priority();
+  plain.work_percent = wire.work_percent();
+  plain.work_lifetime_ms = wire.work_lifetime_ms();
 }
 
 std::string Encode(const HopReport& plain) {
--- a/Source/Proxy/caller_request.cc
+++ b/Source/Proxy/caller_request.cc
@@ -133,7 +133,7 @@
 
 HopRequirements CallerRequest::MakeHopRequirements(TimePoint now) {
   return {this->facts.objective_at - now, this->facts.GetEnd() - now,
-          this->context.state.GetResponseBytes(this->route->name)};
+          this->context.state.GetResponseBytes(this->route->name), this->GetPriority()};
 }
 
 Awaitable<ProgressDecision> CallerRequest::PlaceOnce() {
@@ -179,6 +179,7 @@
   hop_request.objective_left_ms = CountPositive(this->facts.objective_at - now);
   hop_request.priority = this->GetPriority();
   hop_request.idempotent = this->route->idempotent;
+  hop_request.has_alternatives = choice.has_alternatives && this->route->idempotent;
   hop_request.repeated = this->progress->IsRetry();
   hop_request.repeat_percent =
       hop_request.repeated ? 100 : static_cast<std::uint32_t>(100 * this->repeat_share);
--- a/Source/Proxy/peer_request.cc
+++ b/Source/Proxy/peer_request.cc
@@ -329,7 +329,7 @@
       Event::kTargetHopEnded,
       "request={} sender={} target={} outcome={} reason={} status={} priority={} running={} "
       "waiting={} slots={} waited_ms={} predicted_ms={} objective_ms={} link_wait_ms={} "
-      "after_ms={}",
+      "work_percent={} after_ms={}",
       this->request_id, this->hop.sender, report.target_id, GetName(report.outcome), report.reason,
       status, this->hop.priority, report.running, report.waiting, report.slots,
       this->started_at == TimePoint() ? 0 : CountMilliseconds(this->started_at - this->arrived_at),
@@ -337,7 +337,7 @@
           ? 0
           : CountMilliseconds(this->offer.predicted_end - this->arrived_at),
       CountMilliseconds(this->offer.objective_at - this->arrived_at), report.link_wait_ms,
-      CountMilliseconds(GetNow() - this->arrived_at));
+      report.work_percent, CountMilliseconds(GetNow() - this->arrived_at));
 }
 
 }  // namespace lacewingbridge
--- a/Source/Proxy/peer_request.h
+++ b/Source/Proxy/peer_request.h
@@ -53,6 +53,9 @@
         if (!this->IsFromThisHost()) {
           co_await BufferForLink(this->context.gate, *this->to_target, this->buffered);
         }
+        if (headers.load.has_value() && headers.load->work_percent.has_value()) {
+          this->context.gate.RecordWorkPercent(GetNow(), *headers.load->work_percent);
+        }
         this->DetermineOutcome(headers);
         break;
       }
--- a/Source/Proxy/target_gate.cc
+++ b/Source/Proxy/target_gate.cc
@@ -1,5 +1,6 @@
 #include "Proxy/target_gate.h"
 
+#include <cmath>
 #include <utility>
 #include <vector>
 
@@ -21,6 +22,8 @@
       return "time_over";
     case GateVerdict::kFailing:
       return "target_failing";
+    case GateVerdict::kSlowMoment:
+      return "slow_moment";
   }
   return "invalid";
 }
@@ -85,6 +88,7 @@
       return GateVerdict::kFailing;
     }
     offer.id = ++this->last_id;
+    offer.has_alternatives = hop.has_alternatives;
     offer.transfer = this->link.GetTransferTime(hop.answer_bytes);
     offer.link_free_at = now + this->link.EstimateWait(now);
     offer.predicted_end = this->admission.PredictEnd(now, offer);
@@ -100,6 +104,8 @@
         return GateVerdict::kTimedOut;
       case AdmissionVerdict::kRefusedNoSlots:
         return GateVerdict::kNotAccepting;
+      case AdmissionVerdict::kRefusedSlowMoment:
+        return GateVerdict::kSlowMoment;
       case AdmissionVerdict::kRefusedQueueFull:
       case AdmissionVerdict::kRefusedLowPriority:
         break;
@@ -119,6 +125,11 @@
   });
 }
 
+void TargetGate::RecordWorkPercent(TimePoint now, std::uint32_t percent) {
+  const std::lock_guard guard(this->mutex);
+  this->admission.RecordWorkPercent(now, percent);
+}
+
 Duration TargetGate::ReserveLink(TimePoint now, std::uint64_t bytes) {
   const std::lock_guard guard(this->mutex);
   return this->link.Reserve(now, bytes);
@@ -246,9 +257,16 @@
   report.waiting = static_cast<std::uint32_t>(this->admission.GetWaitingCount());
   report.slots = this->target.GetSlots();
   report.expected_wait_ms =
-      static_cast<std::uint32_t>(CountMilliseconds(this->admission.EstimateWait(priority)));
+      static_cast<std::uint32_t>(CountMilliseconds(this->admission.EstimateWait(now, priority)));
   report.service_time_ms =
       static_cast<std::uint32_t>(CountMilliseconds(this->admission.GetServiceTime()));
+  report.priority = priority;
+  report.class_time_ms =
+      static_cast<std::uint32_t>(CountMilliseconds(this->admission.GetServiceTimeOf(priority)));
+  if (const WorkPace& pace = this->admission.GetPace(); pace.IsKnown()) {
+    report.work_percent = static_cast<std::uint32_t>(std::lround(pace.EstimateFactor(now) * 100));
+    report.work_lifetime_ms = static_cast<std::uint32_t>(CountMilliseconds(pace.GetLifetime()));
+  }
   report.accepting = this->target.IsAccepting(now) && !this->leaving;
   report.target_id = this->target.GetId();
   report.link_wait_ms = static_cast<std::uint32_t>(CountMilliseconds(this->link.EstimateWait(now)));
--- a/Source/Proxy/target_gate.h
+++ b/Source/Proxy/target_gate.h
@@ -27,7 +27,8 @@
   kNotAccepting,
   kNoCapacity,
   kTimedOut,
-  kFailing,  // the target fails all requests; see FailureThrottle
+  kFailing,     // the target fails all requests; see FailureThrottle
+  kSlowMoment,  // the target's machine is slow at this moment
 };
 
 // How a request at the local target ended.
@@ -54,6 +55,7 @@
   // the verdict is kQueued.
   GateVerdict Offer(TimePoint now, const HopRequest& hop, WorkOffer& offer, Listener listener);
   void Finish(TimePoint now, RequestId id, RunResult result);
+  void RecordWorkPercent(TimePoint now, std::uint32_t percent);
   // Reserves time on the link for a response of the target. Returns the time until its first byte
   // may be sent.
   Duration ReserveLink(TimePoint now, std::uint64_t bytes);
--- a/Source/Routing/hop_placement.cc
+++ b/Source/Routing/hop_placement.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "Admission/link_schedule.h"
+#include "Admission/work_pace.h"
 
 namespace lacewingbridge {
 
@@ -51,6 +52,7 @@
     }
     if (candidate.target_id != record.target->id) {
       candidate.has_report = false;
+      candidate.class_times.clear();
       candidate.failures = 0;
       candidate.backoff_until = TimePoint();
     }
@@ -92,6 +94,17 @@
   }
   candidate->report = report;
   candidate->report_at = now;
+  if (report.class_time_ms > 0) {
+    const auto known = std::find_if(
+        candidate->class_times.begin(), candidate->class_times.end(),
+        [&report](const ClassTime& entry) { return entry.priority == report.priority; });
+    const ClassTime entry{report.priority, FromMilliseconds(report.class_time_ms)};
+    if (known != candidate->class_times.end()) {
+      *known = entry;
+    } else if (candidate->class_times.size() < kMaxClasses) {
+      candidate->class_times.push_back(entry);
+    }
+  }
   candidate->has_report = true;
   candidate->in_flight_at_report = candidate->in_flight;
   candidate->failures = 0;
@@ -108,16 +121,54 @@
   ++candidate->failures;
 }
 
-Duration HopPlacement::ComputeTypicalServiceTime() const {
+HopPlacement::TypicalTimes HopPlacement::ComputeTypicalTimes(std::uint32_t priority) const {
   Duration sum{0};
+  Duration class_sum{0};
   std::int64_t count = 0;
+  std::int64_t class_count = 0;
   for (const Candidate& candidate : this->candidates) {
     if (candidate.has_report && candidate.report.service_time_ms > 0) {
       sum += FromMilliseconds(candidate.report.service_time_ms);
       ++count;
     }
+    if (const std::optional<Duration> time = FindClassTime(candidate, priority)) {
+      class_sum += *time;
+      ++class_count;
+    }
+  }
+  TypicalTimes typical;
+  typical.all = count == 0 ? kInitialServiceTime : sum / count;
+  typical.of_class = class_count == 0 ? typical.all : class_sum / class_count;
+  return typical;
+}
+
+std::optional<Duration> HopPlacement::FindClassTime(const Candidate& candidate,
+                                                    std::uint32_t priority) {
+  for (const ClassTime& entry : candidate.class_times) {
+    if (entry.priority == priority) {
+      return entry.time;
+    }
+  }
+  return std::nullopt;
+}
+
+double HopPlacement::EstimatePace(TimePoint now, const Candidate& candidate) {
+  if (!candidate.has_report || candidate.report.work_percent == 0) {
+    return 1;
+  }
+  return WorkPace::Age(candidate.report.work_percent / 100.0, now - candidate.report_at,
+                       FromMilliseconds(candidate.report.work_lifetime_ms));
+}
+
+Duration HopPlacement::EstimateRunTime(TimePoint now, const Candidate& candidate,
+                                       std::uint32_t priority, const TypicalTimes& typical) {
+  Duration time = FindClassTime(candidate, priority).value_or(Duration{0});
+  if (time == Duration{0}) {
+    const double slowness = static_cast<double>(GetServiceTime(candidate, typical.all).count()) /
+                            static_cast<double>(std::max(typical.all, Duration{1}).count());
+    time = Scale(typical.of_class, slowness);
   }
-  return count == 0 ? kInitialServiceTime : sum / count;
+  return Scale(time, EstimatePace(now, candidate));
 }
 
 Duration HopPlacement::GetServiceTime(const Candidate& candidate, Duration typical) {
@@ -145,7 +196,7 @@
                                     Duration service_time) const {
   const std::uint32_t slots = CountSlots(now, candidate);
   const std::int64_t excess = std::max<std::int64_t>(CountOccupied(now, candidate) - slots + 1, 0);
-  Duration wait = service_time * excess / slots;
+  Duration wait = Scale(service_time, EstimatePace(now, candidate)) * excess / slots;
   if (IsFresh(now, candidate)) {
     const Duration reported_wait =
         FromMilliseconds(candidate.report.expected_wait_ms) - (now - candidate.report_at);
@@ -173,9 +224,11 @@
   const Candidate& candidate = this->candidates[position];
   const double jitter = random_values.candidates[position].jitter;
   const auto distance = static_cast<std::size_t>(candidate.distance);
-  const Duration service_time = GetServiceTime(candidate, random_values.typical_service_time);
+  const Duration service_time =
+      EstimateRunTime(now, candidate, requirements.priority, random_values.typical);
+  const Duration turnover_time = GetServiceTime(candidate, random_values.typical.all);
   Duration wait =
-      Scale(this->EstimateWait(now, candidate, service_time), jitter) + kRoundTrips[distance];
+      Scale(this->EstimateWait(now, candidate, turnover_time), jitter) + kRoundTrips[distance];
   wait += EstimateLinkTime(now, requirements, candidate, wait + service_time);
   const double late_fraction =
       EstimateLateFraction(requirements.objective_left - wait, service_time);
@@ -222,8 +275,7 @@
       continue;
     }
     const auto work = static_cast<double>(
-        std::max(GetServiceTime(candidate, random_values.typical_service_time), Duration{1})
-            .count());
+        std::max(GetServiceTime(candidate, random_values.typical.all), Duration{1}).count());
     others.push_back({random_values.candidates[i].rank * work / CountSlots(now, candidate), i});
   }
   std::sort(others.begin(), others.end(),
@@ -252,7 +304,8 @@
                                                  const RandomValues& random_values) const {
   const Candidate* best = nullptr;
   Duration best_cost{0};
-  for (const std::size_t position : this->SampleCandidates(now, excluded, random_values)) {
+  const std::vector<std::size_t> sample = this->SampleCandidates(now, excluded, random_values);
+  for (const std::size_t position : sample) {
     const Duration cost = this->ComputeCost(now, requirements, position, random_values);
     if (best == nullptr || cost < best_cost) {
       best = &this->candidates[position];
@@ -262,18 +315,19 @@
   if (best == nullptr) {
     return std::nullopt;
   }
-  HopChoice choice{best->peer_address, best->target_id, std::nullopt, Duration{0}};
+  HopChoice choice{best->peer_address, best->target_id, std::nullopt, Duration{0},
+                   excluded.empty() && sample.size() > kMinAlternatives};
   if (best->has_report) {
     choice.report_age = now - best->report_at;
   }
   choice.expected_wait =
-      this->EstimateWait(now, *best, GetServiceTime(*best, random_values.typical_service_time));
+      this->EstimateWait(now, *best, GetServiceTime(*best, random_values.typical.all));
   return choice;
 }
 
 std::optional<Duration> HopPlacement::EstimateMinWait(TimePoint now) const {
   std::optional<Duration> least;
-  const Duration typical = this->ComputeTypicalServiceTime();
+  const Duration typical = this->ComputeTypicalTimes(0).all;
   for (const Candidate& candidate : this->candidates) {
     if (!candidate.accepting) {
       continue;
--- a/Source/Routing/hop_placement.h
+++ b/Source/Routing/hop_placement.h
@@ -24,6 +24,8 @@
   Duration time_left{0};
   // Expected size of the response in bytes.
   double response_bytes = 0;
+  // Priority of the request. Requests of one priority are taken to need similar work.
+  std::uint32_t priority = 0;
 };
 
 // The daemon and the target that a request is sent to.
@@ -34,6 +36,8 @@
   std::optional<Duration> report_age;
   // Expected time until the target starts the request.
   Duration expected_wait{0};
+  // Whether no target has been tried and there are enough others for a further choice.
+  bool has_alternatives = false;
 };
 
 // Chooses the peer, that is the daemon beside a target, that is to run a request of one service.
@@ -77,8 +81,9 @@
     const double trial_rate =
         1.0 / static_cast<double>(std::max<std::size_t>(candidate_values.size(), 1));
     const bool trial = std::bernoulli_distribution(trial_rate)(random);
-    return this->ChooseFor(now, requirements, excluded,
-                           {candidate_values, trial, this->ComputeTypicalServiceTime()});
+    return this->ChooseFor(
+        now, requirements, excluded,
+        {candidate_values, trial, this->ComputeTypicalTimes(requirements.priority)});
   }
 
   // RecordStart must be called once for every hop that is sent, and RecordEnd once when it has
@@ -130,6 +135,10 @@
   // A new target is not tried with a request whose response is longer than this, since the response
   // could cross a billed link.
   static constexpr double kMaxTrialKilobytes = 32;
+  // Number of priorities whose service times are kept for each target.
+  static constexpr std::size_t kMaxClasses = 8;
+  // With fewer candidates, a target that refuses may be the only one with free slots.
+  static constexpr std::size_t kMinAlternatives = 3;
   // Assumed service time while no target of the service has reported.
   static constexpr Duration kInitialServiceTime = std::chrono::milliseconds(50);
   // Time for which a peer that failed is not chosen. It doubles with each further failure, up to
@@ -137,6 +146,18 @@
   static constexpr Duration kInitialBackoff = std::chrono::milliseconds(200);
   static constexpr Duration kMaxBackoff = std::chrono::seconds(2);
 
+  struct ClassTime {
+    std::uint32_t priority = 0;
+    Duration time{0};
+  };
+
+  // Means of what the targets have reported: the service time of all requests, and the service
+  // time of those of the priority of the request.
+  struct TypicalTimes {
+    Duration all{0};
+    Duration of_class{0};
+  };
+
   // A peer with a target of the service, and what this daemon knows of it.
   struct Candidate {
     std::string peer_address;
@@ -145,6 +166,8 @@
     bool accepting = false;
     Distance distance = Distance::kOtherRegion;
     HopReport report;
+    // Reported service times by priority.
+    std::vector<ClassTime> class_times;
     TimePoint report_at;
     bool has_report = false;
     std::uint32_t in_flight = 0;
@@ -169,8 +192,8 @@
     // cost. Every daemon has to try every target once, so the probability is one divided by the
     // number of targets. With a higher one, most requests of a large fleet would be trials.
     bool trial = false;
-    // Assumed service time of targets that have not reported.
-    Duration typical_service_time{0};
+    // Assumed service times of targets that have not reported.
+    TypicalTimes typical;
   };
 
   std::optional<HopChoice> ChooseFor(TimePoint now, const HopRequirements& requirements,
@@ -182,10 +205,19 @@
   // Returns the positions of the candidates that are compared for a request.
   std::vector<std::size_t> SampleCandidates(TimePoint now, std::span<const std::string> excluded,
                                             const RandomValues& random_values) const;
-  // Returns the mean of the reported service times, or the initial one if there is no report.
-  Duration ComputeTypicalServiceTime() const;
+  // Returns the means of the reported service times, or the initial one if there is no report.
+  TypicalTimes ComputeTypicalTimes(std::uint32_t priority) const;
   // Returns the reported service time, or the typical one for a candidate that has not reported.
   static Duration GetServiceTime(const Candidate& candidate, Duration typical);
+  // Returns the time that requests of the priority take at the candidate, or empty if it has not
+  // reported one.
+  static std::optional<Duration> FindClassTime(const Candidate& candidate, std::uint32_t priority);
+  // Estimates how long the candidate takes for a request of the priority. If it has not reported a
+  // time of that priority, its speed is taken from its other requests.
+  static Duration EstimateRunTime(TimePoint now, const Candidate& candidate, std::uint32_t priority,
+                                  const TypicalTimes& typical);
+  // Estimates the time that work takes at the candidate now, as a multiple of its mean time.
+  static double EstimatePace(TimePoint now, const Candidate& candidate);
   Candidate* Find(std::string_view peer_address);
   Distance GetDistance(const HostRecord& record) const;
   static bool IsFresh(TimePoint now, const Candidate& candidate) {
--- a/Tests/Fakes/fleet_simulation.cc
+++ b/Tests/Fakes/fleet_simulation.cc
@@ -1,6 +1,8 @@
 #include "Fakes/fleet_simulation.h"
 
 #include <algorithm>
+#include <cmath>
+#include <numbers>
 #include <utility>
 
 #include "Retry/request_facts.h"
@@ -18,6 +20,18 @@
 
 }  // namespace
 
+double FleetLoad::CountServable() const {
+  double speed = 0;
+  for (std::size_t i = 0; i < this->targets; ++i) {
+    speed += this->speeds[(i / this->data_centres) % this->speeds.size()];
+  }
+  const double work =
+      (1 - this->light_share) * std::chrono::duration<double>(this->mean_work).count() +
+      this->light_share * std::chrono::duration<double>(this->light_work).count();
+  const double pace = 1 - this->slow_share + this->slow_share / this->slow_factor;
+  return this->slots * speed * pace / work;
+}
+
 FleetSimulation::FleetSimulation(const FleetLoad& fleet_load, std::uint64_t seed)
     : load(fleet_load), random(seed) {
   std::vector<HostRecord> hosts;
@@ -73,12 +87,17 @@
 }
 
 void FleetSimulation::AddArrivals(Duration length) {
-  std::exponential_distribution<double> gap(this->load.per_second);
+  std::exponential_distribution<double> gap(this->load.per_second * (1 + this->load.swing));
+  std::bernoulli_distribution light(this->load.light_share);
   std::uniform_int_distribution<std::size_t> any(0, this->load.daemons - 1);
   for (TimePoint at; at - TimePoint() < length; at += FromSeconds(gap(this->random))) {
-    const RequestId id = ++this->last_id;
     Request request;
     request.caller = any(this->random);
+    if (!this->IsInDemand(at, request.caller % this->load.data_centres)) {
+      continue;
+    }
+    const RequestId id = ++this->last_id;
+    request.weight_class = this->load.light_share > 0 && light(this->random) ? 1 : 0;
     request.response_bytes = this->DrawResponseBytes();
     request.arrived_at = at;
     request.deadline = at + this->load.deadline;
@@ -90,8 +109,64 @@
   this->result.arrived = static_cast<std::uint32_t>(this->requests.size());
 }
 
+bool FleetSimulation::IsInDemand(TimePoint at, std::size_t data_centre) {
+  if (this->load.swing == 0) {
+    return true;
+  }
+  const double phase =
+      0.1 + 0.4 * static_cast<double>(data_centre) / static_cast<double>(this->load.data_centres);
+  const double turn = std::chrono::duration<double>(at - TimePoint()) /
+                          std::chrono::duration<double>(this->load.swing_period) +
+                      phase;
+  const double demand = 1 + this->load.swing * std::sin(2 * std::numbers::pi * turn);
+  return std::bernoulli_distribution(demand / (1 + this->load.swing))(this->random);
+}
+
+void FleetSimulation::ChangePace(std::size_t target, Duration length) {
+  this->targets[target].slow = std::bernoulli_distribution(this->load.slow_share)(this->random);
+  std::exponential_distribution<double> interval(
+      1 / std::chrono::duration<double>(this->load.slow_interval).count());
+  const TimePoint next = this->now + FromSeconds(interval(this->random));
+  if (next - TimePoint() < length) {
+    this->Schedule(next, [this, target, length] { this->ChangePace(target, length); });
+  }
+}
+
+double FleetSimulation::GetPace(std::size_t target) const {
+  return this->targets[target].slow ? this->load.slow_factor : 1;
+}
+
+Duration FleetSimulation::GetMeanWork(const Request& request) const {
+  return request.weight_class == 0 ? this->load.mean_work : this->load.light_work;
+}
+
+std::size_t FleetSimulation::FindBestTarget(const Request& request) const {
+  const auto expect = [&](std::size_t number) {
+    const Target& target = this->targets[number];
+    const double pace = this->GetPace(number) / target.speed;
+    const Duration queue = target.admission.EstimateWait(this->now, GetPriority(request)) +
+                           FromSeconds(target.inbound * pace / this->load.slots);
+    const auto work = std::chrono::duration<double>(this->GetMeanWork(request)).count();
+    return queue + FromSeconds(work * pace) + this->GetNetworkDelay(request.caller, number) * 2;
+  };
+  const auto was_refused_by = [&](std::size_t number) {
+    return std::find(request.refused_by.begin(), request.refused_by.end(),
+                     std::to_string(number)) != request.refused_by.end();
+  };
+  std::size_t best = 0;
+  for (std::size_t i = 1; i < this->targets.size(); ++i) {
+    if (was_refused_by(best) || (!was_refused_by(i) && expect(i) < expect(best))) {
+      best = i;
+    }
+  }
+  return best;
+}
+
 FleetResult FleetSimulation::Run(Duration length) {
   this->AddArrivals(length);
+  for (std::size_t i = 0; i<this->load.targets&& this->load.slow_share> 0; ++i) {
+    this->ChangePace(i, length);
+  }
   TimePoint next_expiry;
   while (!this->events.empty()) {
     const Event event = this->events.top();
@@ -112,15 +187,27 @@
   Request& request = this->requests.at(id);
   HopPlacement& placement = this->placements[request.caller];
   const HopRequirements requirements{request.arrived_at + this->load.objective - this->now,
-                                     request.deadline - this->now, this->load.mean_response_bytes};
-  const std::optional<HopChoice> choice =
+                                     request.deadline - this->now, this->load.mean_response_bytes,
+                                     GetPriority(request)};
+  std::optional<HopChoice> choice =
       placement.Choose(this->now, requirements, request.refused_by, this->random);
+  if (this->load.perfect_knowledge) {
+    choice = HopChoice{std::to_string(this->FindBestTarget(request)), {}, std::nullopt, {}};
+  }
   if (!choice.has_value()) {
     this->RefuseToCaller(id);
     return;
   }
   request.target = static_cast<std::size_t>(std::stoul(choice->peer_address));
+  request.has_alternatives = choice->has_alternatives;
   placement.RecordStart(choice->peer_address);
+  this->targets[request.target].inbound +=
+      std::chrono::duration<double>(this->GetMeanWork(request)).count();
+  const std::size_t regions = this->load.regions;
+  this->result.remote_hops += request.caller % this->load.data_centres % regions !=
+                                      request.target % this->load.data_centres % regions
+                                  ? 1
+                                  : 0;
   this->Schedule(this->now + this->GetNetworkDelay(request.caller, request.target),
                  [this, id] { this->Offer(id); });
 }
@@ -128,15 +215,17 @@
 void FleetSimulation::Offer(RequestId id) {
   Request& request = this->requests.at(id);
   Target& target = this->targets[request.target];
+  target.inbound -= std::chrono::duration<double>(this->GetMeanWork(request)).count();
   if (!target.throttle.TryAdmit()) {
     this->Refuse(id);
     return;
   }
   WorkOffer offer;
   offer.id = id;
-  offer.priority = 2;
+  offer.priority = GetPriority(request);
   offer.objective_at = request.arrived_at + this->load.objective;
   offer.deadline = request.deadline;
+  offer.has_alternatives = request.has_alternatives;
   const auto expected_bytes = static_cast<std::uint64_t>(this->load.mean_response_bytes);
   offer.transfer = target.link.GetTransferTime(expected_bytes);
   offer.link_free_at = this->now + target.link.EstimateWait(this->now);
@@ -161,7 +250,8 @@
   std::lognormal_distribution<double> spread(-this->load.work_spread * this->load.work_spread / 2,
                                              this->load.work_spread);
   const double work =
-      std::chrono::duration<double>(this->load.mean_work).count() * spread(this->random);
+      std::chrono::duration<double>(this->GetMeanWork(this->requests.at(id))).count() *
+      spread(this->random) * this->GetPace(this->requests.at(id).target);
   this->Schedule(this->now + FromSeconds(work / target.speed), [this, id] { this->End(id); });
 }
 
@@ -173,8 +263,12 @@
   const Duration on_link = target.link.Reserve(this->now, request.response_bytes) +
                            target.link.GetTransferTime(request.response_bytes);
   target.throttle.RecordEnd(request.fails);
+  if (this->load.slow_share > 0 && this->load.states_work_percent) {
+    target.admission.RecordWorkPercent(
+        this->now, static_cast<std::uint32_t>(std::lround(this->GetPace(request.target) * 100)));
+  }
   this->Apply(target.admission.Finish(this->now, id, !request.fails));
-  const HopReport report = this->MakeReport(request.target);
+  const HopReport report = this->MakeReport(request);
   this->Schedule(this->now + on_link + this->GetNetworkDelay(request.caller, request.target),
                  [this, id, report] {
                    const Request& completed = this->requests.at(id);
@@ -189,6 +283,7 @@
 void FleetSimulation::Deliver(RequestId id) {
   const Request& request = this->requests.at(id);
   const Duration taken = this->now - request.arrived_at;
+  this->result.times.push_back(std::min(taken, this->load.deadline));
   if (request.fails) {
     ++this->result.failed;
     this->result.failed_later += this->now >= TimePoint() + this->load.later_from ? 1 : 0;
@@ -205,7 +300,7 @@
   Target& target = this->targets[request.target];
   target.link.RemoveExpectedResponse(id);
   target.link.Reserve(this->now, 0);
-  const HopReport report = this->MakeReport(request.target);
+  const HopReport report = this->MakeReport(request);
   this->Schedule(this->now + this->GetNetworkDelay(request.caller, request.target),
                  [this, id, report] { this->HandleRefusal(id, report); });
 }
@@ -233,6 +328,7 @@
                          this->load.objective / 2, this->random);
   if (request.resends_left-- <= 0 || !interval.has_value()) {
     ++this->result.refused;
+    this->result.times.push_back(this->load.deadline);
     return;
   }
   request.refused_by.clear();
@@ -249,16 +345,25 @@
   }
 }
 
-HopReport FleetSimulation::MakeReport(std::size_t number) const {
-  const Target& target = this->targets[number];
+HopReport FleetSimulation::MakeReport(const Request& request) const {
+  const Target& target = this->targets[request.target];
   HopReport report;
   report.running = static_cast<std::uint32_t>(target.admission.GetRunningCount());
   report.waiting = static_cast<std::uint32_t>(target.admission.GetWaitingCount());
   report.slots = target.admission.GetSlots();
-  report.expected_wait_ms =
-      static_cast<std::uint32_t>(CountMilliseconds(target.admission.EstimateWait(2)));
+  report.expected_wait_ms = static_cast<std::uint32_t>(
+      CountMilliseconds(target.admission.EstimateWait(this->now, GetPriority(request))));
   report.service_time_ms =
       static_cast<std::uint32_t>(CountMilliseconds(target.admission.GetServiceTime()));
+  report.priority = GetPriority(request);
+  report.class_time_ms = static_cast<std::uint32_t>(
+      CountMilliseconds(target.admission.GetServiceTimeOf(report.priority)));
+  const WorkPace& pace = target.admission.GetPace();
+  if (pace.IsKnown()) {
+    report.work_percent =
+        static_cast<std::uint32_t>(std::lround(pace.EstimateFactor(this->now) * 100));
+    report.work_lifetime_ms = static_cast<std::uint32_t>(CountMilliseconds(pace.GetLifetime()));
+  }
   report.accepting = true;
   report.failing = target.throttle.IsThrottling();
   report.link_wait_ms =
--- a/Tests/Fakes/fleet_simulation.h
+++ b/Tests/Fakes/fleet_simulation.h
@@ -40,6 +40,22 @@
   double mean_response_bytes = 5000;
   // Standard deviation of the logarithm of the response size.
   double response_spread = 0.6;
+  // Share of requests of a lighter class, which is more urgent and needs this work.
+  double light_share = 0;
+  Duration light_work{0};
+  // Relative amplitude and period of the demand of each data centre. The waves of the data centres
+  // are spread over two fifths of the period.
+  double swing = 0;
+  Duration swing_period = std::chrono::seconds(13);
+  // At any moment, this share of the targets takes slow_factor times as long for the work that it
+  // starts. Each target draws its state anew after an interval of this mean length.
+  double slow_share = 0;
+  double slow_factor = 1;
+  Duration slow_interval = std::chrono::milliseconds(600);
+  // Whether targets state how long work takes at this moment.
+  bool states_work_percent = true;
+  // Requests are placed by the true state of all targets, for comparison.
+  bool perfect_knowledge = false;
   // How often a refused caller resends its request.
   int resends = 2;
   // Number of targets that fail every request at once from failing_from on, and how long a failure
@@ -49,6 +65,9 @@
   Duration failure_time = std::chrono::milliseconds(2);
   // Start of the time in which FleetResult::failed_later and arrived_later are counted.
   Duration later_from{0};
+
+  // Number of requests per second that the targets can serve with all slots in use.
+  double CountServable() const;
 };
 
 // Numbers of requests by outcome, of refused hops, and of responses by target.
@@ -65,6 +84,10 @@
   // Requests that arrived from later_from on.
   std::uint32_t arrived_later = 0;
   std::vector<std::uint32_t> responses_by_target;
+  // Hops to another region.
+  std::uint32_t remote_hops = 0;
+  // Time from arrival to response of each request; that of a refused one is the deadline.
+  std::vector<Duration> times;
 };
 
 // Simulates a fleet in simulated time: the callers, the HopPlacement of every daemon, and the
@@ -82,14 +105,20 @@
     LinkSchedule link;
     FailureThrottle throttle;
     double speed = 1;
+    bool slow = false;
+    // Requests on their way to the target, in seconds of work.
+    double inbound = 0;
   };
   struct Request {
+    // 0 for the usual class, 1 for the lighter one.
+    std::uint32_t weight_class = 0;
     std::size_t caller = 0;
     std::size_t target = 0;
     std::uint64_t response_bytes = 0;
     TimePoint arrived_at;
     TimePoint deadline;
     std::vector<std::string> refused_by;
+    bool has_alternatives = false;
     std::uint32_t refused_hops = 0;
     int resends_left = 0;
     bool fails = false;
@@ -115,6 +144,15 @@
   // Schedules an action.
   void Schedule(TimePoint at, std::function<void()> action);
   void AddArrivals(Duration length);
+  // Whether a request that the peak demand of the data centre holds is part of its demand then.
+  bool IsInDemand(TimePoint at, std::size_t data_centre);
+  // Redraws the moment of a target, now and from then on.
+  void ChangePace(std::size_t target, Duration length);
+  double GetPace(std::size_t target) const;
+  // Returns the target with the earliest expected response.
+  std::size_t FindBestTarget(const Request& request) const;
+  Duration GetMeanWork(const Request& request) const;
+  static std::uint32_t GetPriority(const Request& request) { return 2 - request.weight_class; }
   void Place(RequestId id);
   void Offer(RequestId id);
   void Begin(RequestId id);
@@ -127,7 +165,7 @@
   void RefuseToCaller(RequestId id);
   // Starts the admitted requests and refuses the others.
   void Apply(const AdmissionRelease& release);
-  HopReport MakeReport(std::size_t number) const;
+  HopReport MakeReport(const Request& request) const;
 
   const FleetLoad load;
   std::mt19937_64 random;
--- a/Tests/test_fleet_replay.cc
+++ b/Tests/test_fleet_replay.cc
@@ -1,10 +1,13 @@
-// Guards against three failures of a fleet under load: all daemons choose the same fast targets,
-// links are fully used by responses that arrive shortly after their objective, and targets that
-// fail at once draw the work of the others.
+// Guards against failures of a fleet under load: all daemons choose the same fast targets, links
+// are fully used by responses that arrive shortly after their objective, targets that fail at once
+// draw the work of the others, and requests run on machines that are slow at that moment.
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <cstdio>
 #include <numeric>
+#include <utility>
+#include <vector>
 
 #include "Fakes/fleet_simulation.h"
 
@@ -43,8 +46,93 @@
   return load;
 }
 
+// 70 daemons in six data centres with targets of unequal speed. Demand swings by half from data
+// centre to data centre, and at any moment a seventh of the targets takes 2.5 times as long. The
+// rate is given as a fraction of what the targets can serve.
+FleetLoad MakeUnsteady(double room) {
+  FleetLoad load;
+  load.daemons = 70;
+  load.data_centres = 6;
+  load.regions = 3;
+  load.targets = 29;
+  load.slots = 18;
+  load.speeds = {0.6, 1.0, 1.4};
+  load.mean_work = milliseconds(300);
+  load.work_spread = 0.8;
+  load.objective = milliseconds(800);
+  load.deadline = milliseconds(3000);
+  load.mean_response_bytes = 1500;
+  load.resends = 1;
+  load.swing = 0.55;
+  load.slow_share = 0.15;
+  load.slow_factor = 2.5;
+  load.per_second = room * load.CountServable();
+  return load;
+}
+
+// The same with 20 targets, of whose requests seven in ten need little work.
+FleetLoad MakeMixed(double room) {
+  FleetLoad load = MakeUnsteady(room);
+  load.targets = 20;
+  load.speeds = {0.5, 1.0, 1.0, 1.5};
+  load.light_share = 0.7;
+  load.light_work = milliseconds(66);
+  load.per_second = room * load.CountServable();
+  return load;
+}
+
+struct ReplaySummary {
+  double on_time_share = 0;
+  double refused_hops_share = 0;
+  Duration percentile_99{0};
+};
+
+ReplaySummary Replay(const FleetLoad& load) {
+  double arrived = 0;
+  double on_time = 0;
+  double refused_hops = 0;
+  std::vector<Duration> times;
+  for (const std::uint64_t seed : {1U, 2U, 3U}) {
+    const FleetResult result = FleetSimulation(load, seed).Run(seconds(26));
+    arrived += result.arrived;
+    on_time += result.on_time;
+    refused_hops += result.refused_hops;
+    times.insert(times.end(), result.times.begin(), result.times.end());
+  }
+  const auto position = static_cast<std::ptrdiff_t>(0.99 * static_cast<double>(times.size()));
+  std::nth_element(times.begin(), times.begin() + position, times.end());
+  return {on_time / arrived, refused_hops / arrived, times[static_cast<std::size_t>(position)]};
+}
+
 }  // namespace
 
+// Without the momentary figure, requests ran on slow machines while others had free slots: 0.857 on
+// time at 0.7 of the capacity, where perfect knowledge of all targets gives 0.902. At least half of
+// the difference has to be gone.
+Test(fleet_replay, unsteady_targets_serve_on_time_nearly_as_with_perfect_knowledge) {
+  for (const auto& [room, least] : {std::pair{0.7, 0.88}, {0.9, 0.785}, {1.1, 0.685}}) {
+    const ReplaySummary summary = Replay(MakeUnsteady(room));
+    std::printf("unsteady, %.1f: %.3f on time, %.3f refused hops, 99%% within %lld ms\n", room,
+                summary.on_time_share, summary.refused_hops_share,
+                static_cast<long long>(CountMilliseconds(summary.percentile_99)));
+    cr_expect_geq(summary.on_time_share, least, "%.3f on time at %.1f", summary.on_time_share,
+                  room);
+  }
+}
+
+// Guards against one service time for light and heavy requests, with which a target that runs many
+// light ones looked fast: 0.947, 0.907 and 0.860 on time.
+Test(fleet_replay, targets_of_mixed_requests_serve_both_on_time) {
+  for (const auto& [room, least] : {std::pair{0.7, 0.965}, {0.9, 0.92}, {1.1, 0.873}}) {
+    const ReplaySummary summary = Replay(MakeMixed(room));
+    std::printf("mixed, %.1f: %.3f on time, %.3f refused hops, 99%% within %lld ms\n", room,
+                summary.on_time_share, summary.refused_hops_share,
+                static_cast<long long>(CountMilliseconds(summary.percentile_99)));
+    cr_expect_geq(summary.on_time_share, least, "%.3f on time at %.1f", summary.on_time_share,
+                  room);
+  }
+}
+
 // Guards against a choice of targets with which, at three quarters of the capacity, the ten fastest
 // targets were full and refused as many requests as they served, while others were idle. The users
 // require 0.78 as the mean of a day; the bound is higher because a day also has disruptions.
--- a/Tests/test_hop_placement.cc
+++ b/Tests/test_hop_placement.cc
@@ -195,3 +195,45 @@
     cr_assert_neq(fleet.Choose(lookup), "far");
   }
 }
+
+// Guards against a target that looks fast because most of its requests need little work.
+Test(hop_placement, compares_targets_by_the_work_of_the_request_itself) {
+  Fleet fleet;
+  HopReport mostly_light;
+  mostly_light.slots = 9;
+  mostly_light.accepting = true;
+  mostly_light.service_time_ms = 100;
+  mostly_light.priority = 2;
+  mostly_light.class_time_ms = 500;
+  HopReport mostly_heavy = mostly_light;
+  mostly_heavy.service_time_ms = 200;
+  mostly_heavy.class_time_ms = 220;
+  fleet.placement.RecordReport(kNow, "near", mostly_light);
+  fleet.placement.RecordReport(kNow, "beside", mostly_heavy);
+  fleet.placement.RecordReport(kNow, "far", mostly_heavy);
+  const HopRequirements heavy{milliseconds(600), milliseconds(2000), 400, 2};
+  const HopRequirements light{milliseconds(600), milliseconds(2000), 400, 1};
+  for (int i = 0; i < 20; ++i) {
+    cr_assert_eq(fleet.Choose(heavy), "beside");
+    cr_assert_eq(fleet.Choose(light), "near");
+  }
+}
+
+Test(hop_placement, avoids_a_slow_moment_until_it_is_likely_over) {
+  Fleet fleet;
+  HopReport report;
+  report.slots = 9;
+  report.accepting = true;
+  report.service_time_ms = 200;
+  report.work_percent = 100;
+  report.work_lifetime_ms = 200;
+  fleet.placement.RecordReport(kNow, "beside", report);
+  fleet.placement.RecordReport(kNow, "far", report);
+  report.work_percent = 250;
+  fleet.placement.RecordReport(kNow, "near", report);
+  const HopRequirements lookup{milliseconds(600), milliseconds(2000), 400};
+  for (int i = 0; i < 20; ++i) {
+    cr_assert_eq(fleet.Choose(lookup), "beside");
+    cr_assert_eq(fleet.Choose(lookup, kNow + milliseconds(950)), "near");
+  }
+}
--- a/Tests/test_target_admission.cc
+++ b/Tests/test_target_admission.cc
@@ -165,3 +165,49 @@
     RC_ASSERT(admission.GetWaitingCount() == 0U);
   }));
 }
+
+// A target whose machine is slow for a moment used to run requests beyond their objective while
+// others had free slots. Only a request whose sender can choose again is refused.
+Test(target_admission, refuses_in_a_slow_moment_if_the_sender_has_other_targets) {
+  TargetAdmission admission;
+  admission.SetSlots(At(0), 2);
+  WorkOffer offer = MakeOffer(1, 2, 100, 1000);
+  offer.has_alternatives = true;
+  admission.RecordWorkPercent(At(0), 100);
+  cr_assert_eq(admission.Offer(At(0), offer), AdmissionVerdict::kAdmitted);
+  admission.Finish(At(50), 1);
+  admission.RecordWorkPercent(At(50), 250);
+  offer = MakeOffer(2, 2, 150, 1050);
+  offer.has_alternatives = true;
+  cr_assert_eq(admission.Offer(At(50), offer), AdmissionVerdict::kRefusedSlowMoment);
+  offer.has_alternatives = false;
+  cr_assert_eq(admission.Offer(At(50), offer), AdmissionVerdict::kAdmitted);
+  // Far from its objective, the request is admitted anyway.
+  offer = MakeOffer(3, 2, 850, 1050);
+  offer.has_alternatives = true;
+  cr_assert_eq(admission.Offer(At(50), offer), AdmissionVerdict::kAdmitted);
+}
+
+// The moving average of the service time is that at the mean pace, so a slow moment does not count
+// twice.
+Test(target_admission, keeps_slow_moments_out_of_the_service_time) {
+  TargetAdmission admission;
+  admission.SetSlots(At(0), 1);
+  RequestId id = 0;
+  int ms = 0;
+  const auto run = [&](std::uint32_t percent) {
+    admission.RecordWorkPercent(At(ms), percent);
+    admission.Offer(At(ms), MakeOffer(++id, 2, ms + 5000, ms + 9000));
+    ms += static_cast<int>(percent);
+    admission.RecordWorkPercent(At(ms), percent);
+    admission.Finish(At(ms), id);
+  };
+  for (int i = 0; i < 100; ++i) {
+    run(100);
+  }
+  run(250);
+  run(250);
+  cr_assert_leq(CountMilliseconds(admission.GetServiceTimeOf(2)), 110);
+  cr_assert_geq(
+      CountMilliseconds(admission.PredictEnd(At(ms), MakeOffer(++id, 2, ms, ms)) - At(ms)), 200);
+}
