--- a/Source/Proxy/peer_request.cc
+++ b/Source/Proxy/peer_request.cc
@@ -341,7 +341,7 @@
       Event::kTargetHopEnded,
       "request={} sender={} target={} workspace={} outcome={} reason={} status={} priority={} "
       "running={} waiting={} slots={} waited_ms={} predicted_ms={} objective_ms={} link_wait_ms={} "
-      "after_ms={}",
+      "work_percent={} after_ms={}",
       this->request_id, this->hop.sender, report.target_id,
       this->hop.workspace.empty() ? "none" : this->hop.workspace, GetName(report.outcome),
       report.reason, status, this->hop.priority, report.running, report.waiting, report.slots,
@@ -350,7 +350,7 @@
           ? 0
           : CountMilliseconds(this->offer.predicted_end - this->arrived_at),
       CountMilliseconds(this->offer.objective_at - this->arrived_at), report.link_wait_ms,
-      CountMilliseconds(GetNow() - this->arrived_at));
+      report.work_percent, CountMilliseconds(GetNow() - this->arrived_at));
 }
 
 }  // namespace lacewingbridge
