quota: Grant at once after a restart while the host is still listed

Cause: a daemon that starts waits 6 s before it grants credit, so that it cannot overlap with a daemon that took over. After many processes are killed at once, no daemon grants for that time, and requests of workspaces with a quota are refused.

Change: a daemon whose first list of hosts still holds the record of an earlier process of its host grants as soon as its lease is confirmed: no other daemon has taken over, and the buckets start empty.

Measured: nothing yet; the test a_restarted_daemon_that_is_still_listed_ grants_at_once belongs to this commit and does not compile without it. Ruled out: a shorter wait for all, which rests on how fast the list of hosts spreads.

--- a/Source/Node/mesh_node.h
+++ b/Source/Node/mesh_node.h
@@ -178,6 +178,8 @@
         prober(*this->control_shards[0], this->state, this->gate) {
     this->gate.SetRunWindow(std::chrono::milliseconds(given.retry_window_ms));
     this->sync.SetLeaseListener([this](const LeaseProof* proof) { this->HandleLease(proof); });
+    this->sync.SetEarlierRecordListener(
+        [this](TimePoint sent) { this->quotas.RecordEarlierProcess(sent); });
     this->state.SetRevokeBound(std::chrono::milliseconds(given.revoke_bound_ms));
   }
 
--- a/Source/Proxy/quota_gate.cc
+++ b/Source/Proxy/quota_gate.cc
@@ -63,6 +63,11 @@
   }
 }
 
+void QuotaGate::RecordEarlierProcess(TimePoint sent) {
+  const std::lock_guard guard(this->mutex);
+  this->fence.RecordEarlierProcess(sent);
+}
+
 void QuotaGate::RecordLeaseEnd() {
   const std::lock_guard guard(this->mutex);
   this->fence.RecordEnd();
--- a/Source/Proxy/quota_gate.h
+++ b/Source/Proxy/quota_gate.h
@@ -56,6 +56,8 @@
   void HandleHosts(TimePoint now, std::span<const HostRecord> hosts);
   // See GrantFence.
   void RecordRenewal(TimePoint sent, TimePoint now, std::uint64_t lease, Duration lease_time);
+  // See GrantFence::RecordEarlierProcess.
+  void RecordEarlierProcess(TimePoint sent);
   void RecordLeaseEnd();
 
   // Takes credit for a request. A listener is made only if the request waits, and called later
--- a/Source/Quota/grant_fence.h
+++ b/Source/Quota/grant_fence.h
@@ -26,6 +26,12 @@
   static constexpr Duration kSettleTime = kContactTime + kListTime + kCreditTime;
   static_assert(HostDirectory::kRemovalDelay >= kCreditTime);
 
+  // Records that the store, asked at `sent`, still listed an earlier process of this host. No other
+  // daemon has taken over from it, and what it granted is bounded by the capacity of its buckets.
+  void RecordEarlierProcess(TimePoint sent) {
+    this->granting_from = sent;
+    this->last_sent = sent;
+  }
   // Records that the store has confirmed the lease by a call that was sent at `sent`. Returns false
   // if other daemons may have dropped this one before, so that its buckets are void.
   bool RecordRenewal(TimePoint sent, TimePoint now, std::uint64_t lease, Duration lease_time);
--- a/Source/Store/store_sync.h
+++ b/Source/Store/store_sync.h
@@ -64,6 +64,12 @@
   // Called with each proof, and with null before this daemon ends its lease.
   using LeaseListener = std::function<void(const LeaseProof*)>;
   void SetLeaseListener(LeaseListener listener) { this->on_lease = std::move(listener); }
+  // Called if the store still listed an earlier process of this host, with the time at which the
+  // list was asked for.
+  using EarlierRecordListener = std::function<void(TimePoint)>;
+  void SetEarlierRecordListener(EarlierRecordListener listener) {
+    this->on_earlier_record = std::move(listener);
+  }
 
   // Applies to the next lease.
   void SetMinLease(Duration min_lease) { this->lease_time = std::max(min_lease, kLeaseTime); }
@@ -150,14 +156,15 @@
     }
   }
 
-  void ApplyHostList(const StoreView& view) {
+  // `sent` is when the list was asked for.
+  void ApplyHostList(const StoreView& view, TimePoint sent) {
     std::vector<HostRecord> records;
     bool own_listed = false;
     for (const StoreItem& item : view.items) {
       std::optional<HostRecord> record = ReadHostRecord(item, this->era, kHostPrefix);
       if (item.key == this->GetOwnKey()) {
         own_listed = record.has_value();
-        this->ApplyEarlierRecord(record);
+        this->ApplyEarlierRecord(record, sent);
       }
       if (record.has_value()) {
         records.push_back(std::move(*record));
@@ -171,8 +178,12 @@
 
   // Applies the target's state from the record of an earlier process of this host. That process may
   // have acknowledged that the target leaves.
-  void ApplyEarlierRecord(const std::optional<HostRecord>& record) {
-    if (!this->hosts_read && record.has_value() && record->target.has_value()) {
+  void ApplyEarlierRecord(const std::optional<HostRecord>& record, TimePoint sent) {
+    if (this->hosts_read || !record.has_value()) {
+      return;
+    }
+    this->on_earlier_record(sent);
+    if (record->target.has_value()) {
       this->gate.HandleStoredRecord(GetNow(), *record->target);
     }
   }
@@ -192,6 +203,7 @@
     std::optional<StorePosition> known;
     while (!this->ended) {
       const bool listing = !known.has_value();
+      const TimePoint sent = GetNow();
       Result<StoreView> view = StoreView();
       if (listing) {
         view = co_await this->client.List(kHostPrefix);
@@ -215,7 +227,7 @@
       reach.RecordReached();
       known = StorePosition{this->era, GetValue(view).revision};
       if (listing) {
-        this->ApplyHostList(GetValue(view));
+        this->ApplyHostList(GetValue(view), sent);
       } else {
         this->ApplyHostChanges(GetValue(view));
       }
@@ -342,6 +354,7 @@
   // Of the lease that this daemon holds.
   Duration held_lease_time{0};
   LeaseListener on_lease = [](const LeaseProof*) {};
+  EarlierRecordListener on_earlier_record = [](TimePoint) {};
   AsyncSignal record_changed;
   const TimePoint started_at = GetNow();
   StoreWatches<Client> watches;
--- a/Tests/test_quota_credit.cc
+++ b/Tests/test_quota_credit.cc
@@ -205,6 +205,24 @@
   cr_assert(ends.size() == 1 && ends[0].take.outcome == CreditOutcome::kTaken);
 }
 
+// Guards against seconds without credit after many daemons were killed at once: a daemon that
+// starts again while its host is still listed need not wait.
+Test(grant_fence, a_restarted_daemon_that_is_still_listed_grants_at_once) {
+  GrantFence fence;
+  fence.RecordEarlierProcess(kStart);
+  cr_assert(!fence.MayGrant(kStart));
+  const TimePoint renewed = kStart + seconds(1);
+  cr_assert(fence.RecordRenewal(renewed, renewed, 7, seconds(10)));
+  cr_assert(fence.MayGrant(renewed));
+
+  // The lease of the earlier process may have ended before the new one began.
+  GrantFence late;
+  late.RecordEarlierProcess(kStart);
+  const TimePoint too_late = kStart + HostDirectory::kRemovalDelay;
+  cr_assert(!late.RecordRenewal(too_late, too_late, 7, seconds(10)));
+  cr_assert(!late.MayGrant(too_late));
+}
+
 Test(grant_fence, grants_after_it_has_settled_while_in_touch) {
   GrantFence fence;
   cr_assert(!fence.MayGrant(kStart));
