--- a/Source/Proxy/peer_handler.h
+++ b/Source/Proxy/peer_handler.h
@@ -69,9 +69,9 @@
       response.result(http::status::ok);
       response.body() = Encode(this->context.state.GetProgress());
     } else if (exchange.GetTarget() == kQuotaPath && exchange.IsBodyComplete()) {
-      response.result(http::status::ok);
       response.body() =
           AnswerQuotaAsk(this->context.state, this->context.quotas, exchange.GetBody());
+      response.result(response.body().empty() ? http::status::bad_request : http::status::ok);
     } else if (exchange.GetTarget() == kSnapshotPath && index != nullptr) {
       PeerSnapshot snapshot;
       snapshot.table = index->GetTable();
