access: Skip the checks of keys without workspaces

Each request took the lock of the version in force three times before the decision found that there are no workspaces; now it returns before.

--- a/Source/Proxy/caller_request_access.cc
+++ b/Source/Proxy/caller_request_access.cc
@@ -19,6 +19,9 @@
 }  // namespace
 
 Awaitable<bool> CallerRequest::CheckAccess() {
+  if (!this->index->GetWorkspaces().HasWorkspaces()) {
+    co_return true;
+  }
   const TimePoint now = GetNow();
   VersionCertainty certainty;
   certainty.proof_age = this->context.state.GetProofAge(now);
--- a/Tests/test_request_progress.cc
+++ b/Tests/test_request_progress.cc
@@ -132,6 +132,17 @@
             ProgressAction::kTimeout);
 }
 
+// Guards against "not run" for a request that may have run before its API key became invalid.
+Test(request_progress, an_expired_proof_refuses_an_unsent_request_and_fails_a_sent_one) {
+  FleetRetryBudget budget = MakeBudget(100);
+  RequestProgress unsent(MakeFacts(true, 3));
+  cr_assert(unsent.HandleProofExpired().action == ProgressAction::kRefuse);
+  cr_assert(unsent.HandleProofExpired().reason == ProgressReason::kProofExpired);
+  RequestProgress sent(MakeFacts(true, 3));
+  sent.HandleHopEnd(kStart, {HopOutcome::kUnknown, 0}, budget);
+  cr_assert(sent.HandleProofExpired().action == ProgressAction::kFailUnknown);
+}
+
 Test(resend_delay, is_empty_if_a_resend_cannot_succeed) {
   std::mt19937_64 random(1);
   cr_assert(!ComputeResendDelay(seconds(1), seconds(2), milliseconds(100), random).has_value());
