access: Deny unknown keys at once where no proofs are made

Cause: without a bound on removed keys no daemon has a proof, so an unknown key was answered 503 for ever and never 401. Change: such a deployment denies an unknown key as it denies an unknown route. Measured: nothing; found in review. No test of its own yet. Ruled out: proofs on request, which a test of the proofs excludes.

--- a/Source/Proxy/caller_request_access.cc
+++ b/Source/Proxy/caller_request_access.cc
@@ -27,6 +27,10 @@
   certainty.proof_age = this->context.state.GetProofAge(now);
   certainty.is_proven = this->context.state.IsTableProven(now);
   certainty.since_arrival = now - this->facts.arrived_at;
+  if (!this->context.state.GetProofBound().has_value()) {
+    // No proofs are made without a bound on removed keys. A key is then denied as a route is.
+    certainty.proof_age = Duration{0};
+  }
   // The proof is about the version in force; the request has to be judged by that version.
   if (this->context.state.GetIndex() != this->index) {
     certainty = {};
