workspaces: Test proofs between whole daemons

Cause: the property test uses neither calls nor messages. StorePosition has operators in place of <=>, which the linter rejects.

--- a/Source/Membership/store_position.h
+++ b/Source/Membership/store_position.h
@@ -1,8 +1,8 @@
 #ifndef LACEWINGBRIDGE_SOURCE_MEMBERSHIP_STORE_POSITION_H_
 #define LACEWINGBRIDGE_SOURCE_MEMBERSHIP_STORE_POSITION_H_
 
-#include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace lacewingbridge {
 
@@ -13,7 +13,10 @@
   std::uint64_t era = 0;
   std::uint64_t revision = 0;
 
-  auto operator<=>(const StorePosition&) const = default;
+  bool operator==(const StorePosition&) const = default;
+  bool operator<(const StorePosition& other) const {
+    return std::tie(this->era, this->revision) < std::tie(other.era, other.revision);
+  }
 };
 
 }  // namespace lacewingbridge
--- a/Source/Store/watch_silence.h
+++ b/Source/Store/watch_silence.h
@@ -33,7 +33,7 @@
 
   // Records that another daemon knows a change at the position.
   void RecordChange(TimePoint now, Position position) {
-    if (position > this->newest_change) {
+    if (this->newest_change < position) {
       this->newest_change = position;
       this->changed_at = now;
     }
@@ -43,8 +43,8 @@
   // change that the store does not list causes no further calls.
   bool TakeSilence(TimePoint now) {
     const bool missing =
-        this->pending_since.has_value() && this->newest_change > this->watched_after;
-    if (!missing || this->newest_change <= this->reported ||
+        this->pending_since.has_value() && this->watched_after < this->newest_change;
+    if (!missing || !(this->reported < this->newest_change) ||
         now - std::max(*this->pending_since, this->changed_at) < kResponseTime) {
       return false;
     }
--- a/Source/Workspaces/proof_readers.cc
+++ b/Source/Workspaces/proof_readers.cc
@@ -15,12 +15,14 @@
 
 std::vector<HostRecord> ChooseProofReaders(std::span<const HostRecord> hosts) {
   std::vector<std::string> names;
+  names.reserve(hosts.size());
   for (const HostRecord& host : hosts) {
     names.push_back(host.host);
   }
   std::vector<std::size_t> ranked = RankByHash("proof_readers", names);
   ranked.resize(std::min(CountProofReaders(hosts.size()), ranked.size()));
   std::vector<HostRecord> readers;
+  readers.reserve(ranked.size());
   for (const std::size_t index : ranked) {
     readers.push_back(hosts[index]);
   }
--- a/Tests/Fakes/fake_lease_store.h
+++ b/Tests/Fakes/fake_lease_store.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -36,6 +37,11 @@
     const std::lock_guard guard(this->mutex);
     this->refusing = value;
   }
+  // The same for the calls of the clients with this store address only.
+  void SetRefusingOf(const std::string& address) {
+    const std::lock_guard guard(this->mutex);
+    this->refused_address = address;
+  }
   // The next writes take effect, but their responses are lost.
   void LoseResponses(int count) {
     const std::lock_guard guard(this->mutex);
@@ -106,10 +112,10 @@
     return this->calls;
   }
 
-  bool BeginCall() {
+  bool BeginCall(const std::string& address) {
     const std::lock_guard guard(this->mutex);
     ++this->calls;
-    return !this->refusing;
+    return !this->refusing && this->refused_address != address;
   }
   StoreItem Get(const std::string& key) {
     const std::lock_guard guard(this->mutex);
@@ -179,6 +185,7 @@
   int responses_to_lose = 0;
   int calls = 0;
   bool refusing = false;
+  std::optional<std::string> refused_address;
 };
 
 // A client of the fake store that all daemons of the test share.
@@ -193,7 +200,7 @@
   }
 
   Awaitable<Result<StoreItem>> Get(std::string_view key) {
-    if (!GetStore().BeginCall()) {
+    if (!GetStore().BeginCall(this->address)) {
       co_return MakeRefused();
     }
     StoreItem item = GetStore().Get(std::string(key));
@@ -201,7 +208,7 @@
     co_return item;
   }
   Awaitable<Result<StoreView>> List(std::string_view prefix) {
-    if (!GetStore().BeginCall()) {
+    if (!GetStore().BeginCall(this->address)) {
       co_return MakeRefused();
     }
     StoreView view = GetStore().List(prefix, 0);
@@ -211,7 +218,7 @@
   Awaitable<Result<StoreView>> Watch(std::string_view prefix, std::uint64_t after, Duration wait) {
     constexpr Duration kPollInterval = std::chrono::milliseconds(5);
     const TimePoint until = GetNow() + wait;
-    if (!GetStore().BeginCall()) {
+    if (!GetStore().BeginCall(this->address)) {
       co_return MakeRefused();
     }
     asio::steady_timer timer(this->shard.GetContext());
@@ -242,7 +249,7 @@
     }
   }
   Awaitable<Status> Write(std::string_view key, std::string_view value, std::uint64_t lease) {
-    if (!GetStore().BeginCall()) {
+    if (!GetStore().BeginCall(this->address)) {
       co_return MakeRefused();
     }
     const bool written = GetStore().Write(std::string(key), std::string(value), lease);
@@ -256,7 +263,7 @@
     co_return MakeOkStatus();
   }
   Awaitable<Result<std::uint64_t>> GrantLease(Duration) {
-    if (!GetStore().BeginCall()) {
+    if (!GetStore().BeginCall(this->address)) {
       co_return MakeRefused();
     }
     const std::uint64_t lease = GetStore().Grant();
@@ -264,7 +271,7 @@
     co_return lease;
   }
   Awaitable<Status> RenewLease(std::uint64_t lease) {
-    if (!GetStore().BeginCall()) {
+    if (!GetStore().BeginCall(this->address)) {
       co_return MakeRefused();
     }
     const bool renewed = GetStore().Renew(lease);
