--- a/Source/Generated/events.h
+++ b/Source/Generated/events.h
@@ -331,7 +331,7 @@
      "Report the reason; if it is a lack of memory, look at the memory of the daemon."},
     {Event::kQuotaRefused, "info",
      "request refused because of the quota of its workspace",
-     ""},
+     "None if the workspace sends more than its quota; see docs/OPERATIONS.md."},
     {Event::kQuotaSharesMoved, "info",
      "other daemons now grant credit of workspaces that this one has granted",
      ""},
--- a/Source/Proxy/quota_asker.cc
+++ b/Source/Proxy/quota_asker.cc
@@ -2,10 +2,12 @@
 
 #include <algorithm>
 #include <chrono>
+#include <exception>
 #include <memory>
 #include <optional>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "Http/boot_clock.h"
 #include "Http/io_shard.h"
@@ -70,7 +72,12 @@
     if (outgoing->peer_address.empty()) {
       reply = AnswerAsk(state, quotas, outgoing->ask);
     } else {
-      reply = co_await SendAsk(shard, outgoing->peer_address, outgoing->ask);
+      // A round that does not end would keep later requests from asking.
+      try {
+        reply = co_await SendAsk(shard, outgoing->peer_address, outgoing->ask);
+      } catch (const std::exception&) {
+        reply.reset();
+      }
     }
     quotas.HandleReply(GetNow(), workspace, reply.has_value() ? &*reply : nullptr);
   }
--- a/Source/Proxy/quota_gate.cc
+++ b/Source/Proxy/quota_gate.cc
@@ -211,7 +211,8 @@
     return reply;
   }
   QuotaLimit own_limit;
-  if (own != nullptr) {
+  // Where the limit has been removed, that of the holder's version applies until it knows.
+  if (own != nullptr && own->rate_per_s > 0) {
     own_limit = {static_cast<double>(own->rate_per_s), static_cast<double>(own->burst), version};
   }
   const std::uint64_t hash = CombineHashes(HashBytes(ask.workspace), ask.share);
--- a/Source/Quota/credit_bucket.cc
+++ b/Source/Quota/credit_bucket.cc
@@ -61,7 +61,7 @@
 
 Duration CreditBucket::EstimateWait(TimePoint now) const {
   constexpr double kLongestPart = 0.5;
-  constexpr double kShortestTurn_s = 0.05;
+  constexpr double kShortestTurnSeconds = 0.05;
   const double rate = this->limit.rate_per_s;
   if (rate <= 0) {
     return kCreditTime;
@@ -70,7 +70,7 @@
       std::count_if(this->holders.begin(), this->holders.end(),
                     [now](const auto& item) { return now < item.second.hungry_until; }));
   // The bucket must not run over until the holder asks again.
-  const double longest = std::max(kShortestTurn_s, kLongestPart * this->limit.capacity / rate);
+  const double longest = std::max(kShortestTurnSeconds, kLongestPart * this->limit.capacity / rate);
   const double turn = std::min((hungry - 1) / rate, longest);
   return ToDuration(std::max((1 - this->available) / rate, turn));
 }
--- a/Source/Quota/quota_limit.cc
+++ b/Source/Quota/quota_limit.cc
@@ -28,13 +28,13 @@
 
 Duration ComputeCreditHorizon(const ShareLimit& share) {
   constexpr double kCapacityPart = 0.5;
-  constexpr double kShortest_s = 0.1;
-  constexpr double kLongest_s = 1;
+  constexpr double kShortestSeconds = 0.1;
+  constexpr double kLongestSeconds = 1;
   if (share.rate_per_s <= 0) {
     return Duration{0};
   }
-  const double seconds =
-      std::clamp(kCapacityPart * share.capacity / share.rate_per_s, kShortest_s, kLongest_s);
+  const double seconds = std::clamp(kCapacityPart * share.capacity / share.rate_per_s,
+                                    kShortestSeconds, kLongestSeconds);
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 
