daemon: Do not add trailers to the headers of a response

The parser adds the trailers of a chunked body to the head. lacewingbridged read the head after the body, so a trailer was delivered as a header and could stand for the id of the attempt. It reads the head before the body now.

--- a/Source/Daemon/proxy_exchange.cc
+++ b/Source/Daemon/proxy_exchange.cc
@@ -169,15 +169,17 @@
     const OutboundOptions options{connect_limit, kAssumedIdleLimit * 10, kAssumedIdleLimit};
     ExchangeStatus status = co_await this->exchange.Start(request, nullptr, time_limit, options);
     for (int surplus = 0; status == ExchangeStatus::kOk; ++surplus) {
+      // The trailers that follow the body are added to the head.
+      const http::response_header<> head = this->exchange.GetHead();
       std::string body;
       const BodyStatus end = co_await this->exchange.ReadBody(body, kMaxResponseBytes);
       if (end != BodyStatus::kComplete || this->exchange.EndsWithConnection()) {
         status = ExchangeStatus::kLost;
         break;
       }
-      const std::string stated(this->exchange.GetHead()[kAttemptHeader]);
+      const std::string stated(head[kAttemptHeader]);
       if (stated == this->attempt_id || (stated.empty() && !this->exchange.WasConnectionKept())) {
-        StoreResponse(this->exchange.GetHead(), std::move(body), this->attempt);
+        StoreResponse(head, std::move(body), this->attempt);
         this->has_response = true;
         this->reusable = !stated.empty();
         break;
--- a/Tests/test_daemon_proxy_exchange.cc
+++ b/Tests/test_daemon_proxy_exchange.cc
@@ -99,6 +99,32 @@
   }
 }
 
+// Guards against a response whose head is taken for another one than the target sent.
+Test(proxy_exchange, treats_a_response_whose_head_is_not_well_formed_as_lost) {
+  for (const std::string head :
+       {"HTTP/1.1 000 Odd\r\n", "HTTP/1.1 600 Odd\r\n", "HTTP/1.1 20 OK\r\n",
+        "HTTP/1.1 200 OK\r\nX Odd: 1\r\n", "HTTP/1.1 200 OK\r\nX-Odd: 1\x02\r\n",
+        "HTTP/1.1 200 OK\r\nX-Odd: 1\r\n folded\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n",
+        "HTTP/1.1 100 Continue\r\nX Odd: 1\r\n\r\nHTTP/1.1 200 OK\r\n"}) {
+    const Exchange exchange =
+        Send(MakeRequest("GET", "/designs/1"), head + "Content-Length: 5\r\n\r\nhello");
+    cr_assert_eq(exchange.attempt.outcome, TargetOutcome::kLostMidRequest, "%s", head.c_str());
+    cr_assert(exchange.attempt.response.body.empty());
+  }
+}
+
+// Guards against a trailer that counts as a header.
+Test(proxy_exchange, does_not_pass_on_trailers_as_headers) {
+  const Exchange exchange = Send(MakeRequest("GET", "/designs/1"),
+                                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                 "5\r\nhello\r\n0\r\nX-Late: 1\r\n\r\n");
+  cr_assert_eq(exchange.attempt.outcome, TargetOutcome::kOk);
+  for (const auto& [name, value] : exchange.attempt.response.headers) {
+    cr_assert_neq(name, "X-Late", "%s", value.c_str());
+  }
+}
+
 // Without a length, the response ends with the connection, so a crash of the target looks like
 // the regular end.
 Test(proxy_exchange, treats_a_response_without_a_length_as_lost) {
