node: Ignore a health response that breaks off

The prober did not look whether the body had arrived whole, so a target that broke off its health response counted as healthy. Such a response now counts as lost. No test of its own.

--- a/Source/Node/target_prober.h
+++ b/Source/Node/target_prober.h
@@ -34,9 +34,12 @@
     const OutboundOptions options{kConnectLimit, Duration{0}, Duration{0}};
     const ExchangeStatus status =
         co_await exchange.Start(request, nullptr, kResponseLimit, options);
+    std::string body;
+    BodyStatus read = BodyStatus::kBroken;
     if (status == ExchangeStatus::kOk) {
-      std::string body;
-      co_await exchange.ReadBody(body, kMaxBodyBytes);
+      read = co_await exchange.ReadBody(body, kMaxBodyBytes);
+    }
+    if (read != BodyStatus::kBroken) {
       const TargetResponseHeaders headers = Wire::ReadResponseHeaders(exchange.GetHead());
       const bool healthy = exchange.GetHead().result() == http::status::ok && !headers.not_run;
       this->gate.HandleHealthResponse(GetNow(), healthy, headers.target_id,
