--- a/Tests/test_hop_placement.cc
+++ b/Tests/test_hop_placement.cc
@@ -255,3 +255,20 @@
   }
   cr_assert_geq(to_near, 90, "%d near", to_near);
 }
+
+// Guards against refusals in a slow moment that leave a request without a target.
+Test(hop_placement, promises_alternatives_only_to_a_first_choice_among_several_targets) {
+  Fleet fleet;
+  std::mt19937_64 random(1);
+  cr_assert_not(fleet.placement.Choose(kNow, kLookup, {}, random)->has_alternatives);
+  for (const char* name : {"a", "b", "c", "d"}) {
+    fleet.hosts.push_back(MakeHost(name, "a1", "a"));
+  }
+  fleet.placement.UpdateHosts(fleet.hosts);
+  for (const HostRecord& host : fleet.hosts) {
+    fleet.Report(host.peer_address, 0, 0, 0);
+  }
+  cr_assert(fleet.placement.Choose(kNow, kLookup, {}, random)->has_alternatives);
+  const std::vector<std::string> tried = {"near"};
+  cr_assert_not(fleet.placement.Choose(kNow, kLookup, tried, random)->has_alternatives);
+}
