admission: Order waiting requests by the share of their workspace

While a target had too little room for all, a workspace that sent many times its usual took the room of the others: requests of one priority were ordered by their objectives alone.

FairShare keeps the slot time that each workspace took in the last seconds while work of others waited. Work that takes room nobody else wanted is not counted. Without workspaces, or with one, nothing changes. The workspace comes with the hop.

A shorter wait for workspaces beyond their share left room unused.

--- a/Source/Admission/target_admission.cc
+++ b/Source/Admission/target_admission.cc
@@ -1,6 +1,7 @@
 #include "Admission/target_admission.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lacewingbridge {
 
@@ -72,8 +73,19 @@
   return AdmissionVerdict::kQueued;
 }
 
+bool TargetAdmission::IsShared(const WorkOffer& offer) const {
+  return std::any_of(this->waiting.begin(), this->waiting.end(), [&](const Waiting& entry) {
+    return entry.offer.workspace != offer.workspace;
+  });
+}
+
 void TargetAdmission::Start(TimePoint now, const WorkOffer& offer) {
-  this->running.emplace(offer.id, Running{offer.priority, now});
+  Running started{offer.priority, now, offer.workspace, Duration{0}};
+  if (!offer.workspace.empty() && this->IsShared(offer)) {
+    started.counted = this->GetServiceTimeOf(offer.priority);
+    this->shares.AddUse(now, offer.workspace, started.counted);
+  }
+  this->running.emplace(offer.id, std::move(started));
 }
 
 void TargetAdmission::RecordServiceTime(std::uint32_t priority, Duration taken) {
@@ -89,6 +101,9 @@
   }
   const Duration taken = now - found->second.started_at;
   const std::uint32_t priority = found->second.priority;
+  if (found->second.counted != Duration{0}) {
+    this->shares.AddUse(now, found->second.workspace, taken - found->second.counted);
+  }
   if (served || taken > this->GetServiceTimeOf(priority)) {
     this->RecordServiceTime(priority, taken);
   }
@@ -138,6 +153,11 @@
   return this->service_time * (ahead + 1) / this->slots;
 }
 
+Duration TargetAdmission::GetExcess(TimePoint now, const WorkOffer& offer) const {
+  const Duration excess = this->shares.GetExcess(now, offer.workspace);
+  return excess <= this->service_time ? Duration{0} : excess;
+}
+
 bool TargetAdmission::GoesBefore(TimePoint now, const Waiting& left, const Waiting& right) const {
   if (left.offer.priority != right.offer.priority) {
     return left.offer.priority < right.offer.priority;
@@ -146,6 +166,11 @@
   if (left_on_time != this->IsOnTime(now, right.offer)) {
     return left_on_time;
   }
+  const Duration left_excess = this->GetExcess(now, left.offer);
+  const Duration right_excess = this->GetExcess(now, right.offer);
+  if (left_excess != right_excess) {
+    return left_excess < right_excess;
+  }
   return left_on_time ? left.offer.objective_at < right.offer.objective_at
                       : left.offer.deadline > right.offer.deadline;
 }
--- a/Source/Admission/target_admission.h
+++ b/Source/Admission/target_admission.h
@@ -3,10 +3,12 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "Admission/admission_types.h"
+#include "Admission/fair_share.h"
 #include "Core/time_point.h"
 
 namespace lacewingbridge {
@@ -26,6 +28,8 @@
   Duration transfer{0};
   // When the response is expected to have left this host, as predicted when the request arrived.
   TimePoint predicted_end;
+  // Empty if the request has none.
+  std::string workspace;
 };
 
 // Admits requests to the slots of the target beside this daemon and queues those that have to
@@ -35,7 +39,9 @@
 // response.
 //
 // Requests with a more urgent priority start first. Within a priority, requests that can still
-// meet their objective start before those that cannot, in the order of their objectives.
+// meet their objective start before those that cannot. Among these, requests of workspaces within
+// their fair share start first, then those of the workspace that is least beyond its share.
+// Requests with an equal share start in the order of their objectives.
 //
 // A request is refused on arrival if it would wait longer than one service time. The queue is
 // therefore short, and the caller's daemon can choose another target at once. With a longer
@@ -100,6 +106,9 @@
   struct Running {
     std::uint32_t priority = 0;
     TimePoint started_at;
+    std::string workspace;
+    // Slot time that was counted for the workspace; zero if no other one waited.
+    Duration counted{0};
   };
   struct Waiting {
     WorkOffer offer;
@@ -121,6 +130,11 @@
   Duration GetServiceTimeWithMargin(std::uint32_t priority) const;
   // Whether the response is expected by the objective if the request starts at the given time.
   bool IsOnTime(TimePoint start, const WorkOffer& offer) const;
+  // Slot time that the workspace of the request has taken beyond its share. Less than one service
+  // time counts as none, because work is counted whole when it starts.
+  Duration GetExcess(TimePoint now, const WorkOffer& offer) const;
+  // Whether work of another workspace waits.
+  bool IsShared(const WorkOffer& offer) const;
   // Whether the left request starts before the right one.
   bool GoesBefore(TimePoint now, const Waiting& left, const Waiting& right) const;
   void Start(TimePoint now, const WorkOffer& offer);
@@ -134,6 +148,7 @@
   Duration service_time = kInitialServiceTime;
   // Moving averages of the service time by priority.
   std::unordered_map<std::uint32_t, Duration> service_times;
+  FairShare shares;
 };
 
 }  // namespace lacewingbridge
--- a/Source/Proxy/peer_request.cc
+++ b/Source/Proxy/peer_request.cc
@@ -59,6 +59,7 @@
   this->offer.deadline = this->arrived_at + std::chrono::milliseconds(this->hop.time_left_ms);
   this->offer.objective_at =
       this->arrived_at + std::chrono::milliseconds(this->hop.objective_left_ms);
+  this->offer.workspace = this->hop.workspace;
 }
 
 Awaitable<bool> PeerRequest::WaitForContainment() {
--- a/Tests/Fakes/target_simulation.h
+++ b/Tests/Fakes/target_simulation.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <queue>
 #include <random>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -23,6 +24,7 @@
   // How often a refused caller resends its request, and after which time.
   int resends = 0;
   Duration resend_interval{0};
+  std::string workspace;
 };
 
 // Numbers of requests by outcome.
@@ -101,7 +103,8 @@
     if (event.at == first) {
       ++this->results[event.load].arrived;
     }
-    const WorkOffer offer{event.id, load.priority, first + load.objective, first + load.deadline};
+    WorkOffer offer{event.id, load.priority, first + load.objective, first + load.deadline};
+    offer.workspace = load.workspace;
     switch (this->admission.Offer(event.at, offer)) {
       case AdmissionVerdict::kAdmitted:
         this->Begin(event.at, event.id);
