--- a/Source/Admission/target_admission.cc
+++ b/Source/Admission/target_admission.cc
@@ -1,6 +1,7 @@
 #include "Admission/target_admission.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lacewingbridge {
 
@@ -88,8 +89,20 @@
   return AdmissionVerdict::kQueued;
 }
 
+bool TargetAdmission::IsShared(const WorkOffer& offer) const {
+  return std::any_of(this->waiting.begin(), this->waiting.end(), [&](const Waiting& entry) {
+    return entry.offer.workspace != offer.workspace;
+  });
+}
+
 void TargetAdmission::Start(TimePoint now, const WorkOffer& offer) {
-  this->running.emplace(offer.id, Running{offer.priority, now, this->pace.EstimateFactor(now)});
+  Running started{offer.priority, now, this->pace.EstimateFactor(now), offer.workspace,
+                  Duration{0}};
+  if (!offer.workspace.empty() && this->IsShared(offer)) {
+    started.counted = this->GetServiceTimeOf(offer.priority);
+    this->shares.AddUse(now, offer.workspace, started.counted);
+  }
+  this->running.emplace(offer.id, std::move(started));
 }
 
 void TargetAdmission::RecordServiceTime(std::uint32_t priority, Duration taken) {
@@ -106,6 +119,10 @@
   const double factor = (found->second.start_factor + this->pace.EstimateFactor(now)) / 2;
   const Duration taken = Scale(now - found->second.started_at, 1 / factor);
   const std::uint32_t priority = found->second.priority;
+  if (found->second.counted != Duration{0}) {
+    const Duration slot_time = now - found->second.started_at;
+    this->shares.AddUse(now, found->second.workspace, slot_time - found->second.counted);
+  }
   if (served || taken > this->GetServiceTimeOf(priority)) {
     this->RecordServiceTime(priority, taken);
   }
@@ -155,6 +172,11 @@
   return this->EstimateQueueTime(now, ahead + 1);
 }
 
+Duration TargetAdmission::GetExcess(TimePoint now, const WorkOffer& offer) const {
+  const Duration excess = this->shares.GetExcess(now, offer.workspace);
+  return excess <= this->service_time ? Duration{0} : excess;
+}
+
 bool TargetAdmission::GoesBefore(TimePoint now, const Waiting& left, const Waiting& right) const {
   if (left.offer.priority != right.offer.priority) {
     return left.offer.priority < right.offer.priority;
@@ -163,6 +185,11 @@
   if (left_on_time != this->IsOnTime(now, right.offer)) {
     return left_on_time;
   }
+  const Duration left_excess = this->GetExcess(now, left.offer);
+  const Duration right_excess = this->GetExcess(now, right.offer);
+  if (left_excess != right_excess) {
+    return left_excess < right_excess;
+  }
   return left_on_time ? left.offer.objective_at < right.offer.objective_at
                       : left.offer.deadline > right.offer.deadline;
 }
--- a/Source/Admission/target_admission.h
+++ b/Source/Admission/target_admission.h
@@ -3,10 +3,12 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "Admission/admission_types.h"
+#include "Admission/fair_share.h"
 #include "Admission/work_pace.h"
 #include "Core/time_point.h"
 
@@ -29,6 +31,8 @@
   TimePoint predicted_end;
   // Whether the sender can choose another target after a refusal.
   bool has_alternatives = false;
+  // Empty if the request has none.
+  std::string workspace;
 };
 
 // Admits requests to the slots of the target beside this daemon and queues those that have to
@@ -38,7 +42,9 @@
 // response.
 //
 // Requests with a more urgent priority start first. Within a priority, requests that can still
-// meet their objective start before those that cannot, in the order of their objectives.
+// meet their objective start before those that cannot. Among these, requests of workspaces within
+// their fair share start first, then those of the workspace that is least beyond its share.
+// Requests with an equal share start in the order of their objectives.
 //
 // A request is refused on arrival if it would wait longer than one service time. The queue is
 // therefore short, and the caller's daemon can choose another target at once. With a longer
@@ -115,6 +121,9 @@
     std::uint32_t priority = 0;
     TimePoint started_at;
     double start_factor = 1;
+    std::string workspace;
+    // Slot time that was counted for the workspace; zero if no other one waited.
+    Duration counted{0};
   };
   struct Waiting {
     WorkOffer offer;
@@ -137,6 +146,11 @@
   Duration EstimateQueueTime(TimePoint now, std::int64_t requests) const;
   // Whether the response is expected by the objective if the request starts at the given time.
   bool IsOnTime(TimePoint start, const WorkOffer& offer) const;
+  // Slot time that the workspace of the request has taken beyond its share. Less than one service
+  // time counts as none, because work is counted whole when it starts.
+  Duration GetExcess(TimePoint now, const WorkOffer& offer) const;
+  // Whether work of another workspace waits.
+  bool IsShared(const WorkOffer& offer) const;
   // Whether the left request starts before the right one.
   bool GoesBefore(TimePoint now, const Waiting& left, const Waiting& right) const;
   void Start(TimePoint now, const WorkOffer& offer);
@@ -151,6 +165,7 @@
   Duration service_time = kInitialServiceTime;
   // Moving averages of the service time by priority.
   std::unordered_map<std::uint32_t, Duration> service_times;
+  FairShare shares;
 };
 
 }  // namespace lacewingbridge
