--- a/Source/Admission/target_admission.cc
+++ b/Source/Admission/target_admission.cc
@@ -17,17 +17,18 @@
 
 }  // namespace
 
-Duration TargetAdmission::GetServiceTimeOf(std::uint32_t priority) const {
-  const auto found = this->service_times.find(priority);
+Duration TargetAdmission::GetServiceTimeOf(std::uint32_t work_class) const {
+  const auto found = this->service_times.find(work_class);
   return found == this->service_times.end() ? this->service_time : found->second;
 }
 
-Duration TargetAdmission::EstimateServiceTime(TimePoint start, std::uint32_t priority) const {
-  return Scale(this->GetServiceTimeOf(priority), this->pace.EstimateFactor(start));
+Duration TargetAdmission::EstimateServiceTime(TimePoint start, std::uint32_t work_class) const {
+  return Scale(this->GetServiceTimeOf(work_class), this->pace.EstimateFactor(start));
 }
 
-Duration TargetAdmission::GetServiceTimeWithMargin(TimePoint start, std::uint32_t priority) const {
-  return this->EstimateServiceTime(start, priority) * kServiceMarginTenths / 10;
+Duration TargetAdmission::GetServiceTimeWithMargin(TimePoint start,
+                                                   std::uint32_t work_class) const {
+  return this->EstimateServiceTime(start, work_class) * kServiceMarginTenths / 10;
 }
 
 Duration TargetAdmission::EstimateQueueTime(TimePoint now, std::int64_t requests) const {
@@ -40,7 +41,7 @@
 }
 
 bool TargetAdmission::IsOnTime(TimePoint start, const WorkOffer& offer) const {
-  const TimePoint ready = start + this->GetServiceTimeWithMargin(start, offer.priority);
+  const TimePoint ready = start + this->GetServiceTimeWithMargin(start, offer.GetWorkClass());
   return ComputeResponseEnd(ready, offer) + offer.transfer * kLinkMarginResponses <=
          offer.objective_at;
 }
@@ -50,7 +51,7 @@
     return now;
   }
   const TimePoint start = this->EstimateStart(now, offer);
-  const TimePoint ready = start + this->EstimateServiceTime(start, offer.priority);
+  const TimePoint ready = start + this->EstimateServiceTime(start, offer.GetWorkClass());
   return ComputeResponseEnd(ready, offer);
 }
 
@@ -70,7 +71,8 @@
   if (!on_time && !IsLinkFreeBy(now + offer.transfer, offer)) {
     return AdmissionVerdict::kRefusedQueueFull;
   }
-  if (!on_time && offer.has_alternatives && this->pace.EstimateFactor(now) > kSlowFactor) {
+  if (!on_time && offer.has_alternatives && this->pace.EstimateFactor(now) > kSlowFactor &&
+      this->IsOnTimeAtUsualPace(now, offer)) {
     return AdmissionVerdict::kRefusedSlowMoment;
   }
   if (this->running.size() < this->slots && this->waiting.empty()) {
@@ -78,9 +80,9 @@
     return AdmissionVerdict::kAdmitted;
   }
   if (on_time) {
-    latest_start = std::min(
-        offer.objective_at - offer.transfer - this->GetServiceTimeWithMargin(start, offer.priority),
-        now + this->service_time);
+    latest_start = std::min(offer.objective_at - offer.transfer -
+                                this->GetServiceTimeWithMargin(start, offer.GetWorkClass()),
+                            now + this->service_time);
   }
   if (start > latest_start) {
     return AdmissionVerdict::kRefusedQueueFull;
@@ -89,6 +91,11 @@
   return AdmissionVerdict::kQueued;
 }
 
+bool TargetAdmission::IsOnTimeAtUsualPace(TimePoint start, const WorkOffer& offer) const {
+  const Duration work = this->GetServiceTimeOf(offer.GetWorkClass()) * kServiceMarginTenths / 10;
+  return start + work + offer.transfer <= offer.objective_at;
+}
+
 bool TargetAdmission::IsShared(const WorkOffer& offer) const {
   return std::any_of(this->waiting.begin(), this->waiting.end(), [&](const Waiting& entry) {
     return entry.offer.workspace != offer.workspace;
@@ -96,18 +103,18 @@
 }
 
 void TargetAdmission::Start(TimePoint now, const WorkOffer& offer) {
-  Running started{offer.priority, now, this->pace.EstimateFactor(now), offer.workspace,
+  Running started{offer.GetWorkClass(), now, this->pace.EstimateFactor(now), offer.workspace,
                   Duration{0}};
   if (!offer.workspace.empty() && this->IsShared(offer)) {
-    started.counted = this->GetServiceTimeOf(offer.priority);
+    started.counted = this->GetServiceTimeOf(offer.GetWorkClass());
     this->shares.AddUse(now, offer.workspace, started.counted);
   }
   this->running.emplace(offer.id, std::move(started));
 }
 
-void TargetAdmission::RecordServiceTime(std::uint32_t priority, Duration taken) {
-  auto [of_priority, added] = this->service_times.try_emplace(priority, taken);
-  UpdateMovingAverage(of_priority->second, taken, kServiceTimeDivisor);
+void TargetAdmission::RecordServiceTime(std::uint32_t work_class, Duration taken) {
+  auto [of_class, added] = this->service_times.try_emplace(work_class, taken);
+  UpdateMovingAverage(of_class->second, taken, kServiceTimeDivisor);
   UpdateMovingAverage(this->service_time, taken, kServiceTimeDivisor);
 }
 
@@ -118,13 +125,13 @@
   }
   const double factor = (found->second.start_factor + this->pace.EstimateFactor(now)) / 2;
   const Duration taken = Scale(now - found->second.started_at, 1 / factor);
-  const std::uint32_t priority = found->second.priority;
+  const std::uint32_t work_class = found->second.work_class;
   if (found->second.counted != Duration{0}) {
     const Duration slot_time = now - found->second.started_at;
     this->shares.AddUse(now, found->second.workspace, slot_time - found->second.counted);
   }
-  if (served || taken > this->GetServiceTimeOf(priority)) {
-    this->RecordServiceTime(priority, taken);
+  if (served || taken > this->GetServiceTimeOf(work_class)) {
+    this->RecordServiceTime(work_class, taken);
   }
   this->running.erase(found);
   return this->Release(now);
--- a/Source/Admission/target_admission.h
+++ b/Source/Admission/target_admission.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -33,6 +34,10 @@
   bool has_alternatives = false;
   // Empty if the request has none.
   std::string workspace;
+  // Requests of one class need similar work; empty: those of one priority do.
+  std::optional<std::uint32_t> work_class;
+
+  std::uint32_t GetWorkClass() const { return this->work_class.value_or(this->priority); }
 };
 
 // Admits requests to the slots of the target beside this daemon and queues those that have to
@@ -103,9 +108,9 @@
   // Moving average of the time from admission to the end of a request, at the mean pace of the
   // target's machine.
   Duration GetServiceTime() const { return this->service_time; }
-  // Returns the moving average for the priority, or the one for all requests if no request of the
-  // priority has ended.
-  Duration GetServiceTimeOf(std::uint32_t priority) const;
+  // Returns the moving average for the class of work, or the one for all requests if no request of
+  // the class has ended.
+  Duration GetServiceTimeOf(std::uint32_t work_class) const;
   const WorkPace& GetPace() const { return this->pace; }
   std::size_t GetRunningCount() const { return this->running.size(); }
   std::size_t GetWaitingCount() const { return this->waiting.size(); }
@@ -118,7 +123,7 @@
   static constexpr int kServiceTimeDivisor = 16;
 
   struct Running {
-    std::uint32_t priority = 0;
+    std::uint32_t work_class = 0;
     TimePoint started_at;
     double start_factor = 1;
     std::string workspace;
@@ -139,13 +144,15 @@
   // Estimates when a request that arrives now starts. Requires at least one slot.
   TimePoint EstimateStart(TimePoint now, const WorkOffer& offer) const;
   // Estimates the service time of a request that starts at the given time.
-  Duration EstimateServiceTime(TimePoint start, std::uint32_t priority) const;
+  Duration EstimateServiceTime(TimePoint start, std::uint32_t work_class) const;
   // Returns the service time that kServiceMarginTenths allows for.
-  Duration GetServiceTimeWithMargin(TimePoint start, std::uint32_t priority) const;
+  Duration GetServiceTimeWithMargin(TimePoint start, std::uint32_t work_class) const;
   // Returns how long the slots are taken on average by the given number of requests.
   Duration EstimateQueueTime(TimePoint now, std::int64_t requests) const;
   // Whether the response is expected by the objective if the request starts at the given time.
   bool IsOnTime(TimePoint start, const WorkOffer& offer) const;
+  // The same on a machine on which work takes as long as usual.
+  bool IsOnTimeAtUsualPace(TimePoint start, const WorkOffer& offer) const;
   // Slot time that the workspace of the request has taken beyond its share. Less than one service
   // time counts as none, because work is counted whole when it starts.
   Duration GetExcess(TimePoint now, const WorkOffer& offer) const;
@@ -154,7 +161,7 @@
   // Whether the left request starts before the right one.
   bool GoesBefore(TimePoint now, const Waiting& left, const Waiting& right) const;
   void Start(TimePoint now, const WorkOffer& offer);
-  void RecordServiceTime(std::uint32_t priority, Duration taken);
+  void RecordServiceTime(std::uint32_t work_class, Duration taken);
   // Refuses what Expire refuses and starts waiting requests while slots are free.
   AdmissionRelease Release(TimePoint now);
 
@@ -163,7 +170,7 @@
   std::vector<Waiting> waiting;
   WorkPace pace;
   Duration service_time = kInitialServiceTime;
-  // Moving averages of the service time by priority.
+  // Moving averages of the service time by class of work.
   std::unordered_map<std::uint32_t, Duration> service_times;
   FairShare shares;
 };
--- a/Source/Generated/mesh.h
+++ b/Source/Generated/mesh.h
@@ -174,6 +174,7 @@
   std::uint64_t hop_id = 0;
   std::uint32_t repeat_percent = 0;
   std::string workspace;
+  std::optional<std::uint32_t> work_class;
   bool has_alternatives = false;
 
   bool operator==(const HopRequest&) const = default;
@@ -198,7 +199,7 @@
   bool failing = false;
   std::optional<std::uint32_t> proof_age_ms;
   std::uint32_t class_time_ms = 0;
-  std::uint32_t priority = 0;
+  std::uint32_t work_class = 0;
   std::uint32_t work_percent = 0;
   std::uint32_t work_lifetime_ms = 0;
 
--- a/Source/Generated/mesh_codec.cc
+++ b/Source/Generated/mesh_codec.cc
@@ -639,6 +639,9 @@
   wire.set_hop_id(plain.hop_id);
   wire.set_repeat_percent(plain.repeat_percent);
   wire.set_workspace(plain.workspace);
+  if (plain.work_class.has_value()) {
+    wire.set_work_class(*plain.work_class);
+  }
   wire.set_has_alternatives(plain.has_alternatives);
 }
 
@@ -662,6 +665,9 @@
   plain.hop_id = wire.hop_id();
   plain.repeat_percent = wire.repeat_percent();
   plain.workspace = wire.workspace();
+  if (wire.has_work_class()) {
+    plain.work_class = wire.work_class();
+  }
   plain.has_alternatives = wire.has_alternatives();
 }
 
@@ -729,7 +735,7 @@
     wire.set_proof_age_ms(*plain.proof_age_ms);
   }
   wire.set_class_time_ms(plain.class_time_ms);
-  wire.set_priority(plain.priority);
+  wire.set_work_class(plain.work_class);
   wire.set_work_percent(plain.work_percent);
   wire.set_work_lifetime_ms(plain.work_lifetime_ms);
 }
@@ -758,7 +764,7 @@
     plain.proof_age_ms = wire.proof_age_ms();
   }
   plain.class_time_ms = wire.class_time_ms();
-  plain.priority = wire.priority();
+  plain.work_class = wire.work_class();
   plain.work_percent = wire.work_percent();
   plain.work_lifetime_ms = wire.work_lifetime_ms();
 }
--- a/Source/Http/send_watch.cc
+++ b/Source/Http/send_watch.cc
@@ -91,7 +91,10 @@
     entry.socket.close(ignored);
     return false;
   }
-  const bool extend = verdict == SendVerdict::kPaused;
+  // A target that has already responded need not read the rest of the upload.
+  ErrorCode unreadable;
+  const bool has_response = entry.held && entry.socket.available(unreadable) > 0;
+  const bool extend = verdict == SendVerdict::kPaused && !has_response;
   if (extend != entry.extended) {
     SetSilenceLimit(entry.socket, extend ? SilenceLimit::kPaused : SilenceLimit::kShort);
     entry.extended = extend;
--- a/Source/Http/server_exchange.cc
+++ b/Source/Http/server_exchange.cc
@@ -223,7 +223,7 @@
 }
 
 void ServerExchange::StartWriteLimit() {
-  Duration limit = this->limits.idle_timeout;
+  Duration limit = this->limits.write_timeout;
   if (this->end_at.has_value()) {
     limit = std::min(limit, std::max(*this->end_at - GetNow(), kLateWriteLimit));
   }
--- a/Source/Http/server_limits.h
+++ b/Source/Http/server_limits.h
@@ -13,8 +13,10 @@
   std::uint64_t max_body_bytes = std::uint64_t{64} * 1024 * 1024;
   // From the first byte of a request to the end of its head.
   Duration header_timeout = std::chrono::seconds(10);
-  // Without any byte between requests, or on either side within one.
+  // Without any byte between requests, or of a request.
   Duration idle_timeout = std::chrono::seconds(60);
+  // Without any byte of a response that the other side takes.
+  Duration write_timeout = std::chrono::seconds(60);
 };
 
 }  // namespace lacewingbridge
--- a/Source/Http/socket_timer.h
+++ b/Source/Http/socket_timer.h
@@ -23,6 +23,8 @@
       if (!code && state.use_count() > 1) {
         *state = true;
         ErrorCode ignored;
+        // An orderly end could be taken for that of a message without a length.
+        socket.set_option(asio::socket_base::linger(true, 0), ignored);
         socket.close(ignored);
       }
     });
--- a/Source/Node/operator_handler.cc
+++ b/Source/Node/operator_handler.cc
@@ -18,7 +18,7 @@
 namespace lacewingbridge {
 
 std::string OperatorHandler::FormatMetrics() const {
-  const HopReport report = this->context.gate.MakeReport(GetNow(), 0);
+  const HopReport report = this->context.gate.MakeReport(GetNow(), WorkOffer());
   std::string gauges = fmt::format(
       "lacewingbridge_table_version {}\nlacewingbridge_hosts {}\n"
       "lacewingbridge_target_running {}\nlacewingbridge_target_waiting {}\n"
@@ -46,7 +46,7 @@
   }
   dump.hosts = this->context.state.GetHosts();
   dump.target = this->context.gate.MakeRecord();
-  dump.target_report = this->context.gate.MakeReport(GetNow(), 0);
+  dump.target_report = this->context.gate.MakeReport(GetNow(), WorkOffer());
   dump.open_requests = static_cast<std::uint32_t>(this->context.stage.GetRequestCount());
   dump.open_connections = static_cast<std::uint32_t>(this->context.stage.GetConnectionCount());
   dump.stopping = this->context.stage.IsStopping();
--- a/Source/Node/peer_checker.cc
+++ b/Source/Node/peer_checker.cc
@@ -35,10 +35,13 @@
     if (peer_address.empty()) {
       continue;
     }
+    const std::optional<TimePoint> proven_at = this->state.GetProvenAt();
     const std::optional<PeerProgress> progress = co_await this->Ask(peer_address);
     if (progress.has_value()) {
       this->listener(peer_address, *progress);
     }
+    // Other daemons may have a proof if the reader has none, or cannot be reached.
+    this->ask_any = !this->ask_any && this->state.GetProvenAt() == proven_at;
   }
 }
 
@@ -54,7 +57,7 @@
     return record.host == this->state.GetIdentity().host || record.peer_address.empty();
   };
   const std::optional<Duration> bound = this->state.GetProofBound();
-  if (bound.has_value() &&
+  if (bound.has_value() && !this->ask_any &&
       ProofSchedule::ShouldAskReader(GetNow(), this->state.GetProvenAt(), *bound)) {
     std::vector<HostRecord> readers = ChooseProofReaders(hosts);
     std::erase_if(readers, is_no_peer);
--- a/Source/Node/peer_checker.h
+++ b/Source/Node/peer_checker.h
@@ -45,6 +45,8 @@
   Awaitable<std::optional<PeerProgress>> Ask(const std::string& peer_address);
 
   IoShard& shard;
+  // Ask any daemon next, because the last one asked had no newer proof.
+  bool ask_any = false;
   MeshState& state;
   const Listener listener;
 };
--- a/Source/Node/target_prober.h
+++ b/Source/Node/target_prober.h
@@ -36,16 +36,19 @@
         co_await exchange.Start(request, nullptr, kResponseLimit, options);
     std::string body;
     BodyStatus read = BodyStatus::kBroken;
+    http::response_header<> head;
     if (status == ExchangeStatus::kOk) {
+      // Reading the body adds its trailers to the head of the exchange.
+      head = exchange.GetHead();
       read = co_await exchange.ReadBody(body, kMaxBodyBytes);
     }
     if (read != BodyStatus::kBroken) {
-      const TargetResponseHeaders headers = Wire::ReadResponseHeaders(exchange.GetHead());
-      const bool healthy = exchange.GetHead().result() == http::status::ok && !headers.not_run;
+      const TargetResponseHeaders headers = Wire::ReadResponseHeaders(head);
+      const bool healthy = head.result() == http::status::ok && !headers.not_run;
       this->gate.HandleHealthResponse(GetNow(), healthy, headers.target_id,
                                       headers.load.has_value() ? headers.load->slots : 0);
       EventLog::Write(Event::kTargetState, "target={} healthy={} status={}", headers.target_id,
-                      healthy, exchange.GetHead().result_int());
+                      healthy, head.result_int());
     }
     exchange.Finish();
     co_return true;
--- a/Source/Proxy/caller_request.cc
+++ b/Source/Proxy/caller_request.cc
@@ -136,7 +136,7 @@
 
 HopRequirements CallerRequest::MakeHopRequirements(TimePoint now) {
   return {this->facts.objective_at - now, this->facts.GetEnd() - now,
-          this->context.state.GetResponseBytes(this->route->name), this->GetPriority()};
+          this->context.state.GetResponseBytes(this->route->name), this->route->priority};
 }
 
 Awaitable<ProgressDecision> CallerRequest::PlaceOnce() {
@@ -184,6 +184,7 @@
   hop_request.time_left_ms = CountPositive(this->facts.GetEnd() - now);
   hop_request.objective_left_ms = CountPositive(this->facts.objective_at - now);
   hop_request.priority = this->GetPriority();
+  hop_request.work_class = this->route->priority;
   hop_request.idempotent = this->route->idempotent;
   hop_request.has_alternatives = choice.has_alternatives && this->route->idempotent;
   hop_request.repeated = this->progress->IsRetry();
--- a/Source/Proxy/caller_request_quota.cc
+++ b/Source/Proxy/caller_request_quota.cc
@@ -55,8 +55,10 @@
   if (entry.take.outcome != CreditOutcome::kWaiting) {
     co_return entry.take;
   }
-  const Duration limit =
-      std::max((this->facts.objective_at - GetNow()) / kObjectiveDivisor, kShortestWait);
+  const TimePoint now = GetNow();
+  const Duration limit = std::max(
+      std::min((this->facts.objective_at - now) / kObjectiveDivisor, this->facts.GetEnd() - now),
+      kShortestWait);
   if (!wait->end.has_value()) {
     co_await wait->signal.WaitFor(limit);
   }
--- a/Source/Proxy/peer_request.cc
+++ b/Source/Proxy/peer_request.cc
@@ -56,6 +56,7 @@
       hop(std::move(hop_request)),
       arrived_at(GetNow()) {
   this->offer.priority = this->hop.priority;
+  this->offer.work_class = this->hop.work_class;
   this->offer.deadline = this->arrived_at + std::chrono::milliseconds(this->hop.time_left_ms);
   this->offer.objective_at =
       this->arrived_at + std::chrono::milliseconds(this->hop.objective_left_ms);
@@ -238,7 +239,7 @@
 }
 
 HopReport PeerRequest::MakeReport() {
-  HopReport report = this->context.gate.MakeReport(GetNow(), this->hop.priority);
+  HopReport report = this->context.gate.MakeReport(GetNow(), this->offer);
   report.outcome = this->outcome;
   report.reason = this->reason;
   this->context.state.FillVersion(GetNow(), report);
--- a/Source/Proxy/target_gate.cc
+++ b/Source/Proxy/target_gate.cc
@@ -250,19 +250,19 @@
   return this->target.GetStartUnixMs();
 }
 
-HopReport TargetGate::MakeReport(TimePoint now, std::uint32_t priority) {
+HopReport TargetGate::MakeReport(TimePoint now, const WorkOffer& offer) {
   const std::lock_guard guard(this->mutex);
   HopReport report;
   report.running = static_cast<std::uint32_t>(this->admission.GetRunningCount());
   report.waiting = static_cast<std::uint32_t>(this->admission.GetWaitingCount());
   report.slots = this->target.GetSlots();
-  report.expected_wait_ms =
-      static_cast<std::uint32_t>(CountMilliseconds(this->admission.EstimateWait(now, priority)));
+  report.expected_wait_ms = static_cast<std::uint32_t>(
+      CountMilliseconds(this->admission.EstimateWait(now, offer.priority)));
   report.service_time_ms =
       static_cast<std::uint32_t>(CountMilliseconds(this->admission.GetServiceTime()));
-  report.priority = priority;
-  report.class_time_ms =
-      static_cast<std::uint32_t>(CountMilliseconds(this->admission.GetServiceTimeOf(priority)));
+  report.work_class = offer.GetWorkClass();
+  report.class_time_ms = static_cast<std::uint32_t>(
+      CountMilliseconds(this->admission.GetServiceTimeOf(offer.GetWorkClass())));
   if (const WorkPace& pace = this->admission.GetPace(); pace.IsKnown()) {
     report.work_percent = static_cast<std::uint32_t>(std::lround(pace.EstimateFactor(now) * 100));
     report.work_lifetime_ms = static_cast<std::uint32_t>(CountMilliseconds(pace.GetLifetime()));
--- a/Source/Proxy/target_gate.h
+++ b/Source/Proxy/target_gate.h
@@ -89,9 +89,8 @@
   // Returns the start time of the current target process; 0 while it is unknown.
   std::uint64_t GetTargetStartUnixMs();
 
-  // Returns the state of the target that is reported with the response to a request of the
-  // priority.
-  HopReport MakeReport(TimePoint now, std::uint32_t priority);
+  // Returns the state of the target that is reported with the response to the offer.
+  HopReport MakeReport(TimePoint now, const WorkOffer& offer);
   LocalTargetRecord MakeRecord();
   // Marks this daemon as about to stop. Requests are still served, but the reports ask other
   // daemons to send further requests elsewhere.
--- a/Source/Routing/hop_placement.cc
+++ b/Source/Routing/hop_placement.cc
@@ -97,8 +97,8 @@
   if (report.class_time_ms > 0) {
     const auto known = std::find_if(
         candidate->class_times.begin(), candidate->class_times.end(),
-        [&report](const ClassTime& entry) { return entry.priority == report.priority; });
-    const ClassTime entry{report.priority, FromMilliseconds(report.class_time_ms)};
+        [&report](const ClassTime& entry) { return entry.work_class == report.work_class; });
+    const ClassTime entry{report.work_class, FromMilliseconds(report.class_time_ms)};
     if (known != candidate->class_times.end()) {
       *known = entry;
     } else if (candidate->class_times.size() < kMaxClasses) {
@@ -121,7 +121,7 @@
   ++candidate->failures;
 }
 
-HopPlacement::Typical HopPlacement::ComputeTypical(TimePoint now, std::uint32_t priority) const {
+HopPlacement::Typical HopPlacement::ComputeTypical(TimePoint now, std::uint32_t work_class) const {
   Duration sum{0};
   Duration class_sum{0};
   std::int64_t count = 0;
@@ -131,7 +131,7 @@
       sum += FromMilliseconds(candidate.report.service_time_ms);
       ++count;
     }
-    if (const std::optional<Duration> time = FindClassTime(candidate, priority)) {
+    if (const std::optional<Duration> time = FindClassTime(candidate, work_class)) {
       class_sum += *time;
       ++class_count;
     }
@@ -179,9 +179,9 @@
 }
 
 std::optional<Duration> HopPlacement::FindClassTime(const Candidate& candidate,
-                                                    std::uint32_t priority) {
+                                                    std::uint32_t work_class) {
   for (const ClassTime& entry : candidate.class_times) {
-    if (entry.priority == priority) {
+    if (entry.work_class == work_class) {
       return entry.time;
     }
   }
@@ -197,8 +197,8 @@
 }
 
 Duration HopPlacement::EstimateRunTime(TimePoint now, const Candidate& candidate,
-                                       std::uint32_t priority, const Typical& typical) {
-  Duration time = FindClassTime(candidate, priority).value_or(Duration{0});
+                                       std::uint32_t work_class, const Typical& typical) {
+  Duration time = FindClassTime(candidate, work_class).value_or(Duration{0});
   if (time == Duration{0}) {
     const double slowness = static_cast<double>(GetServiceTime(candidate, typical.all).count()) /
                             static_cast<double>(std::max(typical.all, Duration{1}).count());
@@ -261,7 +261,7 @@
   const double jitter = random_values.candidates[position].jitter;
   const auto distance = static_cast<std::size_t>(candidate.distance);
   const Duration service_time =
-      EstimateRunTime(now, candidate, requirements.priority, random_values.typical);
+      EstimateRunTime(now, candidate, requirements.work_class, random_values.typical);
   const Duration turnover_time = GetServiceTime(candidate, random_values.typical.all);
   Duration wait =
       Scale(this->EstimateWait(now, candidate, turnover_time), jitter) + kRoundTrips[distance];
--- a/Source/Routing/hop_placement.h
+++ b/Source/Routing/hop_placement.h
@@ -24,8 +24,8 @@
   Duration time_left{0};
   // Expected size of the response in bytes.
   double response_bytes = 0;
-  // Priority of the request. Requests of one priority are taken to need similar work.
-  std::uint32_t priority = 0;
+  // Requests of one class are taken to need similar work; see HopRequest.work_class.
+  std::uint32_t work_class = 0;
 };
 
 // The daemon and the target that a request is sent to.
@@ -83,7 +83,7 @@
     const bool trial = std::bernoulli_distribution(trial_rate)(random);
     return this->ChooseFor(
         now, requirements, excluded,
-        {candidate_values, trial, this->ComputeTypical(now, requirements.priority)});
+        {candidate_values, trial, this->ComputeTypical(now, requirements.work_class)});
   }
 
   // RecordStart must be called once for every hop that is sent, and RecordEnd once when it has
@@ -147,13 +147,13 @@
   static constexpr Duration kMaxBackoff = std::chrono::seconds(2);
 
   struct ClassTime {
-    std::uint32_t priority = 0;
+    std::uint32_t work_class = 0;
     Duration time{0};
   };
 
   // Means of what the targets have reported.
   struct Typical {
-    // Service time of all requests, and of those of the priority of the request.
+    // Service time of all requests, and of those of the class of the request.
     Duration all{0};
     Duration of_class{0};
     // Fraction of the slots that is in use, by Distance, from fresh reports. A distance without any
@@ -169,7 +169,7 @@
     bool accepting = false;
     Distance distance = Distance::kOtherRegion;
     HopReport report;
-    // Reported service times by priority.
+    // Reported service times by class.
     std::vector<ClassTime> class_times;
     TimePoint report_at;
     bool has_report = false;
@@ -209,17 +209,18 @@
   std::vector<std::size_t> SampleCandidates(TimePoint now, std::span<const std::string> excluded,
                                             const RandomValues& random_values) const;
   // Returns the means of the reports, with the initial service time if there is none.
-  Typical ComputeTypical(TimePoint now, std::uint32_t priority) const;
+  Typical ComputeTypical(TimePoint now, std::uint32_t work_class) const;
   std::array<double, 4> ComputeTypicalUtilization(TimePoint now) const;
   // Returns the reported service time, or the typical one for a candidate that has not reported.
   static Duration GetServiceTime(const Candidate& candidate, Duration typical);
-  // Returns the time that requests of the priority take at the candidate, or empty if it has not
+  // Returns the time that requests of the class take at the candidate, or empty if it has not
   // reported one.
-  static std::optional<Duration> FindClassTime(const Candidate& candidate, std::uint32_t priority);
-  // Estimates how long the candidate takes for a request of the priority. If it has not reported a
-  // time of that priority, its speed is taken from its other requests.
-  static Duration EstimateRunTime(TimePoint now, const Candidate& candidate, std::uint32_t priority,
-                                  const Typical& typical);
+  static std::optional<Duration> FindClassTime(const Candidate& candidate,
+                                               std::uint32_t work_class);
+  // Estimates how long the candidate takes for a request of the class. If it has not reported a
+  // time of that class, its speed is taken from its other requests.
+  static Duration EstimateRunTime(TimePoint now, const Candidate& candidate,
+                                  std::uint32_t work_class, const Typical& typical);
   // Estimates the fraction of the candidate's slots that is in use. A candidate outside the own
   // data centre that has not reported recently is taken to be as busy as others at its distance:
   // a request should not cross a billed link only because nothing is known there.
--- a/Source/Store/table_follower.h
+++ b/Source/Store/table_follower.h
@@ -87,7 +87,8 @@
   Awaitable<void> Prove() {
     StoreReach reach(this->shard, "prove_table");
     while (!this->ended) {
-      co_await this->Pause(kProofCheckInterval);
+      const bool needs_proofs = this->state.GetProofBound().has_value();
+      co_await this->Pause(needs_proofs ? kProofCheckInterval : kIdleCheckInterval);
       this->LogProofChange();
       if (!this->IsProofDue()) {
         continue;
@@ -113,6 +114,8 @@
 
  private:
   static constexpr Duration kProofCheckInterval = std::chrono::milliseconds(100);
+  // While no proofs are needed.
+  static constexpr Duration kIdleCheckInterval = std::chrono::milliseconds(500);
   // The shortest watch.
   static constexpr Duration kProofWatchTime = std::chrono::milliseconds(1);
 
@@ -215,24 +218,24 @@
   // Watches the key for a moment. An answer without changes shows that the key was not written
   // between the known revision and that of the answer, and is much shorter than the configuration.
   Awaitable<Status> AskForProof() {
-    this->proof_requested = false;
-    const TimePoint sent = GetNow();
+    TimePoint sent = GetNow();
     const std::uint64_t era = this->client.GetEra();
     this->schedule->RecordAsked(sent);
     Result<StoreView> view = StoreView();
     if (this->newest.has_value()) {
       view = co_await this->client.Watch(Source::GetKey(), this->newest->revision, kProofWatchTime);
-    } else {
+      if (!IsOk(view) && GetError(view).kind == ErrorKind::kStoreHistoryGone) {
+        this->newest.reset();
+      }
+    }
+    if (!this->newest.has_value()) {
+      sent = GetNow();
       view = co_await this->ReadKey();
     }
     if (!IsOk(view)) {
-      const bool gone = GetError(view).kind == ErrorKind::kStoreHistoryGone;
-      if (gone) {
-        // The next call reads the key.
-        this->newest.reset();
-      }
-      co_return gone ? MakeOkStatus() : Status(GetError(view));
+      co_return GetError(view);
     }
+    this->proof_requested = false;
     if (era == this->client.GetEra()) {
       this->Apply(GetValue(view));
       this->RecordProof(sent, GetValue(view));
--- a/Source/Workspaces/proof_schedule.h
+++ b/Source/Workspaces/proof_schedule.h
@@ -1,6 +1,7 @@
 #ifndef LACEWINGBRIDGE_SOURCE_WORKSPACES_PROOF_SCHEDULE_H_
 #define LACEWINGBRIDGE_SOURCE_WORKSPACES_PROOF_SCHEDULE_H_
 
+#include <algorithm>
 #include <optional>
 #include <random>
 
@@ -28,7 +29,9 @@
   void RecordAsked(TimePoint now);
 
   // Interval at which a daemon asks another one.
-  static Duration GetPeerInterval(Duration bound) { return bound * kPeerIntervalPercent / 100; }
+  static Duration GetPeerInterval(Duration bound) {
+    return std::max(bound * kPeerIntervalPercent / 100, kMinPeerInterval);
+  }
   // Whether to ask a reader and not any daemon.
   static bool ShouldAskReader(TimePoint now, std::optional<TimePoint> proven_at, Duration bound) {
     return !proven_at.has_value() || now - *proven_at > bound * kReaderAgePercent / 100;
@@ -37,6 +40,7 @@
  private:
   // Least time between two calls of one daemon, whatever is requested.
   static constexpr Duration kMinInterval = std::chrono::milliseconds(500);
+  static constexpr Duration kMinPeerInterval = std::chrono::milliseconds(100);
   // Parts of the bound in percent. What is left of the bound beyond the latest call is for a store
   // that is slow or away for a moment.
   static constexpr int kPeerIntervalPercent = 10;
--- a/Tests/Fakes/fleet_simulation.cc
+++ b/Tests/Fakes/fleet_simulation.cc
@@ -355,9 +355,9 @@
       CountMilliseconds(target.admission.EstimateWait(this->now, GetPriority(request))));
   report.service_time_ms =
       static_cast<std::uint32_t>(CountMilliseconds(target.admission.GetServiceTime()));
-  report.priority = GetPriority(request);
+  report.work_class = GetPriority(request);
   report.class_time_ms = static_cast<std::uint32_t>(
-      CountMilliseconds(target.admission.GetServiceTimeOf(report.priority)));
+      CountMilliseconds(target.admission.GetServiceTimeOf(report.work_class)));
   const WorkPace& pace = target.admission.GetPace();
   if (pace.IsKnown()) {
     report.work_percent =
--- a/Tests/test_hop_placement.cc
+++ b/Tests/test_hop_placement.cc
@@ -203,7 +203,7 @@
   mostly_light.slots = 9;
   mostly_light.accepting = true;
   mostly_light.service_time_ms = 100;
-  mostly_light.priority = 2;
+  mostly_light.work_class = 2;
   mostly_light.class_time_ms = 500;
   HopReport mostly_heavy = mostly_light;
   mostly_heavy.service_time_ms = 200;
