admission: Refuse late requests in slow moments whatever their cause again

Requests that are late anyway take slots of slow machines from those that are not.

Change: the condition is as it was; its comment no longer says "because".

--- a/Source/Admission/target_admission.cc
+++ b/Source/Admission/target_admission.cc
@@ -71,8 +71,7 @@
   if (!on_time && !IsLinkFreeBy(now + offer.transfer, offer)) {
     return AdmissionVerdict::kRefusedQueueFull;
   }
-  if (!on_time && offer.has_alternatives && this->pace.EstimateFactor(now) > kSlowFactor &&
-      this->IsOnTimeAtUsualPace(now, offer)) {
+  if (!on_time && offer.has_alternatives && this->pace.EstimateFactor(now) > kSlowFactor) {
     return AdmissionVerdict::kRefusedSlowMoment;
   }
   if (this->running.size() < this->slots && this->waiting.empty()) {
@@ -91,11 +90,6 @@
   return AdmissionVerdict::kQueued;
 }
 
-bool TargetAdmission::IsOnTimeAtUsualPace(TimePoint start, const WorkOffer& offer) const {
-  const Duration work = this->GetServiceTimeOf(offer.GetWorkClass()) * kServiceMarginTenths / 10;
-  return start + work + offer.transfer <= offer.objective_at;
-}
-
 bool TargetAdmission::IsShared(const WorkOffer& offer) const {
   return std::any_of(this->waiting.begin(), this->waiting.end(), [&](const Waiting& entry) {
     return entry.offer.workspace != offer.workspace;
--- a/Source/Admission/target_admission.h
+++ b/Source/Admission/target_admission.h
@@ -57,8 +57,8 @@
 // service times vary.
 //
 // A request is also refused, even while a slot is free, if the link of this host cannot carry its
-// response in time, or if it would miss its objective because the target's machine is slow at this
-// moment and its sender has other targets. The sender cannot know of the moment in time.
+// response in time, or if it would miss its objective here while the target's machine is slow at
+// this moment and its sender has other targets. The sender cannot know of the moment in time.
 //
 // Not thread-safe; the caller passes the current time.
 class TargetAdmission {
@@ -151,8 +151,6 @@
   Duration EstimateQueueTime(TimePoint now, std::int64_t requests) const;
   // Whether the response is expected by the objective if the request starts at the given time.
   bool IsOnTime(TimePoint start, const WorkOffer& offer) const;
-  // The same on a machine on which work takes as long as usual.
-  bool IsOnTimeAtUsualPace(TimePoint start, const WorkOffer& offer) const;
   // Slot time that the workspace of the request has taken beyond its share. Less than one service
   // time counts as none, because work is counted whole when it starts.
   Duration GetExcess(TimePoint now, const WorkOffer& offer) const;
