tests: Wait until a daemon knows the one that is to prove its version

Its log shows why: the daemons took over a second to start, requests to them were refused at once meanwhile, so the 15 steps were over before the other daemon was listed (its lease came 0.35 s after the store had been cut off), and the cut daemon knew no other.

Change: instead of a number of steps, the test waits until the dump of the cut daemon names the other one, and fails if that does not happen. All checks after it are as they were.

--- a/Tests/test_node_table_proof.cc
+++ b/Tests/test_node_table_proof.cc
@@ -167,9 +167,13 @@
     changed.revoke_bound_ms = 2000;
     cr_assert(daemon->Apply(changed).empty());
   }
-  for (int step = 0; step < 15; ++step) {
-    ServesKeys(cut);
+  // The other daemon is listed only after it has waited for its target.
+  bool knows_other = false;
+  for (int step = 0; step < 60 && !(knows_other && ServesKeys(cut)); ++step) {
+    const std::string dump = cut.SendGetRequest(cut.GetSettings().metrics_address, "/dump");
+    knows_other = dump.find("\"host\":\"other\"") != std::string::npos;
   }
+  cr_assert(knows_other);
   FakeStoreClient::GetStore().SetRefusingOf(cut.GetSettings().store_address);
   for (int step = 0; step < 40; ++step) {
     cr_assert(ServesKeys(cut), "step %d", step);
