quota: Find the workspace of an ask by the index of its version

Cause: each ask for credit searched all workspaces of the version one by one, though WorkspaceIndex finds them by name. An entry that the index leaves out has no requests, so no ask names it.

Change: AnswerAsk calls WorkspaceIndex::FindByName.

Measured: test_node_quota, test_node_quota_fleet and test_node_access pass (Release); format and lint of the file are clean. The other tests were not run again.

--- a/Source/Proxy/quota_asker.cc
+++ b/Source/Proxy/quota_asker.cc
@@ -1,13 +1,11 @@
 #include "Proxy/quota_asker.h"
 
-#include <algorithm>
 #include <chrono>
 #include <exception>
 #include <memory>
 #include <optional>
 #include <string_view>
 #include <utility>
-#include <vector>
 
 #include "Http/boot_clock.h"
 #include "Http/io_shard.h"
@@ -51,11 +49,7 @@
   if (index == nullptr) {
     return quotas.Answer(GetNow(), ask, nullptr, 0);
   }
-  const std::vector<MeshWorkspace>& workspaces = index->GetTable().workspaces;
-  const auto own = std::find_if(
-      workspaces.begin(), workspaces.end(),
-      [&ask](const MeshWorkspace& workspace) { return workspace.name == ask.workspace; });
-  return quotas.Answer(GetNow(), ask, own == workspaces.end() ? nullptr : &*own,
+  return quotas.Answer(GetNow(), ask, index->GetWorkspaces().FindByName(ask.workspace),
                        index->GetTable().version);
 }
 
