--- a/Source/Store/store_sync.h
+++ b/Source/Store/store_sync.h
@@ -63,12 +63,12 @@
 
   // Called with each proof, and with null before this daemon ends its lease.
   using LeaseListener = std::function<void(const LeaseProof*)>;
-  void SetLeaseListener(LeaseListener listener) { this->on_lease = std::move(listener); }
+  void SetLeaseListener(const LeaseListener& listener) { this->on_lease = listener; }
   // Called if the store still listed an earlier process of this host, with the time at which the
   // list was asked for.
   using EarlierRecordListener = std::function<void(TimePoint)>;
-  void SetEarlierRecordListener(EarlierRecordListener listener) {
-    this->on_earlier_record = std::move(listener);
+  void SetEarlierRecordListener(const EarlierRecordListener& listener) {
+    this->on_earlier_record = listener;
   }
 
   // Applies to the next lease.
