quota: Skip the wait after a restart only if the earlier process granted

Cause: a process that found a record of its host in the store granted credit at once. The earlier process may itself have been waiting, after its lease had lapsed, because another daemon had taken over its shares. Both then granted the same share.

Change: the record of a host says whether its daemon grants (HostRecord.grants). It does so only under a lease that the store has confirmed, after the wait, and is written with the next renewal, so no call is added; other daemons see one more change of the record after a start. Records without the field count as not granting, so each daemon waits once after the upgrade. The end of a lease also forgets its number, which a store that was restored from a copy may give out again.

Ruled out: writing the flag at once, because a record that changes right after it was written wakes up every daemon twice.

--- a/Source/Generated/mesh.h
+++ b/Source/Generated/mesh.h
@@ -137,6 +137,7 @@
   std::uint64_t revision = 0;
   std::optional<LocalTargetRecord> target;
   std::uint64_t store_era = 0;
+  bool grants = false;
 
   bool operator==(const HostRecord&) const = default;
 };
--- a/Source/Generated/mesh_codec.cc
+++ b/Source/Generated/mesh_codec.cc
@@ -448,6 +448,7 @@
     ToWire(*plain.target, *wire.mutable_target());
   }
   wire.set_store_era(plain.store_era);
+  wire.set_grants(plain.grants);
 }
 
 void FromWire(const wire::HostRecord& wire, HostRecord& plain) {
@@ -460,6 +461,7 @@
     FromWire(wire.target(), plain.target.emplace());
   }
   plain.store_era = wire.store_era();
+  plain.grants = wire.grants();
 }
 
 std::string Encode(const HostRecord& plain) {
--- a/Source/Node/mesh_node.h
+++ b/Source/Node/mesh_node.h
@@ -180,6 +180,8 @@
     this->sync.SetLeaseListener([this](const LeaseProof* proof) { this->HandleLease(proof); });
     this->sync.SetEarlierRecordListener(
         [this](TimePoint sent) { this->quotas.RecordEarlierProcess(sent); });
+    this->sync.SetGrantsCheck(
+        [this](std::uint64_t lease) { return this->quotas.HasSettled(GetNow(), lease); });
     this->state.SetRevokeBound(std::chrono::milliseconds(given.revoke_bound_ms));
   }
 
--- a/Source/Proxy/quota_gate.cc
+++ b/Source/Proxy/quota_gate.cc
@@ -73,6 +73,11 @@
   this->fence.RecordEnd();
 }
 
+bool QuotaGate::HasSettled(TimePoint now, std::uint64_t lease) const {
+  const std::lock_guard guard(this->mutex);
+  return this->fence.HasSettled(now, lease);
+}
+
 QuotaGate::Entry QuotaGate::Take(TimePoint now, const MeshWorkspace& workspace,
                                  std::uint64_t version,
                                  const std::function<Listener()>& make_listener) {
--- a/Source/Proxy/quota_gate.h
+++ b/Source/Proxy/quota_gate.h
@@ -59,6 +59,8 @@
   // See GrantFence::RecordEarlierProcess.
   void RecordEarlierProcess(TimePoint sent);
   void RecordLeaseEnd();
+  // See GrantFence::HasSettled.
+  bool HasSettled(TimePoint now, std::uint64_t lease) const;
 
   // Takes credit for a request. A listener is made only if the request waits, and called later
   // unless the request leaves before.
--- a/Source/Quota/grant_fence.h
+++ b/Source/Quota/grant_fence.h
@@ -26,8 +26,10 @@
   static constexpr Duration kSettleTime = kContactTime + kListTime + kCreditTime;
   static_assert(HostDirectory::kRemovalDelay >= kCreditTime);
 
-  // Records that the store, asked at `sent`, still listed an earlier process of this host. No other
-  // daemon has taken over from it, and what it granted is bounded by the capacity of its buckets.
+  // Records that the store, asked at `sent`, still listed an earlier process of this host, whose
+  // record said that it grants. No other daemon has taken over from it, and what it granted is
+  // bounded by the capacity of its buckets. While an earlier process still waits, another daemon
+  // may grant its shares.
   void RecordEarlierProcess(TimePoint sent) {
     this->granting_from = sent;
     this->last_sent = sent;
@@ -36,7 +38,16 @@
   // if other daemons may have dropped this one before, so that its buckets are void.
   bool RecordRenewal(TimePoint sent, TimePoint now, std::uint64_t lease, Duration lease_time);
   // The lease ends now; other daemons will take over.
-  void RecordEnd() { this->granting_until = TimePoint(); }
+  void RecordEnd() {
+    this->granting_until = TimePoint();
+    this->known_lease = 0;
+  }
+
+  // Whether the record of this host under the lease may say that this daemon grants: the store has
+  // confirmed the lease, and the wait is over.
+  bool HasSettled(TimePoint now, std::uint64_t lease) const {
+    return lease != 0 && lease == this->known_lease && now >= *this->granting_from;
+  }
 
   bool MayGrant(TimePoint now) const {
     return this->granting_from.has_value() && now >= *this->granting_from &&
--- a/Source/Store/store_sync.h
+++ b/Source/Store/store_sync.h
@@ -64,12 +64,15 @@
   // Called with each proof, and with null before this daemon ends its lease.
   using LeaseListener = std::function<void(const LeaseProof*)>;
   void SetLeaseListener(const LeaseListener& listener) { this->on_lease = listener; }
-  // Called if the store still listed an earlier process of this host, with the time at which the
-  // list was asked for.
+  // Called if the store still listed an earlier process of this host that granted credit, with the
+  // time at which the list was asked for.
   using EarlierRecordListener = std::function<void(TimePoint)>;
   void SetEarlierRecordListener(const EarlierRecordListener& listener) {
     this->on_earlier_record = listener;
   }
+  // Tells whether the record under the lease says that this daemon grants credit.
+  using GrantsCheck = std::function<bool(std::uint64_t)>;
+  void SetGrantsCheck(const GrantsCheck& check) { this->check_grants = check; }
 
   // Applies to the next lease.
   void SetMinLease(Duration min_lease) { this->lease_time = std::max(min_lease, kLeaseTime); }
@@ -141,6 +144,12 @@
     return std::string(kHostPrefix) + this->state.GetIdentity().host;
   }
 
+  HostRecord MakeOwnRecord() {
+    HostRecord record = MakeHostRecord(this->state.GetIdentity(), this->gate);
+    record.grants = this->check_grants(this->lease);
+    return record;
+  }
+
   void ApplyHostChanges(const StoreView& view) {
     for (const StoreItem& item : view.items) {
       if (item.value.has_value()) {
@@ -182,7 +191,9 @@
     if (this->hosts_read || !record.has_value()) {
       return;
     }
-    this->on_earlier_record(sent);
+    if (record->grants) {
+      this->on_earlier_record(sent);
+    }
     if (record->target.has_value()) {
       this->gate.HandleStoredRecord(GetNow(), *record->target);
     }
@@ -246,7 +257,7 @@
       co_return;
     }
     const std::string key = this->GetOwnKey();
-    const std::string value = Encode(MakeHostRecord(this->state.GetIdentity(), this->gate));
+    const std::string value = Encode(this->MakeOwnRecord());
     Status status = co_await this->client.Write(key, value, this->lease);
     co_await this->Pause(kLeaveNotice);
     this->on_lease(nullptr);
@@ -281,7 +292,7 @@
     if (!IsOk(status)) {
       co_return status;
     }
-    HostRecord record = MakeHostRecord(this->state.GetIdentity(), this->gate);
+    HostRecord record = this->MakeOwnRecord();
     const LeaseProof proof{GetNow(), this->lease, this->held_lease_time};
     if (this->written == record) {
       status = co_await this->client.RenewLease(this->lease);
@@ -319,11 +330,18 @@
     return target.accepting && target.born_unix_ms > 0;
   }
 
+  // That this daemon grants is written with the next renewal. Written at once, it would wake up
+  // every daemon a second time when a daemon starts.
+  bool IsRecordWritten() {
+    HostRecord record = this->MakeOwnRecord();
+    record.grants = this->written.has_value() && this->written->grants;
+    return this->written == record;
+  }
+
   // Waits until the renewal is due or the record has changed. The target announces itself
   // continually, and an announcement that leaves the record unchanged does not end the wait.
   Awaitable<void> WaitForRenewal(TimePoint due) {
-    while (!this->ended && this->written == MakeHostRecord(this->state.GetIdentity(), this->gate) &&
-           GetNow() < due) {
+    while (!this->ended && this->IsRecordWritten() && GetNow() < due) {
       co_await this->record_changed.WaitFor(due - GetNow());
     }
   }
@@ -355,6 +373,7 @@
   Duration held_lease_time{0};
   LeaseListener on_lease = [](const LeaseProof*) {};
   EarlierRecordListener on_earlier_record = [](TimePoint) {};
+  GrantsCheck check_grants = [](std::uint64_t) { return false; };
   AsyncSignal record_changed;
   const TimePoint started_at = GetNow();
   StoreWatches<Client> watches;
--- a/Tests/Fakes/quota_fleet.h
+++ b/Tests/Fakes/quota_fleet.h
@@ -112,7 +112,7 @@
     self.workspaces = this->workspaces;
     self.version = this->version;
     this->Tick(daemon);
-    this->Renew(daemon);
+    this->ReadEarlierRecord(daemon);
   }
   // The daemon handles nothing until then; messages to it wait.
   void Freeze(std::size_t daemon, Duration duration) {
@@ -175,6 +175,8 @@
   struct Lease {
     TimePoint until;
     std::uint64_t id = 0;
+    // What the record under the lease says.
+    bool grants = false;
   };
 
   static std::string GetName(std::size_t daemon) { return "h" + std::to_string(daemon); }
@@ -216,6 +218,24 @@
     return records;
   }
 
+  // The record of its host tells a process that starts whether an earlier one granted. The process
+  // lists itself after it has read it.
+  void ReadEarlierRecord(std::size_t daemon) {
+    if (!this->IsInTouch(daemon)) {
+      this->Post(daemon, kTick, [this, daemon] { this->ReadEarlierRecord(daemon); });
+      return;
+    }
+    const auto found = this->leases.find(daemon);
+    const bool granted =
+        found != this->leases.end() && this->now < found->second.until && found->second.grants;
+    this->Post(daemon, this->DrawDelay(), [this, daemon, granted, sent = this->now] {
+      if (granted) {
+        this->daemons[daemon].gate->RecordEarlierProcess(sent);
+      }
+      this->Renew(daemon);
+    });
+  }
+
   void Tick(std::size_t daemon) {
     Daemon& self = this->daemons[daemon];
     if (this->IsInTouch(daemon) && this->now >= self.list_hangs_until) {
@@ -233,11 +253,14 @@
     if (this->IsInTouch(daemon) && !this->IsLost()) {
       const TimePoint sent = this->now;
       const std::uint64_t life = this->daemons[daemon].life;
-      this->At(this->now + this->DrawDelay(), [this, daemon, sent, life] {
+      const std::uint64_t known = this->leases[daemon].id;
+      const bool settled = this->daemons[daemon].gate->HasSettled(this->now, known);
+      this->At(this->now + this->DrawDelay(), [this, daemon, sent, life, known, settled] {
         Lease& lease = this->leases[daemon];
         if (this->now >= lease.until || lease.id >> 32U != life) {
           lease.id = (life << 32U) + ++this->next_number;
         }
+        lease.grants = settled && lease.id == known;
         lease.until = this->now + kLeaseTime;
         const std::uint64_t id = lease.id;
         if (!this->IsLost() && this->daemons[daemon].life == life) {
--- a/Tests/test_node_quota_fleet.cc
+++ b/Tests/test_node_quota_fleet.cc
@@ -224,6 +224,29 @@
   }
 }
 
+// A daemon whose lease had lapsed is listed again and restarts at once, while another one still
+// grants its share because its list is late.
+Test(quota_fleet, a_restart_during_the_wait_does_not_end_the_wait) {
+  EventLog::Configure("", "error");
+  const QuotaBound bound{seconds(5), 0.1, 0};
+  QuotaFleet fleet(2, bound, 1);
+  fleet.SetLimit("w", 40, 40);
+  const TimePoint cut = fleet.GetNow() + seconds(10);
+  fleet.RunUntil(cut);
+  const std::size_t granter = fleet.FindGranter("w", 0);
+  fleet.CutFromStore(granter, seconds(12));
+  Demand(fleet, "w", 240, cut + seconds(25), ListAll(2));
+  fleet.RunUntil(cut + milliseconds(11900));
+  fleet.HangList(1 - granter, seconds(4));
+  fleet.RunUntil(cut + milliseconds(13800));
+  fleet.Kill(granter);
+  fleet.RunUntil(cut + milliseconds(13900));
+  fleet.Start(granter);
+  fleet.RunUntil(cut + seconds(26));
+  const std::size_t most = CountMost(fleet.GetRequests("w"), bound.window);
+  cr_assert_leq(most, GetAllowed(bound, 40, 40), "%zu", most);
+}
+
 // Random fleets, demand, limits and faults: the bound holds in every window. A new limit binds one
 // window after all daemons have it; until then the larger one counts.
 Test(quota_fleet, the_bound_holds_in_every_window) {
--- a/Tests/test_node_store_sync.cc
+++ b/Tests/test_node_store_sync.cc
@@ -218,6 +218,45 @@
   cr_assert(daemon.gate.MakeRecord().accepting);
 }
 
+// Guards against two daemons that grant the same share: the earlier process still waited because
+// another daemon may have taken over, and this one must not skip the wait.
+Test(store_sync, only_an_earlier_process_that_granted_ends_the_wait) {
+  for (const bool grants : {false, true}) {
+    HostRecord earlier;
+    earlier.host = "h1";
+    earlier.peer_address = "127.0.0.1:2";
+    earlier.grants = grants;
+    FakeStoreClient::GetStore().Put(kOwnKey, Encode(earlier));
+    SyncedDaemon daemon;
+    bool ended_wait = false;
+    daemon.sync.SetEarlierRecordListener([&ended_wait](TimePoint) { ended_wait = true; });
+    daemon.RunFor(milliseconds(100));
+    cr_assert_eq(ended_wait, grants);
+  }
+}
+
+Test(store_sync, the_record_says_that_the_daemon_grants_under_its_lease) {
+  SyncedDaemon daemon;
+  std::uint64_t lease = 0;
+  daemon.sync.SetLeaseListener([&lease](const LeaseProof* proof) { lease = proof->lease; });
+  daemon.sync.SetGrantsCheck([&lease](std::uint64_t own) { return own == lease; });
+  const auto is_granting = [&daemon] {
+    HostRecord record;
+    cr_assert(Decode(*daemon.GetStore().Get(kOwnKey).value, record));
+    return record.grants;
+  };
+  daemon.RunFor(milliseconds(100));
+  cr_assert_not(is_granting());
+  daemon.RunFor(milliseconds(2000));
+  cr_assert(is_granting());
+  // The record under the next lease comes before the proof of it.
+  daemon.GetStore().EndLeases();
+  for (int step = 0; step < 200 && !daemon.GetStore().Has(kOwnKey); ++step) {
+    daemon.RunFor(milliseconds(10));
+  }
+  cr_assert_not(is_granting());
+}
+
 Test(store_sync, unreadable_entries_add_no_host_and_the_others_apply) {
   HostRecord other;
   other.host = "h2";
--- a/Tests/test_quota_credit.cc
+++ b/Tests/test_quota_credit.cc
@@ -242,6 +242,32 @@
   cr_assert(!fence.MayGrant(settled));
 }
 
+Test(grant_fence, says_that_it_grants_only_under_a_lease_that_is_confirmed) {
+  GrantFence fence;
+  cr_assert(!fence.HasSettled(kStart, 0));
+  fence.RecordRenewal(kStart, kStart, 7, seconds(10));
+  const TimePoint settled = kStart + GrantFence::kSettleTime;
+  cr_assert(!fence.HasSettled(settled - milliseconds(1), 7));
+  cr_assert(fence.HasSettled(settled, 7));
+  // The store has not confirmed this lease yet, and other daemons may have dropped the host.
+  cr_assert(!fence.HasSettled(settled, 8));
+  fence.RecordRenewal(settled, settled, 8, seconds(10));
+  cr_assert(!fence.HasSettled(settled, 8));
+}
+
+// A store that was restored from a copy may give out the number of the ended lease again.
+Test(grant_fence, a_lease_with_the_number_of_an_ended_one_is_a_new_one) {
+  GrantFence fence;
+  fence.RecordRenewal(kStart, kStart, 7, seconds(10));
+  const TimePoint settled = kStart + GrantFence::kSettleTime;
+  fence.RecordRenewal(settled, settled, 7, seconds(10));
+  cr_assert(fence.MayGrant(settled));
+  fence.RecordEnd();
+  const TimePoint late = settled + HostDirectory::kRemovalDelay;
+  cr_assert(!fence.RecordRenewal(late, late, 7, seconds(10)));
+  cr_assert(!fence.MayGrant(late));
+}
+
 Test(grant_fence, settles_again_after_others_may_have_dropped_this_daemon) {
   GrantFence fence;
   fence.RecordRenewal(kStart, kStart, 1, seconds(4));
