quota: Keep the credit of idle workspaces when the list of hosts changes

Cause: a bucket that did not exist began to fill when the list of hosts last changed, also at a daemon that granted the share before and after. Each change emptied the buckets of all idle workspaces.

A new bucket begins to fill when this daemon began to grant the share without a break, and not before the fence allowed it to grant. Within this time nobody else granted the share, and a bucket is only dropped when it is full. Lists are followed back for one minute at most, so nothing is computed while the list is stable. Buckets after a take-over begin empty as before.

--- a/Source/Proxy/quota_gate.cc
+++ b/Source/Proxy/quota_gate.cc
@@ -1,6 +1,7 @@
 #include "Proxy/quota_gate.h"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "Core/hash.h"
@@ -9,29 +10,34 @@
 
 namespace lacewingbridge {
 
+namespace {
+
+// Buckets of shares that this daemon has granted for longer may count as filled for this long.
+constexpr Duration kLongestFill = std::chrono::minutes(1);
+
+}  // namespace
+
 QuotaGate::QuotaGate(std::string_view own_host, const QuotaBound& quota_bound, std::uint64_t holder,
                      MetricsRegistry& metrics_registry)
     : host(own_host),
       bound(quota_bound),
       holder_id(holder),
       metrics(metrics_registry),
-      list(std::make_shared<const GranterList>()),
+      history(std::make_shared<const GranterHistory>()),
       holdings(kShardCount, [] { return HoldingShard(); }),
       grants(kShardCount, [] { return CreditGrants(); }) {}
 
-std::shared_ptr<const GranterList> QuotaGate::GetList() const {
+std::shared_ptr<const GranterHistory> QuotaGate::GetHistory() const {
   const std::lock_guard guard(this->mutex);
-  return this->list;
+  return this->history;
 }
 
 void QuotaGate::HandleHosts(TimePoint now, std::span<const HostRecord> hosts) {
   auto next = std::make_shared<const GranterList>(now, this->host, hosts);
   {
     const std::lock_guard guard(this->mutex);
-    if (!this->list->HasSameHosts(*next)) {
-      this->list = next;
-    } else {
-      next = this->list;
+    if (!this->history->GetNewest().HasSameHosts(*next)) {
+      this->history = std::make_shared<const GranterHistory>(*this->history, next);
     }
   }
   std::size_t moved = 0;
@@ -169,11 +175,12 @@
     return std::nullopt;
   }
   OutgoingAsk outgoing{{}, std::move(*ask)};
-  const std::shared_ptr<const GranterList> hosts = this->GetList();
-  if (!hosts->IsEmpty()) {
-    const std::size_t granter = hosts->Find(workspace, outgoing.ask.share);
-    if (hosts->GetHost(granter) != this->host) {
-      outgoing.peer_address = hosts->GetAddress(granter);
+  const std::shared_ptr<const GranterHistory> hosts = this->GetHistory();
+  const GranterList& list = hosts->GetNewest();
+  if (!list.IsEmpty()) {
+    const std::size_t granter = list.Find(workspace, outgoing.ask.share);
+    if (list.GetHost(granter) != this->host) {
+      outgoing.peer_address = list.GetAddress(granter);
     }
   }
   this->metrics.AddCount("quota_asks_total",
@@ -206,18 +213,18 @@
   QuotaReply reply;
   reply.serial = ask.serial;
   reply.status = QuotaStatus::kNotGranting;
-  std::shared_ptr<const GranterList> hosts;
-  TimePoint start;
+  std::shared_ptr<const GranterHistory> hosts;
+  TimePoint granting_from;
   {
     const std::lock_guard guard(this->mutex);
     if (!this->fence.MayGrant(now)) {
       return reply;
     }
-    hosts = this->list;
-    start = std::max(*this->fence.GetStart(), hosts->GetStart());
+    hosts = this->history;
+    granting_from = *this->fence.GetStart();
   }
   const bool valid = ask.share < GetShareCount(this->bound) && ask.rate_per_s > 0;
-  if (!valid || !hosts->IsOwn(ask.workspace, ask.share)) {
+  if (!valid || !hosts->GetNewest().IsOwn(ask.workspace, ask.share)) {
     return reply;
   }
   QuotaLimit own_limit;
@@ -227,6 +234,11 @@
   }
   const std::uint64_t hash = CombineHashes(HashBytes(ask.workspace), ask.share);
   reply = this->grants.WithShard(hash, [&](CreditGrants& shard) {
+    TimePoint start = now;
+    if (!shard.HasBucket(ask)) {
+      const TimePoint enough = std::max(granting_from, now - kLongestFill);
+      start = std::max(granting_from, hosts->FindOwnSince(ask.workspace, ask.share, enough));
+    }
     return shard.Answer(now, std::min(start, now), ask, own_limit, this->bound);
   });
   this->metrics.AddCount("quota_granted_total", "", reply.granted);
--- a/Source/Proxy/quota_gate.h
+++ b/Source/Proxy/quota_gate.h
@@ -19,7 +19,7 @@
 #include "Quota/credit_grants.h"
 #include "Quota/credit_holder.h"
 #include "Quota/grant_fence.h"
-#include "Quota/granter_list.h"
+#include "Quota/granter_history.h"
 #include "Quota/quota_limit.h"
 #include "mesh.h"
 #include "quota.h"
@@ -94,7 +94,7 @@
     std::map<std::string, Holding, std::less<>> holdings;
   };
 
-  std::shared_ptr<const GranterList> GetList() const;
+  std::shared_ptr<const GranterHistory> GetHistory() const;
   // Calls the listeners of requests that no longer wait. Must be called without a lock.
   struct Call {
     Listener listener;
@@ -109,7 +109,7 @@
   MetricsRegistry& metrics;
   std::atomic<std::uint64_t> next_ticket{1};
   mutable std::mutex mutex;
-  std::shared_ptr<const GranterList> list;
+  std::shared_ptr<const GranterHistory> history;
   GrantFence fence;
   Sharded<HoldingShard> holdings;
   Sharded<CreditGrants> grants;
--- a/Source/Quota/credit_grants.h
+++ b/Source/Quota/credit_grants.h
@@ -26,6 +26,10 @@
   QuotaReply Answer(TimePoint now, TimePoint start, const QuotaAsk& ask,
                     const QuotaLimit& own_limit, const QuotaBound& bound);
 
+  bool HasBucket(const QuotaAsk& ask) const {
+    return this->entries.contains({ask.workspace, ask.share});
+  }
+
   // Drops the buckets of shares that other daemons grant, and idle ones. Returns the number of
   // shares that went to other daemons.
   std::size_t DropOthers(TimePoint now, const GranterList& list);
--- a/Tests/test_node_quota_fleet.cc
+++ b/Tests/test_node_quota_fleet.cc
@@ -224,6 +224,36 @@
   }
 }
 
+// The loss of a daemon changes the list of hosts; the shares of the others stay full.
+Test(quota_fleet, idle_workspaces_keep_their_credit_when_the_list_of_hosts_changes) {
+  constexpr int kWorkspaces = 60;
+  EventLog::Configure("", "error");
+  QuotaFleet fleet(8, {seconds(5), 0.1, 0}, 1);
+  for (int i = 0; i < kWorkspaces; ++i) {
+    fleet.SetLimit("w" + std::to_string(i), 1, 1);
+  }
+  fleet.RunUntil(fleet.GetNow() + seconds(20));
+  std::vector<std::string> kept;
+  for (int i = 0; i < kWorkspaces; ++i) {
+    const std::string workspace = "w" + std::to_string(i);
+    if (fleet.FindGranter(workspace, 0) != 0) {
+      kept.push_back(workspace);
+    }
+  }
+  cr_assert_gt(kept.size(), kWorkspaces / 2);
+  fleet.Kill(0);
+  const TimePoint from = fleet.GetNow() + seconds(3);
+  for (std::size_t i = 0; i < kept.size(); ++i) {
+    fleet.RunUntil(from + milliseconds(100 * i));
+    fleet.Send(1, kept[i]);
+  }
+  fleet.RunUntil(fleet.GetNow() + seconds(1));
+  for (const std::string& workspace : kept) {
+    const CreditOutcome outcome = fleet.GetRequests(workspace).back().outcome;
+    cr_assert(outcome == CreditOutcome::kTaken, "%s", workspace.c_str());
+  }
+}
+
 // A daemon whose lease had lapsed is listed again and restarts at once, while another one still
 // grants its share because its list is late.
 Test(quota_fleet, a_restart_during_the_wait_does_not_end_the_wait) {
--- a/Tests/test_quota_credit.cc
+++ b/Tests/test_quota_credit.cc
@@ -2,6 +2,7 @@
 // end, or lost without need.
 
 #include <chrono>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -10,6 +11,7 @@
 #include "Quota/credit_grants.h"
 #include "Quota/credit_holder.h"
 #include "Quota/grant_fence.h"
+#include "Quota/granter_history.h"
 #include "Quota/granter_list.h"
 
 // Criterion defines macros that break headers of Boost.Intrusive, so it comes last.
@@ -205,6 +207,31 @@
   cr_assert(ends.size() == 1 && ends[0].take.outcome == CreditOutcome::kTaken);
 }
 
+Test(granter_history, a_share_that_stays_is_own_since_the_oldest_list_with_it) {
+  const auto make_list = [](TimePoint start, const std::vector<std::string>& names) {
+    std::vector<HostRecord> hosts(names.size());
+    for (std::size_t i = 0; i < names.size(); ++i) {
+      hosts[i].host = names[i];
+      hosts[i].peer_address = names[i];
+    }
+    return std::make_shared<const GranterList>(start, "h1", hosts);
+  };
+  // A share of h1 that h2 takes over when it is listed.
+  std::uint32_t share = 0;
+  while (make_list(kStart, {"h1", "h2"})->IsOwn("w", share) ||
+         !make_list(kStart, {"h1", "h3"})->IsOwn("w", share)) {
+    ++share;
+  }
+  GranterHistory history(GranterHistory(), make_list(kStart, {"h1"}));
+  history = GranterHistory(history, make_list(kStart + seconds(1), {"h1", "h3"}));
+  cr_assert(history.FindOwnSince("w", share, kStart) == kStart);
+  history = GranterHistory(history, make_list(kStart + seconds(2), {"h1", "h2"}));
+  history = GranterHistory(history, make_list(kStart + seconds(3), {"h1"}));
+  history = GranterHistory(history, make_list(kStart + seconds(4), {"h1", "h3"}));
+  cr_assert(history.FindOwnSince("w", share, kStart) == kStart + seconds(3));
+  cr_assert(history.FindOwnSince("w", share, kStart + seconds(4)) == kStart + seconds(4));
+}
+
 // Guards against seconds without credit after many daemons were killed at once: a daemon that
 // starts again while its host is still listed need not wait.
 Test(grant_fence, a_restarted_daemon_that_is_still_listed_grants_at_once) {
