quota: Handle the list of hosts only when it has changed

Cause: each tick (200 ms) copied the hosts, built a list of granting daemons from the copy and hashed all names for each bucket.

Change: MeshState counts the changes of its hosts, and the tick handles the list only if the count has changed. Buckets of other daemons are dropped when the list in force changes, idle ones once a second. An ask that was checked against a list that is no longer in force is refused under the lock of its shard; before, the next tick dropped a bucket that such an ask had created. A merged record that changes nothing may come with the end of the delay of a removed host; the hosts are published then as well, which was missed.

The new test of the count fails when the removed host is not published.

--- a/Source/Node/mesh_node.h
+++ b/Source/Node/mesh_node.h
@@ -276,9 +276,16 @@
 
   void UpdateQuotas() {
     const std::shared_ptr<const RouteIndex> index = this->state.GetIndex();
-    if (index != nullptr && !index->GetTable().workspaces.empty()) {
+    if (index == nullptr || index->GetTable().workspaces.empty()) {
+      return;
+    }
+    // Read before the hosts, so that no change is missed.
+    const std::uint64_t generation = this->state.GetHostsGeneration();
+    if (generation != this->quota_hosts_generation) {
+      this->quota_hosts_generation = generation;
       this->quotas.HandleHosts(GetNow(), this->state.GetHosts());
     }
+    this->quotas.DropIdle(GetNow());
   }
 
   Awaitable<void> Tick() {
@@ -356,6 +363,8 @@
   CrashContainment containment;
   RecentRequests recent;
   QuotaGate quotas;
+  // Of the hosts that the quotas know.
+  std::uint64_t quota_hosts_generation = 0;
   SnapshotFetcher fetcher;
   ProxyContext context;
   CallerHandler<typename Platform::Wire> caller_handler;
--- a/Source/Proxy/mesh_state.cc
+++ b/Source/Proxy/mesh_state.cc
@@ -126,8 +126,8 @@
 
 void MeshState::MergeHost(TimePoint now, const HostRecord& record) {
   const std::lock_guard guard(this->hosts_mutex);
-  this->directory.DropRemoved(now);
-  if (this->directory.Merge(record)) {
+  const bool dropped = this->directory.DropRemoved(now);
+  if (this->directory.Merge(record) || dropped) {
     this->PublishHosts();
   }
 }
@@ -171,6 +171,7 @@
 }
 
 void MeshState::PublishHosts() {
+  ++this->hosts_generation;
   const std::vector<HostRecord> hosts = this->directory.GetHosts();
   std::map<std::string, std::vector<HostRecord>, std::less<>> by_service;
   for (const HostRecord& record : hosts) {
--- a/Source/Proxy/mesh_state.h
+++ b/Source/Proxy/mesh_state.h
@@ -75,6 +75,8 @@
   // Has to be called regularly.
   void DropRemovedHosts(TimePoint now);
   std::vector<HostRecord> GetHosts() const;
+  // Changes whenever the hosts change, so that those who use the list need not copy it before.
+  std::uint64_t GetHostsGeneration() const { return this->hosts_generation; }
   // Returns what another daemon compares with its own state.
   PeerProgress GetProgress(TimePoint now) const;
   // Fills in the version in force and its proof.
@@ -146,6 +148,7 @@
   std::atomic<bool> proof_requested = false;
   mutable std::mutex hosts_mutex;
   HostDirectory directory;
+  std::atomic<std::uint64_t> hosts_generation = 0;
   RetryBound retry_bound;
   Sharded<ServiceShard> services;
   Sharded<RouteShard> routes;
--- a/Source/Proxy/quota_gate.cc
+++ b/Source/Proxy/quota_gate.cc
@@ -14,6 +14,8 @@
 
 // Buckets of shares that this daemon has granted for longer may count as filled for this long.
 constexpr Duration kLongestFill = std::chrono::minutes(1);
+// Shorter than the time after which buckets and holders are idle.
+constexpr Duration kIdleInterval = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -33,22 +35,30 @@
 }
 
 void QuotaGate::HandleHosts(TimePoint now, std::span<const HostRecord> hosts) {
-  auto next = std::make_shared<const GranterList>(now, this->host, hosts);
+  const auto next = std::make_shared<const GranterList>(now, this->host, hosts);
   {
     const std::lock_guard guard(this->mutex);
-    if (!this->history->GetNewest().HasSameHosts(*next)) {
-      this->history = std::make_shared<const GranterHistory>(*this->history, next);
+    if (this->history->GetNewest().HasSameHosts(*next)) {
+      return;
     }
+    this->history = std::make_shared<const GranterHistory>(*this->history, next);
   }
   std::size_t moved = 0;
-  this->grants.ForEachShard([&](CreditGrants& shard) { moved += shard.DropOthers(now, *next); });
+  this->grants.ForEachShard([&](CreditGrants& shard) { moved += shard.DropOthers(*next); });
   if (moved > 0) {
     EventLog::Write(Event::kQuotaSharesMoved, "shares={} hosts={}", moved, hosts.size());
   }
-  this->DropIdle(now);
 }
 
 void QuotaGate::DropIdle(TimePoint now) {
+  {
+    const std::lock_guard guard(this->mutex);
+    if (now - this->idle_dropped_at < kIdleInterval) {
+      return;
+    }
+    this->idle_dropped_at = now;
+  }
+  this->grants.ForEachShard([now](CreditGrants& shard) { shard.DropIdle(now); });
   this->holdings.ForEachShard([now](HoldingShard& shard) {
     std::erase_if(shard.holdings,
                   [now](const auto& item) { return item.second.holder.IsIdle(now); });
@@ -234,6 +244,9 @@
   }
   const std::uint64_t hash = CombineHashes(HashBytes(ask.workspace), ask.share);
   reply = this->grants.WithShard(hash, [&](CreditGrants& shard) {
+    if (!shard.Follows(hosts->GetNewest())) {
+      return reply;
+    }
     TimePoint start = now;
     if (!shard.HasBucket(ask)) {
       const TimePoint enough = std::max(granting_from, now - kLongestFill);
--- a/Source/Proxy/quota_gate.h
+++ b/Source/Proxy/quota_gate.h
@@ -52,8 +52,10 @@
   QuotaGate(std::string_view own_host, const QuotaBound& quota_bound, std::uint64_t holder,
             MetricsRegistry& metrics_registry);
 
-  // Has to be called regularly.
+  // Has to be called when the list of hosts may have changed.
   void HandleHosts(TimePoint now, std::span<const HostRecord> hosts);
+  // Drops what is not used any longer. Has to be called regularly.
+  void DropIdle(TimePoint now);
   // See GrantFence.
   void RecordRenewal(TimePoint sent, TimePoint now, std::uint64_t lease, Duration lease_time);
   // See GrantFence::RecordEarlierProcess.
@@ -101,7 +103,6 @@
     CreditTake take;
   };
   static std::vector<Call> TakeCalls(Holding& holding, std::span<const CreditEnd> ends);
-  void DropIdle(TimePoint now);
 
   const std::string host;
   const QuotaBound bound;
@@ -111,6 +112,7 @@
   mutable std::mutex mutex;
   std::shared_ptr<const GranterHistory> history;
   GrantFence fence;
+  TimePoint idle_dropped_at;
   Sharded<HoldingShard> holdings;
   Sharded<CreditGrants> grants;
 };
--- a/Source/Quota/credit_grants.cc
+++ b/Source/Quota/credit_grants.cc
@@ -21,11 +21,15 @@
   return entry.bucket.Answer(now, ask);
 }
 
-std::size_t CreditGrants::DropOthers(TimePoint now, const GranterList& list) {
-  std::erase_if(this->entries, [now](const auto& item) { return item.second.bucket.IsIdle(now); });
+std::size_t CreditGrants::DropOthers(const GranterList& list) {
+  this->list_start = list.GetStart();
   return std::erase_if(this->entries, [&list](const auto& item) {
     return !list.IsOwn(item.first.first, item.first.second);
   });
 }
 
+void CreditGrants::DropIdle(TimePoint now) {
+  std::erase_if(this->entries, [now](const auto& item) { return item.second.bucket.IsIdle(now); });
+}
+
 }  // namespace lacewingbridge
--- a/Source/Quota/credit_grants.h
+++ b/Source/Quota/credit_grants.h
@@ -30,9 +30,14 @@
     return this->entries.contains({ask.workspace, ask.share});
   }
 
-  // Drops the buckets of shares that other daemons grant, and idle ones. Returns the number of
-  // shares that went to other daemons.
-  std::size_t DropOthers(TimePoint now, const GranterList& list);
+  // Whether no newer list than this one has come into force. An ask that was checked against an
+  // older list must not be answered: its share may have gone to another daemon since.
+  bool Follows(const GranterList& list) const { return list.GetStart() >= this->list_start; }
+
+  // Drops the buckets of shares that other daemons grant. Returns their number.
+  std::size_t DropOthers(const GranterList& list);
+  // Drops the buckets that are full and of which nobody asks.
+  void DropIdle(TimePoint now);
   void Clear() { this->entries.clear(); }
   std::size_t CountBuckets() const { return this->entries.size(); }
 
@@ -43,6 +48,8 @@
   };
 
   std::map<std::pair<std::string, std::uint32_t>, Entry> entries;
+  // When the list in force began.
+  TimePoint list_start;
 };
 
 }  // namespace lacewingbridge
--- a/Tests/Fakes/quota_fleet.h
+++ b/Tests/Fakes/quota_fleet.h
@@ -246,6 +246,7 @@
     }
     self.directory.DropRemoved(this->now);
     self.gate->HandleHosts(this->now, self.directory.GetHosts());
+    self.gate->DropIdle(this->now);
     this->Post(daemon, kTick, [this, daemon] { this->Tick(daemon); });
   }
 
--- a/Tests/test_node_store_sync.cc
+++ b/Tests/test_node_store_sync.cc
@@ -257,6 +257,26 @@
   cr_assert_not(is_granting());
 }
 
+// Those who use the list of hosts copy it only if this number has changed.
+Test(store_sync, the_generation_of_the_hosts_changes_with_each_host) {
+  MeshState state({"h1", "a1", "a", "127.0.0.1:1", "book", "127.0.0.1:2"}, {});
+  HostRecord staying;
+  staying.host = "h2";
+  HostRecord leaving;
+  leaving.host = "h3";
+  const TimePoint start = GetNow();
+  state.MergeHost(start, staying);
+  state.MergeHost(start, leaving);
+  const std::uint64_t both = state.GetHostsGeneration();
+  state.MergeHost(start, staying);
+  state.RemoveHost(start, "h3");
+  state.DropRemovedHosts(start);
+  cr_assert_eq(state.GetHostsGeneration(), both);
+  state.MergeHost(start + HostDirectory::kRemovalDelay, staying);
+  cr_assert_eq(state.GetHosts().size(), 1);
+  cr_assert_neq(state.GetHostsGeneration(), both);
+}
+
 Test(store_sync, unreadable_entries_add_no_host_and_the_others_apply) {
   HostRecord other;
   other.host = "h2";
--- a/Tests/test_quota_credit.cc
+++ b/Tests/test_quota_credit.cc
@@ -117,6 +117,17 @@
   cr_assert_eq(reply.granted, 20);
 }
 
+// Guards against a bucket of a share that has gone to another daemon while an ask was handled.
+Test(credit_grants, asks_that_were_checked_against_an_older_list_are_known) {
+  CreditGrants grants;
+  const GranterList older(kStart, "h1", {});
+  const GranterList newer(kStart + milliseconds(200), "h1", {});
+  grants.DropOthers(older);
+  cr_assert(grants.Follows(older) && grants.Follows(newer));
+  grants.DropOthers(newer);
+  cr_assert(!grants.Follows(older) && grants.Follows(newer));
+}
+
 Test(credit_holder, requests_after_the_first_do_not_wait) {
   CreditHolder holder(1, 0);
   const ShareLimit limit{100, 100};
