tests: Cover the wait for credit, denials without a bound and failed readers

These corrections had no test of their own: - a request does not wait for credit beyond the deadline of its caller; - without a bound on removed keys an unknown key is denied at once; - a daemon asks any other one for a proof after a reader has failed.

Measured: each of the three fails when its correction is taken out. They pass with it; the tests of quotas with whole daemons passed three times in a row.

--- a/Tests/test_node_access.cc
+++ b/Tests/test_node_access.cc
@@ -230,6 +230,23 @@
   cr_assert(mesh.TakeRequests().empty());
 }
 
+// No proofs are made without the bound, so an unknown key would be refused as unsure for good.
+Test(access, without_a_bound_on_removed_keys_an_unknown_key_is_denied_at_once) {
+  Mesh mesh;
+  for (MeshDaemon* daemon : {&mesh.GetFront(), &mesh.GetBack()}) {
+    MeshSettings changed = daemon->GetSettings();
+    changed.revoke_bound_ms = 0;
+    cr_assert(daemon->Apply(changed).empty());
+  }
+  mesh.Put(MakeTable(2));
+  for (const std::string& lines : {MakeKeyLine("unknown"), std::string()}) {
+    const std::string response = mesh.SendWith(mesh.GetFront(), "/read/1", lines);
+    cr_assert(HasStatus(response, "401"), "%s", response.c_str());
+  }
+  const std::string known = mesh.SendWith(mesh.GetFront(), "/read/1", MakeKeyLine(kPressKey));
+  cr_assert(HasStatus(known, "200"), "%s", known.c_str());
+}
+
 Test(access, a_key_is_served_as_the_version_in_force_says) {
   Mesh mesh;
   mesh.Put(MakeTable(2));
--- a/Tests/test_node_quota.cc
+++ b/Tests/test_node_quota.cc
@@ -6,12 +6,15 @@
 #include <chrono>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "Core/digest.h"
 #include "Fakes/fake_mesh.h"
 #include "Fakes/keep_alive_target.h"
 #include "Proxy/quota_asker.h"
 #include "Quota/grant_fence.h"
+#include "Quota/granter_list.h"
+#include "Quota/quota_limit.h"
 
 // Criterion defines macros that break headers of Boost.Intrusive, so it comes last.
 #include <criterion/criterion.h>
@@ -33,6 +36,8 @@
   table.services = {{"book", "/health", 100}, {"desk", "/health", 100}};
   table.routes.push_back({"read", "a", "/read/", {{"book", 1}}, true, 1500, 500, 1, 2});
   table.routes.push_back({"check", "a", "/check/", {{"book", 1}}, true, 1500, 500, 1, 2, true});
+  // Beyond a quarter of its objective no request waits for credit.
+  table.routes.push_back({"plan", "a", "/plan/", {{"book", 1}}, true, 9000, 8000, 1, 2});
   MeshWorkspace workspace;
   workspace.name = "press";
   workspace.key_digests.push_back(ComputeDigest(kKey));
@@ -42,6 +47,25 @@
   return table;
 }
 
+// Returns a record of a host that grants the share of all these workspaces beside `front` and
+// `back`.
+HostRecord MakeGranter(const std::vector<MeshWorkspace>& workspaces, const std::string& address) {
+  for (int i = 0;; ++i) {
+    std::vector<HostRecord> hosts(3);
+    hosts[0].host = "back";
+    hosts[1].host = "front";
+    hosts[2].host = "h" + std::to_string(i);
+    for (HostRecord& record : hosts) {
+      record.peer_address = address;
+    }
+    const GranterList list(GetNow(), hosts[2].host, hosts);
+    if (std::all_of(workspaces.begin(), workspaces.end(),
+                    [&list](const MeshWorkspace& item) { return list.IsOwn(item.name, 0); })) {
+      return hosts[2];
+    }
+  }
+}
+
 class Mesh : public FakeMesh<KeepAliveTarget> {
  public:
   Mesh()
@@ -54,10 +78,12 @@
     FakeStoreClient::GetStore().Put("table", Encode(MakeTable()));
   }
 
-  std::string Send(const MeshDaemon& daemon, const std::string& path) {
+  std::string Send(const MeshDaemon& daemon, const std::string& path, const std::string& key = kKey,
+                   int time_left_ms = 1000) {
     RawClient client(daemon.GetSettings().caller_address);
-    client.Write("GET " + path + " HTTP/1.1\r\nHost: a\r\nX-Id: r1\r\nX-Time-Left-Ms: 1000\r\n" +
-                 "X-Key: " + kKey + "\r\nConnection: close\r\n\r\n");
+    client.Write("GET " + path + " HTTP/1.1\r\nHost: a\r\nX-Id: r1\r\nX-Time-Left-Ms: " +
+                 std::to_string(time_left_ms) + "\r\nX-Key: " + key +
+                 "\r\nConnection: close\r\n\r\n");
     return client.ReadFor(milliseconds(2500));
   }
 };
@@ -114,6 +140,45 @@
   cr_assert(served_later);
 }
 
+// The granting daemon accepts asks and does not answer, which takes longer than the caller waits.
+Test(quota, a_request_does_not_wait_for_credit_beyond_its_deadline) {
+  constexpr int kTimeLeftMs = 100;
+  Mesh mesh;
+  KeepAliveTarget silent([](const std::string&, int) { return TargetReply(); }, "");
+  RouteTable table = MakeTable();
+  table.version = 3;
+  for (const char* name : {"film", "radio", "free"}) {
+    table.workspaces.push_back(table.workspaces[0]);
+    table.workspaces.back().name = name;
+    table.workspaces.back().key_digests = {ComputeDigest(name)};
+  }
+  table.workspaces[3].rate_per_s = 0;
+  const HostRecord granter = MakeGranter(table.workspaces, silent.GetAddress());
+  FakeStoreClient::GetStore().Put("lacewingbridge/hosts/" + granter.host, Encode(granter));
+  FakeStoreClient::GetStore().Put("table", Encode(table));
+  const MeshDaemon& front = mesh.GetFront();
+  const TimePoint until = GetNow() + std::chrono::seconds(5);
+  while (!HasStatus(mesh.Send(front, "/plan/1", "free"), "200") ||
+         mesh.GetFront()
+                 .SendGetRequest(front.GetSettings().metrics_address, "/dump")
+                 .find("\"host\":\"" + granter.host + "\"") == std::string::npos) {
+    cr_assert(GetNow() < until);
+  }
+  // The quotas follow the list of hosts with each tick.
+  std::this_thread::sleep_for(milliseconds(500));
+  // The share is not asked again for a while, so each workspace waits once.
+  Duration shortest = Duration::max();
+  for (const char* key : {kKey, "film", "radio"}) {
+    const TimePoint sent = GetNow();
+    const std::string response = mesh.Send(front, "/plan/1", key, kTimeLeftMs);
+    cr_assert(HasStatus(response, "503"), "%s", response.c_str());
+    cr_assert(response.find("quota_unknown") != std::string::npos, "%s", response.c_str());
+    shortest = std::min(shortest, GetNow() - sent);
+  }
+  cr_assert_geq(shortest, milliseconds(50));
+  cr_assert_lt(shortest, kAskLimit - milliseconds(30));
+}
+
 // An ask that cannot be read, or names a share that does not exist, is answered and changes
 // nothing.
 Test(quota, asks_that_make_no_sense_are_refused) {
--- a/Tests/test_node_table_proof.cc
+++ b/Tests/test_node_table_proof.cc
@@ -1,6 +1,7 @@
 // Guards against API keys that are served although the version in force may not be the newest, keys
 // that are refused although it is, and needless calls to the store.
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -11,6 +12,7 @@
 #include "Proxy/mesh_state.h"
 #include "Proxy/target_gate.h"
 #include "Store/store_sync.h"
+#include "Workspaces/proof_readers.h"
 
 // Criterion defines macros that break headers of Boost.Intrusive, so it comes last.
 #include <criterion/criterion.h>
@@ -177,6 +179,47 @@
   }
 }
 
+// The daemon that is cut off is a reader itself, and the other reader cannot be reached.
+Test(node_table_proof, a_daemon_asks_any_other_one_after_a_reader_has_failed) {
+  HostRecord reader;
+  reader.host = "reader";
+  reader.peer_address = FindFreeAddress();
+  std::string other_name;
+  const auto is_other_a_reader = [&reader, &other_name] {
+    std::vector<HostRecord> hosts(3);
+    hosts[0].host = "cut";
+    hosts[1].host = other_name;
+    hosts[2].host = reader.host;
+    const std::vector<HostRecord> readers = ChooseProofReaders(hosts);
+    return std::any_of(readers.begin(), readers.end(), [&other_name](const HostRecord& record) {
+      return record.host == other_name;
+    });
+  };
+  for (int i = 0; other_name.empty() || is_other_a_reader(); ++i) {
+    other_name = "other" + std::to_string(i);
+  }
+  FakeStoreClient::GetStore().Put("lacewingbridge/hosts/" + reader.host, Encode(reader));
+  FakeStoreClient::GetStore().Put("table", MakeTable(5));
+  MeshDaemon cut("cut", "desk", FindFreeAddress());
+  MeshDaemon other(other_name, "desk", FindFreeAddress());
+  bool is_known = false;
+  for (int step = 0; step < 60 && !(is_known && ServesKeys(cut)); ++step) {
+    const std::string dump = cut.SendGetRequest(cut.GetSettings().metrics_address, "/dump");
+    is_known = dump.find("\"host\":\"" + other_name + "\"") != std::string::npos;
+  }
+  cr_assert(is_known);
+  FakeStoreClient::GetStore().SetRefusingOf(cut.GetSettings().store_address);
+  // A call that is under way may still be answered.
+  const TimePoint expired = GetNow() + milliseconds(500 + cut.GetSettings().revoke_bound_ms);
+  const TimePoint end = expired + seconds(8);
+  bool served = false;
+  while (!served && GetNow() < end) {
+    const bool serves = ServesKeys(cut);
+    served = GetNow() >= expired && serves;
+  }
+  cr_assert(served);
+}
+
 // Two whole daemons. The bound is set while they run.
 Test(node_table_proof, a_daemon_cut_off_from_the_store_is_proven_by_another_one) {
   FakeStoreClient::GetStore().Put("table", MakeTable(5));
