--- a/Source/Proxy/quota_gate.h
+++ b/Source/Proxy/quota_gate.h
@@ -19,7 +19,7 @@
 #include "Quota/credit_grants.h"
 #include "Quota/credit_holder.h"
 #include "Quota/grant_fence.h"
-#include "Quota/granter_list.h"
+#include "Quota/granter_history.h"
 #include "Quota/quota_limit.h"
 #include "mesh.h"
 #include "quota.h"
@@ -52,13 +52,17 @@
   QuotaGate(std::string_view own_host, const QuotaBound& quota_bound, std::uint64_t holder,
             MetricsRegistry& metrics_registry);
 
-  // Has to be called regularly.
+  // Has to be called when the list of hosts may have changed.
   void HandleHosts(TimePoint now, std::span<const HostRecord> hosts);
+  // Drops what is not used any longer. Has to be called regularly.
+  void DropIdle(TimePoint now);
   // See GrantFence.
   void RecordRenewal(TimePoint sent, TimePoint now, std::uint64_t lease, Duration lease_time);
   // See GrantFence::RecordEarlierProcess.
   void RecordEarlierProcess(TimePoint sent);
   void RecordLeaseEnd();
+  // See GrantFence::HasSettled.
+  bool HasSettled(TimePoint now, std::uint64_t lease) const;
 
   // Takes credit for a request. A listener is made only if the request waits, and called later
   // unless the request leaves before.
@@ -92,14 +96,13 @@
     std::map<std::string, Holding, std::less<>> holdings;
   };
 
-  std::shared_ptr<const GranterList> GetList() const;
+  std::shared_ptr<const GranterHistory> GetHistory() const;
   // Calls the listeners of requests that no longer wait. Must be called without a lock.
   struct Call {
     Listener listener;
     CreditTake take;
   };
   static std::vector<Call> TakeCalls(Holding& holding, std::span<const CreditEnd> ends);
-  void DropIdle(TimePoint now);
 
   const std::string host;
   const QuotaBound bound;
@@ -107,8 +110,9 @@
   MetricsRegistry& metrics;
   std::atomic<std::uint64_t> next_ticket{1};
   mutable std::mutex mutex;
-  std::shared_ptr<const GranterList> list;
+  std::shared_ptr<const GranterHistory> history;
   GrantFence fence;
+  TimePoint idle_dropped_at;
   Sharded<HoldingShard> holdings;
   Sharded<CreditGrants> grants;
 };
--- a/Source/Quota/credit_grants.h
+++ b/Source/Quota/credit_grants.h
@@ -26,9 +26,18 @@
   QuotaReply Answer(TimePoint now, TimePoint start, const QuotaAsk& ask,
                     const QuotaLimit& own_limit, const QuotaBound& bound);
 
-  // Drops the buckets of shares that other daemons grant, and idle ones. Returns the number of
-  // shares that went to other daemons.
-  std::size_t DropOthers(TimePoint now, const GranterList& list);
+  bool HasBucket(const QuotaAsk& ask) const {
+    return this->entries.contains({ask.workspace, ask.share});
+  }
+
+  // Whether no newer list than this one has come into force. An ask that was checked against an
+  // older list must not be answered: its share may have gone to another daemon since.
+  bool Follows(const GranterList& list) const { return list.GetStart() >= this->list_start; }
+
+  // Drops the buckets of shares that other daemons grant. Returns their number.
+  std::size_t DropOthers(const GranterList& list);
+  // Drops the buckets that are full and of which nobody asks.
+  void DropIdle(TimePoint now);
   void Clear() { this->entries.clear(); }
   std::size_t CountBuckets() const { return this->entries.size(); }
 
@@ -39,6 +48,8 @@
   };
 
   std::map<std::pair<std::string, std::uint32_t>, Entry> entries;
+  // When the list in force began.
+  TimePoint list_start;
 };
 
 }  // namespace lacewingbridge
--- a/Tests/test_quota_credit.cc
+++ b/Tests/test_quota_credit.cc
@@ -2,6 +2,7 @@
 // end, or lost without need.
 
 #include <chrono>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -10,6 +11,7 @@
 #include "Quota/credit_grants.h"
 #include "Quota/credit_holder.h"
 #include "Quota/grant_fence.h"
+#include "Quota/granter_history.h"
 #include "Quota/granter_list.h"
 
 // Criterion defines macros that break headers of Boost.Intrusive, so it comes last.
@@ -115,6 +117,17 @@
   cr_assert_eq(reply.granted, 20);
 }
 
+// Guards against a bucket of a share that has gone to another daemon while an ask was handled.
+Test(credit_grants, asks_that_were_checked_against_an_older_list_are_known) {
+  CreditGrants grants;
+  const GranterList older(kStart, "h1", {});
+  const GranterList newer(kStart + milliseconds(200), "h1", {});
+  grants.DropOthers(older);
+  cr_assert(grants.Follows(older) && grants.Follows(newer));
+  grants.DropOthers(newer);
+  cr_assert(!grants.Follows(older) && grants.Follows(newer));
+}
+
 Test(credit_holder, requests_after_the_first_do_not_wait) {
   CreditHolder holder(1, 0);
   const ShareLimit limit{100, 100};
@@ -205,6 +218,31 @@
   cr_assert(ends.size() == 1 && ends[0].take.outcome == CreditOutcome::kTaken);
 }
 
+Test(granter_history, a_share_that_stays_is_own_since_the_oldest_list_with_it) {
+  const auto make_list = [](TimePoint start, const std::vector<std::string>& names) {
+    std::vector<HostRecord> hosts(names.size());
+    for (std::size_t i = 0; i < names.size(); ++i) {
+      hosts[i].host = names[i];
+      hosts[i].peer_address = names[i];
+    }
+    return std::make_shared<const GranterList>(start, "h1", hosts);
+  };
+  // A share of h1 that h2 takes over when it is listed.
+  std::uint32_t share = 0;
+  while (make_list(kStart, {"h1", "h2"})->IsOwn("w", share) ||
+         !make_list(kStart, {"h1", "h3"})->IsOwn("w", share)) {
+    ++share;
+  }
+  GranterHistory history(GranterHistory(), make_list(kStart, {"h1"}));
+  history = GranterHistory(history, make_list(kStart + seconds(1), {"h1", "h3"}));
+  cr_assert(history.FindOwnSince("w", share, kStart) == kStart);
+  history = GranterHistory(history, make_list(kStart + seconds(2), {"h1", "h2"}));
+  history = GranterHistory(history, make_list(kStart + seconds(3), {"h1"}));
+  history = GranterHistory(history, make_list(kStart + seconds(4), {"h1", "h3"}));
+  cr_assert(history.FindOwnSince("w", share, kStart) == kStart + seconds(3));
+  cr_assert(history.FindOwnSince("w", share, kStart + seconds(4)) == kStart + seconds(4));
+}
+
 // Guards against seconds without credit after many daemons were killed at once: a daemon that
 // starts again while its host is still listed need not wait.
 Test(grant_fence, a_restarted_daemon_that_is_still_listed_grants_at_once) {
@@ -242,6 +280,32 @@
   cr_assert(!fence.MayGrant(settled));
 }
 
+Test(grant_fence, says_that_it_grants_only_under_a_lease_that_is_confirmed) {
+  GrantFence fence;
+  cr_assert(!fence.HasSettled(kStart, 0));
+  fence.RecordRenewal(kStart, kStart, 7, seconds(10));
+  const TimePoint settled = kStart + GrantFence::kSettleTime;
+  cr_assert(!fence.HasSettled(settled - milliseconds(1), 7));
+  cr_assert(fence.HasSettled(settled, 7));
+  // The store has not confirmed this lease yet, and other daemons may have dropped the host.
+  cr_assert(!fence.HasSettled(settled, 8));
+  fence.RecordRenewal(settled, settled, 8, seconds(10));
+  cr_assert(!fence.HasSettled(settled, 8));
+}
+
+// A store that was restored from a copy may give out the number of the ended lease again.
+Test(grant_fence, a_lease_with_the_number_of_an_ended_one_is_a_new_one) {
+  GrantFence fence;
+  fence.RecordRenewal(kStart, kStart, 7, seconds(10));
+  const TimePoint settled = kStart + GrantFence::kSettleTime;
+  fence.RecordRenewal(settled, settled, 7, seconds(10));
+  cr_assert(fence.MayGrant(settled));
+  fence.RecordEnd();
+  const TimePoint late = settled + HostDirectory::kRemovalDelay;
+  cr_assert(!fence.RecordRenewal(late, late, 7, seconds(10)));
+  cr_assert(!fence.MayGrant(late));
+}
+
 Test(grant_fence, settles_again_after_others_may_have_dropped_this_daemon) {
   GrantFence fence;
   fence.RecordRenewal(kStart, kStart, 1, seconds(4));
