shares: Tell the daemons of callers which workspaces are beyond their share

Cause: a refusal did not say that its workspace is beyond the fair share of the target, so the daemon of the caller offered its work to target after target, three for each request.

Change: a request that would have had a place within the share is refused as beyond_share, and the report states the time until the share has room (HopReport.share_wait_ms). The daemon of the caller keeps that for the time stated, at most 1 s, and places the workspace's work elsewhere. After three such refusals, or if no other target is left, further requests are refused at once: 503, not run, with a Retry-After from the stated times.

--- a/Source/Admission/admission_types.h
+++ b/Source/Admission/admission_types.h
@@ -23,8 +23,9 @@
   kRefusedQueueFull,
   kRefusedDeadline,  // the deadline has passed or cannot be met
   kRefusedLowPriority,
-  kRefusedSlowMoment,  // the target's machine is slow at this moment
-  kRefusedNoSlots,     // no target accepts work
+  kRefusedSlowMoment,   // the target's machine is slow at this moment
+  kRefusedNoSlots,      // no target accepts work
+  kRefusedBeyondShare,  // its workspace is beyond its fair share; others have a place
 };
 
 // Requests that have left the queue because of a call. The caller has to start the admitted ones
--- a/Source/Admission/fair_share.cc
+++ b/Source/Admission/fair_share.cc
@@ -38,6 +38,15 @@
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(excess));
 }
 
+Duration FairShare::GetDecayTime(Duration excess, Duration until) {
+  if (excess <= until || until <= Duration{0}) {
+    return Duration{0};
+  }
+  const double ratio = static_cast<double>(excess.count()) / static_cast<double>(until.count());
+  return std::chrono::duration_cast<Duration>(std::log(ratio) *
+                                              std::chrono::duration<double>(kDecayTime));
+}
+
 void FairShare::AddUse(TimePoint now, std::string_view workspace, Duration slot_time) {
   if (workspace.empty()) {
     return;
--- a/Source/Admission/fair_share.h
+++ b/Source/Admission/fair_share.h
@@ -26,6 +26,9 @@
   // Slot time that the workspace has taken beyond its share.
   Duration GetExcess(TimePoint now, std::string_view workspace) const;
 
+  // Returns the time until an excess has decayed to the given one.
+  static Duration GetDecayTime(Duration excess, Duration until);
+
   // Adds slot time that the workspace takes while others wait. A negative time corrects an earlier
   // one that was too long.
   void AddUse(TimePoint now, std::string_view workspace, Duration slot_time);
--- a/Source/Admission/target_admission.cc
+++ b/Source/Admission/target_admission.cc
@@ -50,11 +50,21 @@
   if (this->slots == 0) {
     return now;
   }
-  const TimePoint start = this->EstimateStart(now, offer);
+  const TimePoint start = this->EstimateStart(now, this->GetRank(now, offer));
   const TimePoint ready = start + this->EstimateServiceTime(start, offer.GetWorkClass());
   return ComputeResponseEnd(ready, offer);
 }
 
+TimePoint TargetAdmission::GetLatestStart(TimePoint now, TimePoint start,
+                                          const WorkOffer& offer) const {
+  if (!this->IsOnTime(start, offer)) {
+    return now + (offer.deadline - now) / kLateWaitDivisor;
+  }
+  return std::min(offer.objective_at - offer.transfer -
+                      this->GetServiceTimeWithMargin(start, offer.GetWorkClass()),
+                  now + this->service_time);
+}
+
 AdmissionVerdict TargetAdmission::Offer(TimePoint now, const WorkOffer& offer) {
   if (this->slots == 0) {
     return AdmissionVerdict::kRefusedNoSlots;
@@ -62,9 +72,8 @@
   if (offer.deadline <= now) {
     return AdmissionVerdict::kRefusedDeadline;
   }
-  const TimePoint start = this->EstimateStart(now, offer);
-  const Duration time_left = offer.deadline - now;
-  TimePoint latest_start = now + time_left / kLateWaitDivisor;
+  Rank rank = this->GetRank(now, offer);
+  const TimePoint start = this->EstimateStart(now, rank);
   const bool on_time = this->IsOnTime(start, offer);
   // A long response that is late would delay the responses behind it as well, so its request is
   // only admitted while the link is idle.
@@ -78,16 +87,19 @@
     this->Start(now, offer);
     return AdmissionVerdict::kAdmitted;
   }
-  if (on_time) {
-    latest_start = std::min(offer.objective_at - offer.transfer -
-                                this->GetServiceTimeWithMargin(start, offer.GetWorkClass()),
-                            now + this->service_time);
+  const TimePoint latest_start = this->GetLatestStart(now, start, offer);
+  if (start <= latest_start) {
+    this->waiting.push_back({offer, latest_start});
+    return AdmissionVerdict::kQueued;
   }
-  if (start > latest_start) {
+  if (rank.excess == Duration{0}) {
     return AdmissionVerdict::kRefusedQueueFull;
   }
-  this->waiting.push_back({offer, latest_start});
-  return AdmissionVerdict::kQueued;
+  rank.excess = Duration{0};
+  const TimePoint start_within_share = this->EstimateStart(now, rank);
+  return start_within_share <= this->GetLatestStart(now, start_within_share, offer)
+             ? AdmissionVerdict::kRefusedBeyondShare
+             : AdmissionVerdict::kRefusedQueueFull;
 }
 
 bool TargetAdmission::IsShared(const WorkOffer& offer) const {
@@ -152,14 +164,13 @@
   return this->Release(now);
 }
 
-TimePoint TargetAdmission::EstimateStart(TimePoint now, const WorkOffer& offer) const {
+TimePoint TargetAdmission::EstimateStart(TimePoint now, const Rank& rank) const {
   if (this->running.size() < this->slots && this->waiting.empty()) {
     return now;
   }
-  const Waiting entry{offer, now};
   const auto ahead =
       std::count_if(this->waiting.begin(), this->waiting.end(),
-                    [&](const Waiting& other) { return !this->GoesBefore(now, entry, other); });
+                    [&](const Waiting& other) { return this->GetRank(now, other.offer) <= rank; });
   return now + this->EstimateQueueTime(now, ahead + 1);
 }
 
@@ -178,30 +189,23 @@
   return excess <= this->service_time ? Duration{0} : excess;
 }
 
-bool TargetAdmission::GoesBefore(TimePoint now, const Waiting& left, const Waiting& right) const {
-  if (left.offer.priority != right.offer.priority) {
-    return left.offer.priority < right.offer.priority;
-  }
-  const bool left_on_time = this->IsOnTime(now, left.offer);
-  if (left_on_time != this->IsOnTime(now, right.offer)) {
-    return left_on_time;
-  }
-  const Duration left_excess = this->GetExcess(now, left.offer);
-  const Duration right_excess = this->GetExcess(now, right.offer);
-  if (left_excess != right_excess) {
-    return left_excess < right_excess;
-  }
-  return left_on_time ? left.offer.objective_at < right.offer.objective_at
-                      : left.offer.deadline > right.offer.deadline;
+Duration TargetAdmission::GetShareWait(TimePoint now, std::string_view workspace) const {
+  return FairShare::GetDecayTime(this->shares.GetExcess(now, workspace), this->service_time);
+}
+
+TargetAdmission::Rank TargetAdmission::GetRank(TimePoint now, const WorkOffer& offer) const {
+  const bool late = !this->IsOnTime(now, offer);
+  return {offer.priority, late, this->GetExcess(now, offer),
+          late ? now - offer.deadline : offer.objective_at - now};
 }
 
 AdmissionRelease TargetAdmission::Release(TimePoint now) {
   AdmissionRelease release = this->Expire(now);
   while (this->running.size() < this->slots && !this->waiting.empty()) {
-    const auto next = std::min_element(this->waiting.begin(), this->waiting.end(),
-                                       [&](const Waiting& left, const Waiting& right) {
-                                         return this->GoesBefore(now, left, right);
-                                       });
+    const auto next = std::min_element(
+        this->waiting.begin(), this->waiting.end(), [&](const Waiting& left, const Waiting& right) {
+          return this->GetRank(now, left.offer) < this->GetRank(now, right.offer);
+        });
     this->Start(now, next->offer);
     release.admitted.push_back(next->offer.id);
     this->waiting.erase(next);
--- a/Source/Admission/target_admission.h
+++ b/Source/Admission/target_admission.h
@@ -1,10 +1,12 @@
 #ifndef LACEWINGBRIDGE_SOURCE_ADMISSION_TARGET_ADMISSION_H_
 #define LACEWINGBRIDGE_SOURCE_ADMISSION_TARGET_ADMISSION_H_
 
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -102,6 +104,9 @@
   // Estimates the time until a request of the priority that arrives now starts.
   Duration EstimateWait(TimePoint now, std::uint32_t priority) const;
 
+  // Returns the time until the workspace has room in its fair share; zero if it has now.
+  Duration GetShareWait(TimePoint now, std::string_view workspace) const;
+
   // Records how long work takes on the target's machine at this moment, as the target states it.
   void RecordWorkPercent(TimePoint now, std::uint32_t percent) { this->pace.Record(now, percent); }
 
@@ -141,8 +146,20 @@
   }
   // Returns when a response that is ready at the given time has left this host.
   static TimePoint ComputeResponseEnd(TimePoint ready, const WorkOffer& offer);
-  // Estimates when a request that arrives now starts. Requires at least one slot.
-  TimePoint EstimateStart(TimePoint now, const WorkOffer& offer) const;
+  // Place of a request in the order of the queue. The lowest one starts first.
+  struct Rank {
+    std::uint32_t priority = 0;
+    bool late = false;
+    Duration excess{0};
+    // Time until the objective, or the negative time until the deadline of a late request.
+    Duration objective{0};
+    auto operator<=>(const Rank& other) const = default;
+  };
+  Rank GetRank(TimePoint now, const WorkOffer& offer) const;
+  // Estimates when a request of the rank that arrives now starts. Requires at least one slot.
+  TimePoint EstimateStart(TimePoint now, const Rank& rank) const;
+  // Returns the time by which a request that is estimated to start at the given time has to start.
+  TimePoint GetLatestStart(TimePoint now, TimePoint start, const WorkOffer& offer) const;
   // Estimates the service time of a request that starts at the given time.
   Duration EstimateServiceTime(TimePoint start, std::uint32_t work_class) const;
   // Returns the service time that kServiceMarginTenths allows for.
@@ -156,8 +173,6 @@
   Duration GetExcess(TimePoint now, const WorkOffer& offer) const;
   // Whether work of another workspace waits.
   bool IsShared(const WorkOffer& offer) const;
-  // Whether the left request starts before the right one.
-  bool GoesBefore(TimePoint now, const Waiting& left, const Waiting& right) const;
   void Start(TimePoint now, const WorkOffer& offer);
   void RecordServiceTime(std::uint32_t work_class, Duration taken);
   // Refuses what Expire refuses and starts waiting requests while slots are free.
--- a/Source/Generated/mesh.h
+++ b/Source/Generated/mesh.h
@@ -202,6 +202,7 @@
   std::uint32_t work_class = 0;
   std::uint32_t work_percent = 0;
   std::uint32_t work_lifetime_ms = 0;
+  std::uint32_t share_wait_ms = 0;
 
   bool operator==(const HopReport&) const = default;
 };
--- a/Source/Generated/mesh_codec.cc
+++ b/Source/Generated/mesh_codec.cc
@@ -738,6 +738,7 @@
   wire.set_work_class(plain.work_class);
   wire.set_work_percent(plain.work_percent);
   wire.set_work_lifetime_ms(plain.work_lifetime_ms);
+  wire.set_share_wait_ms(plain.share_wait_ms);
 }
 
 void FromWire(const wire::HopReport& wire, HopReport& plain) {
@@ -767,6 +768,7 @@
   plain.work_class = wire.work_class();
   plain.work_percent = wire.work_percent();
   plain.work_lifetime_ms = wire.work_lifetime_ms();
+  plain.share_wait_ms = wire.share_wait_ms();
 }
 
 std::string Encode(const HopReport& plain) {
--- a/Source/Proxy/caller_request.cc
+++ b/Source/Proxy/caller_request.cc
@@ -120,7 +120,8 @@
       this->hop->Cancel();
     }
   });
-  ProgressDecision decision;
+  ProgressDecision decision = this->progress->HandleShareRefusals(
+      this->context.state.CountShareRefusals(now, this->service, this->GetWorkspaceName()));
   while (decision.action == ProgressAction::kPlace && !this->exchange.IsCallerGone()) {
     decision = co_await this->PlaceOnce();
   }
@@ -136,7 +137,8 @@
 
 HopRequirements CallerRequest::MakeHopRequirements(TimePoint now) {
   return {this->facts.objective_at - now, this->facts.GetEnd() - now,
-          this->context.state.GetResponseBytes(this->route->name), this->route->priority};
+          this->context.state.GetResponseBytes(this->route->name), this->route->priority,
+          this->GetWorkspaceName()};
 }
 
 Awaitable<ProgressDecision> CallerRequest::PlaceOnce() {
@@ -155,7 +157,10 @@
       this->context.state.ChooseHop(now, this->service, this->MakeHopRequirements(now),
                                     this->refused_by, this->shard.GetRandom());
   if (!choice.has_value()) {
-    co_return this->progress->HandleNoCandidate(now);
+    const bool beyond_share = this->context.state.IsBeyondShare(
+        now, this->service, this->GetWorkspaceName(), this->refused_by);
+    co_return beyond_share ? this->progress->HandleBeyondShare(now)
+                           : this->progress->HandleNoCandidate(now);
   }
   const HopEnd end = co_await this->SendHop(*choice);
   ProgressDecision decision =
@@ -197,9 +202,7 @@
       static_cast<std::uint32_t>(this->context.state.GetResponseBytes(this->route->name));
   hop_request.strikes =
       this->context.containment.TakeOutgoing(now, this->service, this->crash_fingerprint);
-  if (this->workspace != nullptr) {
-    hop_request.workspace = this->workspace->name;
-  }
+  hop_request.workspace = this->GetWorkspaceName();
   this->hop_id = this->shard.GetRandom()();
   hop_request.hop_id = this->hop_id;
   SetHopRequest(request, hop_request);
@@ -244,8 +247,9 @@
   }
   const bool failed = status == ExchangeStatus::kNotConnected || status == ExchangeStatus::kLost ||
                       (status == ExchangeStatus::kOk && !report.has_value());
-  this->context.state.RecordHopEnd(GetNow(), this->service, choice.peer_address,
-                                   report.has_value() ? &*report : nullptr, failed);
+  this->context.state.RecordHopEnd(GetNow(), this->service, this->GetWorkspaceName(),
+                                   choice.peer_address, report.has_value() ? &*report : nullptr,
+                                   failed);
   if (report.has_value()) {
     this->context.containment.Merge(GetNow(), this->service, report->strikes);
     this->context.state.RecordPeerProof(sent, report->table_version, report->proof_age_ms);
@@ -265,6 +269,7 @@
     end.outcome = report->outcome;
     end.status = this->buffered.headers.result_int();
     end.call_failed = report->call_failed;
+    end.beyond_share = report->share_wait_ms > 0;
     if (ProvesNoCrash(end)) {
       this->context.containment.RecordResponse(GetNow(), this->service, this->crash_fingerprint);
     }
@@ -365,7 +370,7 @@
       this->headers.time_left.value_or(Duration{0}) - (now - this->facts.arrived_at);
   trace.time_left_ms = static_cast<std::int32_t>(CountMilliseconds(time_left));
   trace.hops = this->hops;
-  trace.workspace = this->workspace == nullptr ? std::string() : this->workspace->name;
+  trace.workspace = this->GetWorkspaceName();
   return trace;
 }
 
--- a/Source/Proxy/caller_request.h
+++ b/Source/Proxy/caller_request.h
@@ -48,6 +48,10 @@
   // Whether the API key of the request is valid in the version in force, and that version is still
   // known to be the newest.
   bool IsAccessCurrent(TimePoint now) const;
+  // Empty on public routes and without workspaces.
+  std::string_view GetWorkspaceName() const {
+    return this->workspace == nullptr ? std::string_view() : this->workspace->name;
+  }
   // Priority of the workspace, or that of the route.
   std::uint32_t GetPriority() const;
   // Takes one request from the quota of the workspace. Returns false if the request was refused
--- a/Source/Proxy/caller_request_refusal.cc
+++ b/Source/Proxy/caller_request_refusal.cc
@@ -1,6 +1,7 @@
 // The refusals of a caller's request.
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -20,10 +21,15 @@
   if (reason == ProgressReason::kProofExpired) {
     return kProofResendDelay;
   }
-  const std::optional<Duration> wait = this->context.state.EstimateMinWait(now, this->service);
+  std::optional<Duration> wait =
+      this->context.state.EstimateMinWait(now, this->service, this->GetWorkspaceName());
   if (!wait.has_value()) {
     return std::nullopt;
   }
+  if (reason == ProgressReason::kBeyondShare) {
+    *wait = std::max(
+        *wait, this->context.state.GetShareWait(now, this->service, this->GetWorkspaceName()));
+  }
   const Duration objective = this->facts.objective_at - this->facts.arrived_at;
   return ComputeResendDelay(*wait, this->facts.deadline - now, objective / 2,
                             this->shard.GetRandom());
--- a/Source/Proxy/mesh_state.cc
+++ b/Source/Proxy/mesh_state.cc
@@ -265,8 +265,8 @@
                     [&](ServiceState& state) { state.placement.RecordStart(peer_address); });
 }
 
-void MeshState::RecordHopEnd(TimePoint now, std::string_view service, std::string_view peer_address,
-                             const HopReport* report, bool failed) {
+void MeshState::RecordHopEnd(TimePoint now, std::string_view service, std::string_view workspace,
+                             std::string_view peer_address, const HopReport* report, bool failed) {
   if (report != nullptr) {
     const std::lock_guard guard(this->hosts_mutex);
     this->directory.RecordResponse(now, peer_address);
@@ -275,6 +275,7 @@
     state.placement.RecordEnd(peer_address);
     if (report != nullptr) {
       state.placement.RecordReport(now, peer_address, *report);
+      state.placement.RecordShare(now, peer_address, workspace, *report);
     } else if (failed) {
       state.placement.RecordFailure(now, peer_address);
     }
@@ -287,9 +288,32 @@
       service, [&](ServiceState& state) { return progress.HandleHopEnd(now, end, state.budget); });
 }
 
-std::optional<Duration> MeshState::EstimateMinWait(TimePoint now, std::string_view service) {
-  return this->WithService(
-      service, [now](ServiceState& state) { return state.placement.EstimateMinWait(now); });
+std::optional<Duration> MeshState::EstimateMinWait(TimePoint now, std::string_view service,
+                                                   std::string_view workspace) {
+  return this->WithService(service, [&](ServiceState& state) {
+    return state.placement.EstimateMinWait(now, workspace);
+  });
+}
+
+std::size_t MeshState::CountShareRefusals(TimePoint now, std::string_view service,
+                                          std::string_view workspace) {
+  return this->WithService(service, [&](ServiceState& state) {
+    return state.placement.GetShareRefusals().FindPeers(now, workspace).size();
+  });
+}
+
+Duration MeshState::GetShareWait(TimePoint now, std::string_view service,
+                                 std::string_view workspace) {
+  return this->WithService(service, [&](ServiceState& state) {
+    return state.placement.GetShareRefusals().GetLeastWait(now, workspace);
+  });
+}
+
+bool MeshState::IsBeyondShare(TimePoint now, std::string_view service, std::string_view workspace,
+                              std::span<const std::string> excluded) {
+  return this->WithService(service, [&](ServiceState& state) {
+    return state.placement.IsBeyondShare(now, workspace, excluded);
+  });
 }
 
 }  // namespace lacewingbridge
--- a/Source/Proxy/peer_request.cc
+++ b/Source/Proxy/peer_request.cc
@@ -143,6 +143,9 @@
     }
     co_return true;
   }
+  if (verdict == GateVerdict::kBeyondShare) {
+    this->share_wait = this->context.gate.GetShareWait(this->arrived_at, this->hop.workspace);
+  }
   if (verdict != GateVerdict::kQueued) {
     co_await this->SendRefused(DescribeGateVerdict(verdict));
     co_return false;
@@ -249,6 +252,8 @@
   this->context.state.FillVersion(GetNow(), report);
   report.hop_id = this->hop.hop_id;
   report.call_failed = this->call_failed;
+  report.share_wait_ms = static_cast<std::uint32_t>(
+      std::chrono::ceil<std::chrono::milliseconds>(this->share_wait).count());
   report.strikes =
       this->context.containment.TakeOutgoing(GetNow(), this->hop.service, this->hop.fingerprint);
   return report;
--- a/Source/Proxy/peer_request.h
+++ b/Source/Proxy/peer_request.h
@@ -124,6 +124,8 @@
   HopOutcome outcome = HopOutcome::kUnknown;
   std::string reason;
   bool call_failed = false;
+  // Set if the request was refused because its workspace is beyond its share of the target.
+  Duration share_wait{0};
 };
 
 }  // namespace lacewingbridge
--- a/Source/Proxy/target_gate.cc
+++ b/Source/Proxy/target_gate.cc
@@ -24,6 +24,8 @@
       return "target_failing";
     case GateVerdict::kSlowMoment:
       return "slow_moment";
+    case GateVerdict::kBeyondShare:
+      return "beyond_share";
   }
   return "invalid";
 }
@@ -106,6 +108,8 @@
         return GateVerdict::kNotAccepting;
       case AdmissionVerdict::kRefusedSlowMoment:
         return GateVerdict::kSlowMoment;
+      case AdmissionVerdict::kRefusedBeyondShare:
+        return GateVerdict::kBeyondShare;
       case AdmissionVerdict::kRefusedQueueFull:
       case AdmissionVerdict::kRefusedLowPriority:
         break;
@@ -250,6 +254,11 @@
   return this->target.GetStartUnixMs();
 }
 
+Duration TargetGate::GetShareWait(TimePoint now, std::string_view workspace) {
+  const std::lock_guard guard(this->mutex);
+  return this->admission.GetShareWait(now, workspace);
+}
+
 HopReport TargetGate::MakeReport(TimePoint now, const WorkOffer& offer) {
   const std::lock_guard guard(this->mutex);
   HopReport report;
--- a/Source/Proxy/target_gate.h
+++ b/Source/Proxy/target_gate.h
@@ -27,8 +27,9 @@
   kNotAccepting,
   kNoCapacity,
   kTimedOut,
-  kFailing,     // the target fails all requests; see FailureThrottle
-  kSlowMoment,  // the target's machine is slow at this moment
+  kFailing,      // the target fails all requests; see FailureThrottle
+  kSlowMoment,   // the target's machine is slow at this moment
+  kBeyondShare,  // the workspace is beyond its fair share of the target
 };
 
 // How a request at the local target ended.
@@ -89,6 +90,8 @@
   // Returns the start time of the current target process; 0 while it is unknown.
   std::uint64_t GetTargetStartUnixMs();
 
+  // Returns the time until the workspace has room in its fair share of the target.
+  Duration GetShareWait(TimePoint now, std::string_view workspace);
   // Returns the state of the target that is reported with the response to the offer.
   HopReport MakeReport(TimePoint now, const WorkOffer& offer);
   LocalTargetRecord MakeRecord();
--- a/Source/Retry/request_progress.cc
+++ b/Source/Retry/request_progress.cc
@@ -41,6 +41,8 @@
       return "call_failed";
     case ProgressReason::kProofExpired:
       return "proof_expired";
+    case ProgressReason::kBeyondShare:
+      return "beyond_share";
     case ProgressReason::kFalseRefusal:
       return "false_refusal";
   }
@@ -59,6 +61,16 @@
                                           : ProgressReason::kNoTarget);
 }
 
+ProgressDecision RequestProgress::HandleShareRefusals(std::size_t count) {
+  this->share_refusals = count;
+  return count >= kMaxRefusedHops ? this->End(ProgressReason::kBeyondShare) : ProgressDecision();
+}
+
+ProgressDecision RequestProgress::HandleBeyondShare(TimePoint now) const {
+  return now >= this->facts.GetEnd() ? this->HandleTimeout()
+                                     : this->End(ProgressReason::kBeyondShare);
+}
+
 ProgressDecision RequestProgress::HandleTimeout() const {
   return {this->may_have_run ? ProgressAction::kTimeout : ProgressAction::kRefuse,
           ProgressReason::kTimedOut};
@@ -109,7 +121,11 @@
       if (now >= this->facts.GetEnd()) {
         return this->HandleTimeout();
       }
-      if (++this->refused_hops >= kMaxRefusedHops) {
+      ++this->refused_hops;
+      if (end.beyond_share && this->refused_hops + this->share_refusals >= kMaxRefusedHops) {
+        return this->End(ProgressReason::kBeyondShare);
+      }
+      if (this->refused_hops >= kMaxRefusedHops) {
         return this->End(ProgressReason::kHopsUsedUp);
       }
       return {ProgressAction::kPlace, ProgressReason::kNoCapacity};
--- a/Source/Retry/request_progress.h
+++ b/Source/Retry/request_progress.h
@@ -1,6 +1,7 @@
 #ifndef LACEWINGBRIDGE_SOURCE_RETRY_REQUEST_PROGRESS_H_
 #define LACEWINGBRIDGE_SOURCE_RETRY_REQUEST_PROGRESS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string_view>
@@ -38,6 +39,7 @@
   kQuarantined,       // the request is quarantined because it crashed too many targets
   kCallFailed,        // a call of the run failed; running it again would make its calls again
   kProofExpired,      // the API key of the request is no longer known to be valid
+  kBeyondShare,       // enough targets have refused the workspace as beyond its fair share
   kFalseRefusal,      // the target ran it and responded with a status that means "not run"
 };
 
@@ -68,6 +70,8 @@
   unsigned status = 0;
   // A call that the target made through its daemon failed while it ran the request.
   bool call_failed = false;
+  // It was refused because its workspace is beyond its fair share of the target.
+  bool beyond_share = false;
 };
 
 // Whether the target ran the request to its end, so that the request does not crash each target
@@ -85,11 +89,17 @@
  public:
   explicit RequestProgress(const RequestFacts& request_facts) : facts(request_facts) {}
 
+  // Decides whether the request is placed at all. `count` is the number of targets that have just
+  // refused other requests of the same workspace because it is beyond its share. They count as if
+  // they had refused this request.
+  ProgressDecision HandleShareRefusals(std::size_t count);
   // Records the end of a hop and decides what follows. Takes a retry from the budget if the
   // request is to be sent to a target again.
   ProgressDecision HandleHopEnd(TimePoint now, const HopEnd& end, FleetRetryBudget& budget);
   // Decides how the request ends if there is no other daemon to send it to.
   ProgressDecision HandleNoCandidate(TimePoint now) const;
+  // The same if the daemons beside all others have stated that its workspace is beyond its share.
+  ProgressDecision HandleBeyondShare(TimePoint now) const;
   // Decides how the request ends if its API key is no longer known to be valid.
   ProgressDecision HandleProofExpired() const { return this->End(ProgressReason::kProofExpired); }
   // Decides how the request ends if its deadline or timeout has passed.
@@ -112,6 +122,7 @@
   // Hops whose daemon passed the request to a target.
   std::uint32_t target_attempts = 0;
   std::uint32_t refused_hops = 0;
+  std::size_t share_refusals = 0;
   bool may_have_run = false;
 };
 
--- a/Source/Routing/hop_placement.cc
+++ b/Source/Routing/hop_placement.cc
@@ -339,7 +339,12 @@
                                                  const RandomValues& random_values) const {
   const Candidate* best = nullptr;
   Duration best_cost{0};
-  const std::vector<std::size_t> sample = this->SampleCandidates(now, excluded, random_values);
+  std::vector<std::string> closed = this->share_refusals.FindPeers(now, requirements.workspace);
+  if (!closed.empty()) {
+    closed.insert(closed.end(), excluded.begin(), excluded.end());
+  }
+  const std::vector<std::size_t> sample =
+      this->SampleCandidates(now, closed.empty() ? excluded : closed, random_values);
   for (const std::size_t position : sample) {
     const Duration cost = this->ComputeCost(now, requirements, position, random_values);
     if (best == nullptr || cost < best_cost) {
@@ -360,7 +365,17 @@
   return choice;
 }
 
-std::optional<Duration> HopPlacement::EstimateMinWait(TimePoint now) const {
+bool HopPlacement::IsBeyondShare(TimePoint now, std::string_view workspace,
+                                 std::span<const std::string> excluded) const {
+  return std::any_of(
+      this->candidates.begin(), this->candidates.end(), [&](const Candidate& candidate) {
+        return IsEligible(now, candidate, excluded) &&
+               this->share_refusals.GetWait(now, workspace, candidate.peer_address) > Duration{0};
+      });
+}
+
+std::optional<Duration> HopPlacement::EstimateMinWait(TimePoint now,
+                                                      std::string_view workspace) const {
   std::optional<Duration> least;
   const Duration typical = this->ComputeTypical(now, 0).all;
   for (const Candidate& candidate : this->candidates) {
@@ -369,7 +384,9 @@
     }
     const Duration backoff = std::max(candidate.backoff_until - now, Duration{0});
     const Duration service_time = GetServiceTime(candidate, typical);
-    const Duration wait = std::max(this->EstimateWait(now, candidate, service_time), backoff);
+    const Duration wait =
+        std::max({this->EstimateWait(now, candidate, service_time), backoff,
+                  this->share_refusals.GetWait(now, workspace, candidate.peer_address)});
     if (!least.has_value() || wait < *least) {
       least = wait;
     }
--- a/Tests/Fakes/fleet_simulation.cc
+++ b/Tests/Fakes/fleet_simulation.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <numbers>
 #include <utility>
 
 #include "Retry/request_facts.h"
@@ -20,18 +19,6 @@
 
 }  // namespace
 
-double FleetLoad::CountServable() const {
-  double speed = 0;
-  for (std::size_t i = 0; i < this->targets; ++i) {
-    speed += this->speeds[(i / this->data_centres) % this->speeds.size()];
-  }
-  const double work =
-      (1 - this->light_share) * std::chrono::duration<double>(this->mean_work).count() +
-      this->light_share * std::chrono::duration<double>(this->light_work).count();
-  const double pace = 1 - this->slow_share + this->slow_share / this->slow_factor;
-  return this->slots * speed * pace / work;
-}
-
 FleetSimulation::FleetSimulation(const FleetLoad& fleet_load, std::uint64_t seed)
     : load(fleet_load), random(seed) {
   std::vector<HostRecord> hosts;
@@ -49,6 +36,10 @@
     this->placements.push_back(std::move(placement));
   }
   this->result.responses_by_target.resize(load.targets);
+  this->result.arrived_by_workspace.resize(load.workspaces);
+  this->result.served_by_workspace.resize(load.workspaces);
+  this->result.refusals_by_workspace.resize(load.workspaces);
+  this->result.refused_hops_by_workspace.resize(load.workspaces);
 }
 
 HostRecord FleetSimulation::MakeHost(std::size_t number) const {
@@ -66,12 +57,6 @@
   return target < this->load.failing_targets && this->now >= TimePoint() + this->load.failing_from;
 }
 
-std::uint64_t FleetSimulation::DrawResponseBytes() {
-  const double spread = this->load.response_spread;
-  std::lognormal_distribution<double> factor(-spread * spread / 2, spread);
-  return static_cast<std::uint64_t>(this->load.mean_response_bytes * factor(this->random));
-}
-
 Duration FleetSimulation::GetNetworkDelay(std::size_t caller, std::size_t target) const {
   const std::size_t from = caller % this->load.data_centres;
   const std::size_t to = target % this->load.data_centres;
@@ -86,60 +71,6 @@
   this->events.push({at, ++this->last_event, std::move(action)});
 }
 
-void FleetSimulation::AddArrivals(Duration length) {
-  std::exponential_distribution<double> gap(this->load.per_second * (1 + this->load.swing));
-  std::bernoulli_distribution light(this->load.light_share);
-  std::uniform_int_distribution<std::size_t> any(0, this->load.daemons - 1);
-  for (TimePoint at; at - TimePoint() < length; at += FromSeconds(gap(this->random))) {
-    Request request;
-    request.caller = any(this->random);
-    if (!this->IsInDemand(at, request.caller % this->load.data_centres)) {
-      continue;
-    }
-    const RequestId id = ++this->last_id;
-    request.weight_class = this->load.light_share > 0 && light(this->random) ? 1 : 0;
-    request.response_bytes = this->DrawResponseBytes();
-    request.arrived_at = at;
-    request.deadline = at + this->load.deadline;
-    request.resends_left = this->load.resends;
-    this->result.arrived_later += at >= TimePoint() + this->load.later_from ? 1 : 0;
-    this->requests.emplace(id, std::move(request));
-    this->Schedule(at, [this, id] { this->Place(id); });
-  }
-  this->result.arrived = static_cast<std::uint32_t>(this->requests.size());
-}
-
-bool FleetSimulation::IsInDemand(TimePoint at, std::size_t data_centre) {
-  if (this->load.swing == 0) {
-    return true;
-  }
-  const double phase =
-      0.1 + 0.4 * static_cast<double>(data_centre) / static_cast<double>(this->load.data_centres);
-  const double turn = std::chrono::duration<double>(at - TimePoint()) /
-                          std::chrono::duration<double>(this->load.swing_period) +
-                      phase;
-  const double demand = 1 + this->load.swing * std::sin(2 * std::numbers::pi * turn);
-  return std::bernoulli_distribution(demand / (1 + this->load.swing))(this->random);
-}
-
-void FleetSimulation::ChangePace(std::size_t target, Duration length) {
-  this->targets[target].slow = std::bernoulli_distribution(this->load.slow_share)(this->random);
-  std::exponential_distribution<double> interval(
-      1 / std::chrono::duration<double>(this->load.slow_interval).count());
-  const TimePoint next = this->now + FromSeconds(interval(this->random));
-  if (next - TimePoint() < length) {
-    this->Schedule(next, [this, target, length] { this->ChangePace(target, length); });
-  }
-}
-
-double FleetSimulation::GetPace(std::size_t target) const {
-  return this->targets[target].slow ? this->load.slow_factor : 1;
-}
-
-Duration FleetSimulation::GetMeanWork(const Request& request) const {
-  return request.weight_class == 0 ? this->load.mean_work : this->load.light_work;
-}
-
 std::size_t FleetSimulation::FindBestTarget(const Request& request) const {
   const auto expect = [&](std::size_t number) {
     const Target& target = this->targets[number];
@@ -188,7 +119,15 @@
   HopPlacement& placement = this->placements[request.caller];
   const HopRequirements requirements{request.arrived_at + this->load.objective - this->now,
                                      request.deadline - this->now, this->load.mean_response_bytes,
-                                     GetPriority(request)};
+                                     GetPriority(request), request.workspace};
+  if (request.refused_hops == 0) {
+    request.share_refusals =
+        placement.GetShareRefusals().FindPeers(this->now, request.workspace).size();
+    if (request.share_refusals >= kMaxRefusedHops) {
+      this->RefuseToCaller(id, true);
+      return;
+    }
+  }
   std::optional<HopChoice> choice =
       placement.Choose(this->now, requirements, request.refused_by, this->random);
   if (this->load.perfect_knowledge) {
@@ -226,6 +165,7 @@
   offer.objective_at = request.arrived_at + this->load.objective;
   offer.deadline = request.deadline;
   offer.has_alternatives = request.has_alternatives;
+  offer.workspace = request.workspace;
   const auto expected_bytes = static_cast<std::uint64_t>(this->load.mean_response_bytes);
   offer.transfer = target.link.GetTransferTime(expected_bytes);
   offer.link_free_at = this->now + target.link.EstimateWait(this->now);
@@ -236,11 +176,12 @@
   if (verdict == AdmissionVerdict::kAdmitted) {
     this->Begin(id);
   } else if (verdict != AdmissionVerdict::kQueued) {
-    this->Refuse(id);
+    this->Refuse(id, verdict == AdmissionVerdict::kRefusedBeyondShare);
   }
 }
 
 void FleetSimulation::Begin(RequestId id) {
+  this->requests.at(id).started_at = this->now;
   if (this->IsFailing(this->requests.at(id).target)) {
     this->requests.at(id).fails = true;
     this->Schedule(this->now + this->load.failure_time, [this, id] { this->End(id); });
@@ -259,6 +200,7 @@
   const Request& request = this->requests.at(id);
   Target& target = this->targets[request.target];
   ++this->result.responses_by_target[request.target];
+  this->result.slot_time += this->now - request.started_at;
   target.link.RemoveExpectedResponse(id);
   const Duration on_link = target.link.Reserve(this->now, request.response_bytes) +
                            target.link.GetTransferTime(request.response_bytes);
@@ -276,6 +218,7 @@
                    const std::string peer = std::to_string(completed.target);
                    placement.RecordEnd(peer);
                    placement.RecordReport(this->now, peer, report);
+                   placement.RecordShare(this->now, peer, completed.workspace, report);
                    this->Deliver(id);
                  });
 }
@@ -283,6 +226,9 @@
 void FleetSimulation::Deliver(RequestId id) {
   const Request& request = this->requests.at(id);
   const Duration taken = this->now - request.arrived_at;
+  if (!request.workspace.empty() && taken <= this->load.deadline) {
+    ++this->result.served_by_workspace[std::stoul(request.workspace)];
+  }
   this->result.times.push_back(std::min(taken, this->load.deadline));
   if (request.fails) {
     ++this->result.failed;
@@ -294,13 +240,17 @@
   }
 }
 
-void FleetSimulation::Refuse(RequestId id) {
+void FleetSimulation::Refuse(RequestId id, bool beyond_share) {
   const Request& request = this->requests.at(id);
   ++this->result.refused_hops;
   Target& target = this->targets[request.target];
   target.link.RemoveExpectedResponse(id);
   target.link.Reserve(this->now, 0);
-  const HopReport report = this->MakeReport(request);
+  HopReport report = this->MakeReport(request);
+  if (beyond_share && this->load.states_share_wait) {
+    report.share_wait_ms = static_cast<std::uint32_t>(
+        CountMilliseconds(target.admission.GetShareWait(this->now, request.workspace)));
+  }
   this->Schedule(this->now + this->GetNetworkDelay(request.caller, request.target),
                  [this, id, report] { this->HandleRefusal(id, report); });
 }
@@ -311,21 +261,31 @@
   const std::string peer = std::to_string(request.target);
   placement.RecordEnd(peer);
   placement.RecordReport(this->now, peer, report);
+  placement.RecordShare(this->now, peer, request.workspace, report);
   request.refused_by.push_back(peer);
-  if (++request.refused_hops >= kMaxRefusedHops) {
-    this->RefuseToCaller(id);
+  ++request.refused_hops;
+  const std::size_t known = report.share_wait_ms > 0 ? request.share_refusals : 0;
+  if (request.refused_hops + known >= kMaxRefusedHops) {
+    this->RefuseToCaller(id, report.share_wait_ms > 0);
   } else {
     this->Place(id);
   }
 }
 
-void FleetSimulation::RefuseToCaller(RequestId id) {
+void FleetSimulation::RefuseToCaller(RequestId id, bool beyond_share) {
   Request& request = this->requests.at(id);
   const HopPlacement& placement = this->placements[request.caller];
-  const std::optional<Duration> wait = placement.EstimateMinWait(this->now);
-  const std::optional<Duration> interval =
-      ComputeResendDelay(wait.value_or(Duration{0}), request.deadline - this->now,
-                         this->load.objective / 2, this->random);
+  Duration wait = placement.EstimateMinWait(this->now, request.workspace).value_or(Duration{0});
+  if (beyond_share) {
+    wait = std::max(wait, placement.GetShareRefusals().GetLeastWait(this->now, request.workspace));
+  }
+  if (!request.workspace.empty()) {
+    const std::size_t number = std::stoul(request.workspace);
+    ++this->result.refusals_by_workspace[number];
+    this->result.refused_hops_by_workspace[number] += request.refused_hops;
+  }
+  const std::optional<Duration> interval = ComputeResendDelay(
+      wait, request.deadline - this->now, this->load.objective / 2, this->random);
   if (request.resends_left-- <= 0 || !interval.has_value()) {
     ++this->result.refused;
     this->result.times.push_back(this->load.deadline);
--- a/Tests/Fakes/fleet_simulation.h
+++ b/Tests/Fakes/fleet_simulation.h
@@ -66,6 +66,13 @@
   // Start of the time in which FleetResult::failed_later and arrived_later are counted.
   Duration later_from{0};
 
+  // Number of workspaces that send the requests, and how many times as many the first one sends as
+  // each of the others.
+  std::size_t workspaces = 0;
+  double hot_factor = 1;
+  // Whether the daemons beside the targets tell the others which workspaces are beyond their share.
+  bool states_share_wait = true;
+
   // Number of requests per second that the targets can serve with all slots in use.
   double CountServable() const;
 };
@@ -84,6 +91,14 @@
   // Requests that arrived from later_from on.
   std::uint32_t arrived_later = 0;
   std::vector<std::uint32_t> responses_by_target;
+  // Requests that arrived and those that were served, by workspace.
+  std::vector<std::uint32_t> arrived_by_workspace;
+  std::vector<std::uint32_t> served_by_workspace;
+  // Refusals that callers received, and the hops that were refused before them, by workspace.
+  std::vector<std::uint32_t> refusals_by_workspace;
+  std::vector<std::uint32_t> refused_hops_by_workspace;
+  // Slot time that was used.
+  Duration slot_time{0};
   // Hops to another region.
   std::uint32_t remote_hops = 0;
   // Time from arrival to response of each request; that of a refused one is the deadline.
@@ -120,8 +135,11 @@
     std::vector<std::string> refused_by;
     bool has_alternatives = false;
     std::uint32_t refused_hops = 0;
+    std::size_t share_refusals = 0;
     int resends_left = 0;
     bool fails = false;
+    std::string workspace;
+    TimePoint started_at;
   };
   struct Event {
     TimePoint at;
@@ -153,16 +171,18 @@
   std::size_t FindBestTarget(const Request& request) const;
   Duration GetMeanWork(const Request& request) const;
   static std::uint32_t GetPriority(const Request& request) { return 2 - request.weight_class; }
+  // Draws the workspace of a request that arrives.
+  void SetWorkspace(Request& request);
   void Place(RequestId id);
   void Offer(RequestId id);
   void Begin(RequestId id);
   void End(RequestId id);
   // Counts a response that has arrived at the caller's daemon.
   void Deliver(RequestId id);
-  void Refuse(RequestId id);
+  void Refuse(RequestId id, bool beyond_share = false);
   void HandleRefusal(RequestId id, const HopReport& report);
   // Refuses the request to its caller, which may resend it later.
-  void RefuseToCaller(RequestId id);
+  void RefuseToCaller(RequestId id, bool beyond_share = false);
   // Starts the admitted requests and refuses the others.
   void Apply(const AdmissionRelease& release);
   HopReport MakeReport(const Request& request) const;
--- a/Tests/test_fair_share.cc
+++ b/Tests/test_fair_share.cc
@@ -9,7 +9,11 @@
 
 #include "Admission/fair_share.h"
 #include "Admission/target_admission.h"
+#include "Fakes/fleet_simulation.h"
 #include "Fakes/target_simulation.h"
+#include "Retry/fleet_retry_budget.h"
+#include "Retry/request_progress.h"
+#include "Routing/share_refusals.h"
 
 using namespace lacewingbridge;  // NOLINT(google-build-using-namespace)
 using std::chrono::milliseconds;
@@ -37,6 +41,14 @@
   return static_cast<double>(result.on_time + result.late) / result.arrived;
 }
 
+void SetShares(std::vector<double> shares, ShareResult& share) {
+  std::sort(shares.begin(), shares.end());
+  share.others = std::accumulate(shares.begin(), shares.end(), 0.0) / shares.size();
+  const std::size_t tenth = std::max<std::size_t>(shares.size() / 10, 1);
+  share.worst_tenth = std::accumulate(shares.begin(), shares.begin() + tenth, 0.0) / tenth;
+  share.least = shares.front();
+}
+
 // The last workspace sends the given multiple of its usual load. The arrivals of the others are the
 // same for each multiple.
 ShareResult Replay(double factor, bool with_workspaces, std::uint64_t seed) {
@@ -54,12 +66,8 @@
     served += result.on_time + result.late;
   }
   shares.pop_back();
-  std::sort(shares.begin(), shares.end());
   ShareResult share;
-  share.others = std::accumulate(shares.begin(), shares.end(), 0.0) / shares.size();
-  const std::size_t tenth = shares.size() / 10;
-  share.worst_tenth = std::accumulate(shares.begin(), shares.begin() + tenth, 0.0) / tenth;
-  share.least = shares.front();
+  SetShares(shares, share);
   const double hot_served = results.back().on_time + results.back().late;
   share.hot = hot_served / ((served - hot_served) / shares.size());
   share.room = served * std::chrono::duration<double>(kWork).count() / kSlots /
@@ -72,6 +80,55 @@
               share.others, share.worst_tenth, share.least, share.hot, share.room);
 }
 
+struct FleetShareResult : ShareResult {
+  // Of the hot workspace.
+  double hops_per_refusal = 0;
+};
+
+FleetLoad MakeFleet() {
+  FleetLoad load;
+  load.daemons = 70;
+  load.data_centres = 6;
+  load.regions = 3;
+  load.targets = 29;
+  load.slots = 9;
+  load.speeds = {0.6, 1.0, 1.4};
+  load.mean_work = kWork;
+  load.objective = milliseconds(300);
+  load.deadline = milliseconds(2000);
+  load.resends = 1;
+  load.workspaces = kWorkspaces;
+  load.hot_factor = kHotFactor;
+  load.per_second = 1.3 * load.CountServable();
+  return load;
+}
+
+FleetShareResult ReplayFleet(const FleetLoad& load, std::uint64_t seed) {
+  constexpr Duration kFleetLength = seconds(20);
+  const FleetResult result = FleetSimulation(load, seed).Run(kFleetLength);
+  FleetShareResult share;
+  std::vector<double> shares;
+  double served = 0;
+  for (std::size_t i = 1; i < load.workspaces; ++i) {
+    shares.push_back(static_cast<double>(result.served_by_workspace[i]) /
+                     result.arrived_by_workspace[i]);
+    served += result.served_by_workspace[i];
+  }
+  SetShares(shares, share);
+  share.hot = result.served_by_workspace[0] / (served / static_cast<double>(shares.size()));
+  share.room = std::chrono::duration<double>(result.slot_time) /
+               std::chrono::duration<double>(kFleetLength) /
+               static_cast<double>(load.targets * load.slots);
+  share.hops_per_refusal = static_cast<double>(result.refused_hops_by_workspace[0]) /
+                           std::max(result.refusals_by_workspace[0], 1U);
+  return share;
+}
+
+void Print(const char* name, const FleetShareResult& share) {
+  Print(name, static_cast<const ShareResult&>(share));
+  cr_log_info("%s: %.2f hops for each refusal", name, share.hops_per_refusal);
+}
+
 TimePoint At(int ms) { return TimePoint(milliseconds(ms)); }
 
 }  // namespace
@@ -93,6 +150,46 @@
   }
 }
 
+// Several daemons feed 29 targets. The daemons beside the targets tell the others about shares, so
+// that these do not offer what would be refused.
+Test(fair_share, work_beyond_the_share_is_not_offered_to_target_after_target) {
+  FleetLoad load = MakeFleet();
+  double told_others = 0;
+  double untold_others = 0;
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    const FleetShareResult told = ReplayFleet(load, seed);
+    load.states_share_wait = false;
+    const FleetShareResult untold = ReplayFleet(load, seed);
+    load.states_share_wait = true;
+    Print("told", told);
+    Print("not told", untold);
+    told_others += told.others / 3;
+    untold_others += untold.others / 3;
+    cr_assert_leq(told.hops_per_refusal, 0.6 * untold.hops_per_refusal);
+    cr_assert_geq(told.worst_tenth, 0.85 * told.others);
+    cr_assert_geq(told.least, 0.5 * told.others);
+    cr_assert_geq(told.room, 0.95);
+    // The workspace still gets its share.
+    cr_assert_geq(told.hot, 1);
+  }
+  // Three times the standard deviation of the number of served requests.
+  cr_assert_geq(told_others, untold_others - 0.003);
+}
+
+// One workspace asks for nearly all the room that there is.
+Test(fair_share, daemons_that_are_told_of_shares_use_the_room_that_is_left) {
+  FleetLoad load = MakeFleet();
+  load.workspaces = 2;
+  load.hot_factor = 40;
+  const FleetShareResult told = ReplayFleet(load, 1);
+  load.states_share_wait = false;
+  const FleetShareResult untold = ReplayFleet(load, 1);
+  Print("told", told);
+  Print("not told", untold);
+  cr_assert_geq(told.room, untold.room - 0.02);
+  cr_assert_geq(told.others, untold.others);
+}
+
 Test(fair_share, room_that_nobody_else_wants_goes_to_the_one_that_sends) {
   std::vector<SimulatedLoad> loads = {
       {80, 1, kWork, milliseconds(300), milliseconds(2000), 0, {}, "hot"},
@@ -138,3 +235,71 @@
   }
   cr_assert_leq(shares.GetWorkspaceCount(), FairShare::kMaxWorkspaces);
 }
+
+Test(fair_share, a_refusal_because_of_the_share_says_so) {
+  TargetAdmission admission;
+  admission.SetSlots(At(0), 2);
+  RequestId last_id = 0;
+  const auto offer = [&](int now, const char* workspace, int objective) {
+    WorkOffer work{++last_id, 1, At(now + objective), At(now + 2000)};
+    work.workspace = workspace;
+    return admission.Offer(At(now), work);
+  };
+  for (const char* workspace : {"hot", "hot", "hot", "small"}) {
+    offer(0, workspace, 1000);
+  }
+  admission.Finish(At(40), 1);
+  offer(40, "hot", 1000);
+  admission.Finish(At(45), 2);
+  admission.Finish(At(85), 4);
+  cr_assert_eq(admission.GetShareWait(At(85), "hot").count(), 0);
+  // The third request of the hot workspace has taken a slot for long while others waited.
+  admission.Finish(At(1000), 3);
+  admission.Finish(At(1000), 5);
+  cr_assert_gt(admission.GetShareWait(At(1000), "hot").count(), 0);
+  cr_assert_eq(admission.GetShareWait(At(1000), "small").count(), 0);
+  for (int i = 0; i < 4; ++i) {
+    offer(1000, "small", 1000);
+  }
+  cr_assert_eq(offer(1000, "small", 1000), AdmissionVerdict::kRefusedQueueFull);
+  cr_assert_eq(offer(1000, "hot", 1000), AdmissionVerdict::kRefusedQueueFull);
+  cr_assert_eq(offer(1000, "hot", 990), AdmissionVerdict::kRefusedBeyondShare);
+}
+
+Test(fair_share, refusals_are_remembered_for_a_bounded_time_and_number) {
+  ShareRefusals refusals;
+  refusals.Record(At(0), "hot", "a", milliseconds(300));
+  refusals.Record(At(0), "hot", "b", seconds(30));
+  refusals.Record(At(0), "hot", "c", milliseconds(0));
+  refusals.Record(At(0), "", "a", milliseconds(300));
+  cr_assert_eq(refusals.GetCount(), 2);
+  cr_assert_eq(refusals.FindPeers(At(299), "hot").size(), 2);
+  cr_assert_eq(refusals.GetLeastWait(At(200), "hot"), Duration(milliseconds(100)));
+  cr_assert_eq(refusals.FindPeers(At(300), "hot").size(), 1);
+  cr_assert(refusals.FindPeers(At(1000), "hot").empty());
+  cr_assert(refusals.FindPeers(At(0), "small").empty());
+  for (std::size_t i = 0; i < 2 * ShareRefusals::kMaxEntries; ++i) {
+    refusals.Record(At(0), "w" + std::to_string(i), "a", milliseconds(300));
+  }
+  cr_assert_eq(refusals.GetCount(), ShareRefusals::kMaxEntries);
+  refusals.Record(At(2000), "hot", "a", milliseconds(300));
+  cr_assert_eq(refusals.GetCount(), 1);
+}
+
+Test(fair_share, a_request_is_refused_at_once_after_enough_refusals_of_its_workspace) {
+  RequestFacts facts;
+  facts.deadline = At(2000);
+  facts.timeout_at = At(2000);
+  FleetRetryBudget budget;
+  RequestProgress first(facts);
+  cr_assert_eq(first.HandleShareRefusals(1).action, ProgressAction::kPlace);
+  const HopEnd no_room{HopOutcome::kRefused};
+  HopEnd beyond_share = no_room;
+  beyond_share.beyond_share = true;
+  cr_assert_eq(first.HandleHopEnd(At(0), no_room, budget).action, ProgressAction::kPlace);
+  const ProgressDecision last = first.HandleHopEnd(At(0), beyond_share, budget);
+  cr_assert_eq(last.action, ProgressAction::kRefuse);
+  cr_assert_eq(last.reason, ProgressReason::kBeyondShare);
+  RequestProgress second(facts);
+  cr_assert_eq(second.HandleShareRefusals(kMaxRefusedHops).action, ProgressAction::kRefuse);
+}
--- a/Tests/test_hop_placement.cc
+++ b/Tests/test_hop_placement.cc
@@ -272,3 +272,22 @@
   const std::vector<std::string> tried = {"near"};
   cr_assert_not(fleet.placement.Choose(kNow, kLookup, tried, random)->has_alternatives);
 }
+
+// A workspace beyond its share at some peers is served by the others, and nobody else is affected.
+Test(hop_placement, does_not_choose_peers_where_the_workspace_is_beyond_its_share) {
+  Fleet fleet;
+  HopRequirements hot = kLookup;
+  hot.workspace = "hot";
+  HopReport refusal;
+  refusal.share_wait_ms = 400;
+  fleet.placement.RecordShare(kNow, "near", "hot", refusal);
+  cr_assert_eq(fleet.Choose(hot), "beside");
+  cr_assert_eq(fleet.Choose(kLookup), "near");
+  cr_assert(!fleet.placement.IsBeyondShare(kNow, "hot", std::vector<std::string>{"near"}));
+  fleet.placement.RecordShare(kNow, "beside", "hot", refusal);
+  fleet.placement.RecordShare(kNow, "far", "hot", refusal);
+  cr_assert_eq(fleet.Choose(hot), "none");
+  cr_assert(fleet.placement.IsBeyondShare(kNow, "hot", {}));
+  cr_assert_eq(fleet.placement.EstimateMinWait(kNow, "hot"), Duration(milliseconds(400)));
+  cr_assert_eq(fleet.Choose(hot, kNow + milliseconds(400)), "near");
+}
