shares: Count the excess of a workspace in whole service times

Cause: work is counted whole when it starts, so the excess of two workspaces always differs. Between workspaces beyond their share the objective never decided.

Change: the order compares the excess in whole service times.

Measured: the_objective_decides_between_similar_excesses fails before.

--- a/Source/Admission/target_admission.cc
+++ b/Source/Admission/target_admission.cc
@@ -92,10 +92,10 @@
     this->waiting.push_back({offer, latest_start});
     return AdmissionVerdict::kQueued;
   }
-  if (rank.excess == Duration{0}) {
+  if (rank.excess == 0) {
     return AdmissionVerdict::kRefusedQueueFull;
   }
-  rank.excess = Duration{0};
+  rank.excess = 0;
   const TimePoint start_within_share = this->EstimateStart(now, rank);
   return start_within_share <= this->GetLatestStart(now, start_within_share, offer)
              ? AdmissionVerdict::kRefusedBeyondShare
@@ -168,9 +168,9 @@
   if (this->running.size() < this->slots && this->waiting.empty()) {
     return now;
   }
-  const auto ahead =
-      std::count_if(this->waiting.begin(), this->waiting.end(),
-                    [&](const Waiting& other) { return this->GetRank(now, other.offer) <= rank; });
+  const auto ahead = std::count_if(
+      this->waiting.begin(), this->waiting.end(),
+      [&](const Waiting& other) { return !(rank < this->GetRank(now, other.offer)); });
   return now + this->EstimateQueueTime(now, ahead + 1);
 }
 
@@ -184,9 +184,8 @@
   return this->EstimateQueueTime(now, ahead + 1);
 }
 
-Duration TargetAdmission::GetExcess(TimePoint now, const WorkOffer& offer) const {
-  const Duration excess = this->shares.GetExcess(now, offer.workspace);
-  return excess <= this->service_time ? Duration{0} : excess;
+std::int64_t TargetAdmission::GetExcess(TimePoint now, const WorkOffer& offer) const {
+  return this->shares.GetExcess(now, offer.workspace) / std::max(this->service_time, Duration{1});
 }
 
 Duration TargetAdmission::GetShareWait(TimePoint now, std::string_view workspace) const {
--- a/Source/Admission/target_admission.h
+++ b/Source/Admission/target_admission.h
@@ -1,12 +1,12 @@
 #ifndef LACEWINGBRIDGE_SOURCE_ADMISSION_TARGET_ADMISSION_H_
 #define LACEWINGBRIDGE_SOURCE_ADMISSION_TARGET_ADMISSION_H_
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -51,7 +51,7 @@
 // Requests with a more urgent priority start first. Within a priority, requests that can still
 // meet their objective start before those that cannot. Among these, requests of workspaces within
 // their fair share start first, then those of the workspace that is least beyond its share.
-// Requests with an equal share start in the order of their objectives.
+// Requests with an equal share, to a service time, start in the order of their objectives.
 //
 // A request is refused on arrival if it would wait longer than one service time. The queue is
 // therefore short, and the caller's daemon can choose another target at once. With a longer
@@ -150,10 +150,13 @@
   struct Rank {
     std::uint32_t priority = 0;
     bool late = false;
-    Duration excess{0};
+    std::int64_t excess = 0;
     // Time until the objective, or the negative time until the deadline of a late request.
     Duration objective{0};
-    auto operator<=>(const Rank& other) const = default;
+    bool operator<(const Rank& other) const {
+      return std::tie(this->priority, this->late, this->excess, this->objective) <
+             std::tie(other.priority, other.late, other.excess, other.objective);
+    }
   };
   Rank GetRank(TimePoint now, const WorkOffer& offer) const;
   // Estimates when a request of the rank that arrives now starts. Requires at least one slot.
@@ -168,9 +171,9 @@
   Duration EstimateQueueTime(TimePoint now, std::int64_t requests) const;
   // Whether the response is expected by the objective if the request starts at the given time.
   bool IsOnTime(TimePoint start, const WorkOffer& offer) const;
-  // Slot time that the workspace of the request has taken beyond its share. Less than one service
-  // time counts as none, because work is counted whole when it starts.
-  Duration GetExcess(TimePoint now, const WorkOffer& offer) const;
+  // Slot time that the workspace of the request has taken beyond its share, in whole service times.
+  // Work is counted whole when it starts, so smaller differences say nothing.
+  std::int64_t GetExcess(TimePoint now, const WorkOffer& offer) const;
   // Whether work of another workspace waits.
   bool IsShared(const WorkOffer& offer) const;
   void Start(TimePoint now, const WorkOffer& offer);
--- a/Tests/test_fair_share.cc
+++ b/Tests/test_fair_share.cc
@@ -216,6 +216,40 @@
   }
 }
 
+// Two workspaces are beyond their share by nearly the same amount.
+Test(fair_share, the_objective_decides_between_similar_excesses) {
+  TargetAdmission admission;
+  admission.SetSlots(At(0), 3);
+  RequestId last_id = 0;
+  const auto offer = [&](int now, const char* workspace, int objective) {
+    WorkOffer work{++last_id, 1, At(now + objective), At(now + 4000)};
+    work.workspace = workspace;
+    return admission.Offer(At(now), work);
+  };
+  for (const char* workspace : {"less", "more", "small", "less", "more", "small"}) {
+    offer(0, workspace, 1000);
+  }
+  admission.Finish(At(10), 1);
+  admission.Finish(At(11), 2);
+  offer(11, "less", 1000);
+  admission.Finish(At(12), 3);
+  admission.Finish(At(40), 6);
+  admission.Finish(At(1000), 4);
+  admission.Finish(At(1010), 5);
+  admission.Finish(At(1020), 7);
+  cr_assert_gt(admission.GetShareWait(At(1020), "less").count(), 0);
+  cr_assert_gt(admission.GetShareWait(At(1020), "more").count(),
+               admission.GetShareWait(At(1020), "less").count());
+  for (int i = 0; i < 3; ++i) {
+    offer(1020, "small", 1000);
+  }
+  cr_assert_eq(offer(1020, "less", 1100), AdmissionVerdict::kQueued);
+  cr_assert_eq(offer(1020, "more", 1000), AdmissionVerdict::kQueued);
+  const AdmissionRelease release = admission.Finish(At(1030), 8);
+  cr_assert_eq(release.admitted.size(), 1);
+  cr_assert_eq(release.admitted[0], last_id);
+}
+
 Test(fair_share, use_beyond_the_mean_is_excess_and_is_forgotten) {
   FairShare shares;
   shares.AddUse(At(0), "small", kWork);
