shares: Show operators which work was refused because of its share

Cause: operators could not tell from metrics that a workspace was refused because it is beyond its fair share, nor at how many targets that happens.

Change: share_refusals_total by workspace (200 names, then "other") and by the daemon that refused; gauges with the number of workspaces counted and beyond their share at the local target; share_wait_ms on LW0802.

--- a/Source/Admission/fair_share.cc
+++ b/Source/Admission/fair_share.cc
@@ -63,6 +63,12 @@
   }
 }
 
+std::size_t FairShare::CountBeyond(TimePoint now, Duration excess) const {
+  return static_cast<std::size_t>(std::count_if(
+      this->uses.begin(), this->uses.end(),
+      [&](const auto& entry) { return this->GetExcess(now, entry.first) >= excess; }));
+}
+
 double FairShare::GetMedian(TimePoint now) const {
   std::vector<double> sorted;
   sorted.reserve(this->uses.size());
--- a/Source/Admission/fair_share.h
+++ b/Source/Admission/fair_share.h
@@ -33,6 +33,8 @@
   // one that was too long.
   void AddUse(TimePoint now, std::string_view workspace, Duration slot_time);
 
+  // Returns the number of workspaces with at least this excess, which is positive.
+  std::size_t CountBeyond(TimePoint now, Duration excess) const;
   std::size_t GetWorkspaceCount() const { return this->uses.size(); }
 
  private:
--- a/Source/Admission/target_admission.h
+++ b/Source/Admission/target_admission.h
@@ -1,6 +1,7 @@
 #ifndef LACEWINGBRIDGE_SOURCE_ADMISSION_TARGET_ADMISSION_H_
 #define LACEWINGBRIDGE_SOURCE_ADMISSION_TARGET_ADMISSION_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -107,6 +108,17 @@
   // Returns the time until the workspace has room in its fair share; zero if it has now.
   Duration GetShareWait(TimePoint now, std::string_view workspace) const;
 
+  // Numbers of workspaces, for operators.
+  struct ShareCounts {
+    // Those that have taken room while others waited.
+    std::size_t known = 0;
+    std::size_t beyond = 0;
+  };
+  ShareCounts CountShares(TimePoint now) const {
+    return {this->shares.GetWorkspaceCount(),
+            this->shares.CountBeyond(now, std::max(this->service_time, Duration{1}))};
+  }
+
   // Records how long work takes on the target's machine at this moment, as the target states it.
   void RecordWorkPercent(TimePoint now, std::uint32_t percent) { this->pace.Record(now, percent); }
 
--- a/Source/Node/operator_handler.cc
+++ b/Source/Node/operator_handler.cc
@@ -31,6 +31,12 @@
     gauges += fmt::format("lacewingbridge_proof_age_seconds {:.3f}\n",
                           std::chrono::duration<double>(*age).count());
   }
+  const TargetAdmission::ShareCounts shares = this->context.gate.CountShares(GetNow());
+  if (shares.known > 0) {
+    gauges += fmt::format(
+        "lacewingbridge_share_workspaces {}\nlacewingbridge_share_workspaces_beyond {}\n",
+        shares.known, shares.beyond);
+  }
   return this->context.metrics.Format(gauges);
 }
 
--- a/Source/Proxy/caller_request.cc
+++ b/Source/Proxy/caller_request.cc
@@ -339,6 +339,10 @@
       break;
     }
     case ProgressAction::kRefuse:
+      if (decision.reason == ProgressReason::kBeyondShare) {
+        this->context.metrics.AddNamedCount("share_refusals_total", "workspace",
+                                            this->GetWorkspaceName(), "at=\"caller\"");
+      }
       co_await this->SendRefusal(http::status::service_unavailable, reason,
                                  this->EstimateResendDelay(now, decision.reason));
       break;
--- a/Source/Proxy/peer_request.cc
+++ b/Source/Proxy/peer_request.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "Observe/event_log.h"
+#include "Observe/metrics_registry.h"
 #include "Proxy/daemon_stage.h"
 #include "Proxy/link_relay.h"
 #include "Retry/request_progress.h"
@@ -145,6 +146,8 @@
   }
   if (verdict == GateVerdict::kBeyondShare) {
     this->share_wait = this->context.gate.GetShareWait(this->arrived_at, this->hop.workspace);
+    this->context.metrics.AddNamedCount("share_refusals_total", "workspace", this->hop.workspace,
+                                        "at=\"target\"");
   }
   if (verdict != GateVerdict::kQueued) {
     co_await this->SendRefused(DescribeGateVerdict(verdict));
@@ -352,7 +355,7 @@
       Event::kTargetHopEnded,
       "request={} sender={} target={} workspace={} outcome={} reason={} status={} priority={} "
       "running={} waiting={} slots={} waited_ms={} predicted_ms={} objective_ms={} link_wait_ms={} "
-      "work_percent={} after_ms={}",
+      "work_percent={} share_wait_ms={} after_ms={}",
       this->request_id, this->hop.sender, report.target_id,
       this->hop.workspace.empty() ? "none" : this->hop.workspace, GetName(report.outcome),
       report.reason, status, this->hop.priority, report.running, report.waiting, report.slots,
@@ -361,7 +364,7 @@
           ? 0
           : CountMilliseconds(this->offer.predicted_end - this->arrived_at),
       CountMilliseconds(this->offer.objective_at - this->arrived_at), report.link_wait_ms,
-      report.work_percent, CountMilliseconds(GetNow() - this->arrived_at));
+      report.work_percent, report.share_wait_ms, CountMilliseconds(GetNow() - this->arrived_at));
 }
 
 }  // namespace lacewingbridge
--- a/Source/Proxy/target_gate.cc
+++ b/Source/Proxy/target_gate.cc
@@ -259,6 +259,11 @@
   return this->admission.GetShareWait(now, workspace);
 }
 
+TargetAdmission::ShareCounts TargetGate::CountShares(TimePoint now) {
+  const std::lock_guard guard(this->mutex);
+  return this->admission.CountShares(now);
+}
+
 HopReport TargetGate::MakeReport(TimePoint now, const WorkOffer& offer) {
   const std::lock_guard guard(this->mutex);
   HopReport report;
--- a/Source/Proxy/target_gate.h
+++ b/Source/Proxy/target_gate.h
@@ -92,6 +92,7 @@
 
   // Returns the time until the workspace has room in its fair share of the target.
   Duration GetShareWait(TimePoint now, std::string_view workspace);
+  TargetAdmission::ShareCounts CountShares(TimePoint now);
   // Returns the state of the target that is reported with the response to the offer.
   HopReport MakeReport(TimePoint now, const WorkOffer& offer);
   LocalTargetRecord MakeRecord();
--- a/Tests/test_fair_share.cc
+++ b/Tests/test_fair_share.cc
@@ -291,6 +291,9 @@
   admission.Finish(At(1000), 3);
   admission.Finish(At(1000), 5);
   cr_assert_gt(admission.GetShareWait(At(1000), "hot").count(), 0);
+  cr_assert_eq(admission.CountShares(At(1000)).known, 2);
+  cr_assert_eq(admission.CountShares(At(1000)).beyond, 1);
+  cr_assert_eq(admission.CountShares(At(20'000)).beyond, 0);
   cr_assert_eq(admission.GetShareWait(At(1000), "small").count(), 0);
   for (int i = 0; i < 4; ++i) {
     offer(1000, "small", 1000);
