--- a/Source/Admission/fair_share.cc
+++ b/Source/Admission/fair_share.cc
@@ -38,6 +38,15 @@
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(excess));
 }
 
+Duration FairShare::GetDecayTime(Duration excess, Duration until) {
+  if (excess <= until || until <= Duration{0}) {
+    return Duration{0};
+  }
+  const double ratio = static_cast<double>(excess.count()) / static_cast<double>(until.count());
+  return std::chrono::duration_cast<Duration>(std::log(ratio) *
+                                              std::chrono::duration<double>(kDecayTime));
+}
+
 void FairShare::AddUse(TimePoint now, std::string_view workspace, Duration slot_time) {
   if (workspace.empty()) {
     return;
@@ -54,6 +63,12 @@
   }
 }
 
+std::size_t FairShare::CountBeyond(TimePoint now, Duration excess) const {
+  return static_cast<std::size_t>(std::count_if(
+      this->uses.begin(), this->uses.end(),
+      [&](const auto& entry) { return this->GetExcess(now, entry.first) >= excess; }));
+}
+
 double FairShare::GetMedian(TimePoint now) const {
   std::vector<double> sorted;
   sorted.reserve(this->uses.size());
--- a/Source/Admission/fair_share.h
+++ b/Source/Admission/fair_share.h
@@ -26,10 +26,15 @@
   // Slot time that the workspace has taken beyond its share.
   Duration GetExcess(TimePoint now, std::string_view workspace) const;
 
+  // Returns the time until an excess has decayed to the given one.
+  static Duration GetDecayTime(Duration excess, Duration until);
+
   // Adds slot time that the workspace takes while others wait. A negative time corrects an earlier
   // one that was too long.
   void AddUse(TimePoint now, std::string_view workspace, Duration slot_time);
 
+  // Returns the number of workspaces with at least this excess, which is positive.
+  std::size_t CountBeyond(TimePoint now, Duration excess) const;
   std::size_t GetWorkspaceCount() const { return this->uses.size(); }
 
  private:
--- a/Source/Admission/target_admission.h
+++ b/Source/Admission/target_admission.h
@@ -1,10 +1,13 @@
 #ifndef LACEWINGBRIDGE_SOURCE_ADMISSION_TARGET_ADMISSION_H_
 #define LACEWINGBRIDGE_SOURCE_ADMISSION_TARGET_ADMISSION_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -49,7 +52,7 @@
 // Requests with a more urgent priority start first. Within a priority, requests that can still
 // meet their objective start before those that cannot. Among these, requests of workspaces within
 // their fair share start first, then those of the workspace that is least beyond its share.
-// Requests with an equal share start in the order of their objectives.
+// Requests with an equal share, to a service time, start in the order of their objectives.
 //
 // A request is refused on arrival if it would wait longer than one service time. The queue is
 // therefore short, and the caller's daemon can choose another target at once. With a longer
@@ -102,6 +105,20 @@
   // Estimates the time until a request of the priority that arrives now starts.
   Duration EstimateWait(TimePoint now, std::uint32_t priority) const;
 
+  // Returns the time until the workspace has room in its fair share; zero if it has now.
+  Duration GetShareWait(TimePoint now, std::string_view workspace) const;
+
+  // Numbers of workspaces, for operators.
+  struct ShareCounts {
+    // Those that have taken room while others waited.
+    std::size_t known = 0;
+    std::size_t beyond = 0;
+  };
+  ShareCounts CountShares(TimePoint now) const {
+    return {this->shares.GetWorkspaceCount(),
+            this->shares.CountBeyond(now, std::max(this->service_time, Duration{1}))};
+  }
+
   // Records how long work takes on the target's machine at this moment, as the target states it.
   void RecordWorkPercent(TimePoint now, std::uint32_t percent) { this->pace.Record(now, percent); }
 
@@ -141,8 +158,23 @@
   }
   // Returns when a response that is ready at the given time has left this host.
   static TimePoint ComputeResponseEnd(TimePoint ready, const WorkOffer& offer);
-  // Estimates when a request that arrives now starts. Requires at least one slot.
-  TimePoint EstimateStart(TimePoint now, const WorkOffer& offer) const;
+  // Place of a request in the order of the queue. The lowest one starts first.
+  struct Rank {
+    std::uint32_t priority = 0;
+    bool late = false;
+    std::int64_t excess = 0;
+    // Time until the objective, or the negative time until the deadline of a late request.
+    Duration objective{0};
+    bool operator<(const Rank& other) const {
+      return std::tie(this->priority, this->late, this->excess, this->objective) <
+             std::tie(other.priority, other.late, other.excess, other.objective);
+    }
+  };
+  Rank GetRank(TimePoint now, const WorkOffer& offer) const;
+  // Estimates when a request of the rank that arrives now starts. Requires at least one slot.
+  TimePoint EstimateStart(TimePoint now, const Rank& rank) const;
+  // Returns the time by which a request that is estimated to start at the given time has to start.
+  TimePoint GetLatestStart(TimePoint now, TimePoint start, const WorkOffer& offer) const;
   // Estimates the service time of a request that starts at the given time.
   Duration EstimateServiceTime(TimePoint start, std::uint32_t work_class) const;
   // Returns the service time that kServiceMarginTenths allows for.
@@ -151,13 +183,11 @@
   Duration EstimateQueueTime(TimePoint now, std::int64_t requests) const;
   // Whether the response is expected by the objective if the request starts at the given time.
   bool IsOnTime(TimePoint start, const WorkOffer& offer) const;
-  // Slot time that the workspace of the request has taken beyond its share. Less than one service
-  // time counts as none, because work is counted whole when it starts.
-  Duration GetExcess(TimePoint now, const WorkOffer& offer) const;
+  // Slot time that the workspace of the request has taken beyond its share, in whole service times.
+  // Work is counted whole when it starts, so smaller differences say nothing.
+  std::int64_t GetExcess(TimePoint now, const WorkOffer& offer) const;
   // Whether work of another workspace waits.
   bool IsShared(const WorkOffer& offer) const;
-  // Whether the left request starts before the right one.
-  bool GoesBefore(TimePoint now, const Waiting& left, const Waiting& right) const;
   void Start(TimePoint now, const WorkOffer& offer);
   void RecordServiceTime(std::uint32_t work_class, Duration taken);
   // Refuses what Expire refuses and starts waiting requests while slots are free.
