tests: Check the time limits of a response that is being sent

The limit between two whole daemons is 60 s, too long for a test, so one connection is tested with shorter limits.

--- a/Tests/Fakes/http_loopback.h
+++ b/Tests/Fakes/http_loopback.h
@@ -1,6 +1,7 @@
 #ifndef LACEWINGBRIDGE_TESTS_FAKES_HTTP_LOOPBACK_H_
 #define LACEWINGBRIDGE_TESTS_FAKES_HTTP_LOOPBACK_H_
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -72,6 +73,12 @@
     return received;
   }
 
+  // Runs the connection while the client reads nothing.
+  void RunFor(std::chrono::milliseconds time) {
+    this->shard.GetContext().restart();
+    this->shard.GetContext().run_for(time);
+  }
+
   void Close() {
     ErrorCode ignored;
     this->client.close(ignored);
@@ -85,23 +92,30 @@
 
   // Whether the server has closed the connection.
   bool IsEnded() const { return this->ended; }
+  // Whether it did so with a reset.
+  bool WasReset() const { return this->reset; }
   IoShard& GetShard() { return this->shard; }
 
  private:
   std::string ReadAvailable() {
+    std::string received;
     std::string part(64 * 1024, '\0');
     ErrorCode code;
     this->client.non_blocking(true, code);
-    const std::size_t count = this->client.read_some(asio::buffer(part), code);
-    this->ended = this->ended || (code && code != asio::error::would_block);
+    while (!code) {
+      const std::size_t count = this->client.read_some(asio::buffer(part), code);
+      received.append(part, 0, count);
+    }
+    this->reset = this->reset || code == asio::error::connection_reset;
+    this->ended = this->ended || code != asio::error::would_block;
     this->client.non_blocking(false, code);
-    part.resize(count);
-    return part;
+    return received;
   }
 
   IoShard shard;
   TcpSocket client;
   bool ended = false;
+  bool reset = false;
 };
 
 }  // namespace lacewingbridge
