http: Reset a response that its handler leaves unfinished

A handler that failed midway, for example for lack of memory, left the connection to be closed in order. For a response without a length to a caller of HTTP/1.0 this is the end of the body, so the part counted as the whole. Such a response is aborted now.

The case was found by a search over all places that end a response. The new case of test_node_write_limits fails before the change and passes after it.

Ruled out: a cut response that the write side hides as EPIPE. Linux reports EPIPE to the first failed write only if the end of the stream arrived before the reset; a reset without it is ECONNRESET, also to a write that is blocked and with unread bytes at the other side. Only a second failed call after that gives EPIPE, and every writer stops at the first. Measured on loopback (6.18).

--- a/Source/Http/server_connection.h
+++ b/Source/Http/server_connection.h
@@ -172,6 +172,10 @@
       EventLog::Write(Event::kRequestFailed, "reason=\"{}\"", error.what());
     }
     exchange->SetGoneListener(nullptr);
+    if (exchange->IsAnswerUnfinished()) {
+      // Closing in order would complete an answer without a length.
+      exchange->Abort();
+    }
     this->idle_since = GetNow();
     if (!exchange->IsReusable()) {
       const ConnectionEnd end = exchange->GetConnectionEnd();
--- a/Source/Http/server_exchange.h
+++ b/Source/Http/server_exchange.h
@@ -74,6 +74,9 @@
   // Whether a further request may follow on the connection.
   bool IsReusable() const;
 
+  // Whether an answer has been begun and not been completed.
+  bool IsAnswerUnfinished() const { return this->answered && !this->complete; }
+
   // Whether the whole answer has been written.
   bool IsAnswerComplete() const { return this->answered && this->complete; }
 
--- a/Tests/test_node_write_limits.cc
+++ b/Tests/test_node_write_limits.cc
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <optional>
+#include <stdexcept>
 #include <string>
 
 #include "Fakes/http_loopback.h"
@@ -42,6 +43,15 @@
       [&response](ServerExchange& exchange) { return response.Send(exchange); });
 }
 
+Awaitable<void> SendPartAndThrow(ServerExchange& exchange) {
+  http::response_header<> head;
+  head.result(http::status::ok);
+  co_await exchange.SendHead(head, std::nullopt);
+  const std::string part = "half of it";
+  co_await exchange.SendPart(part);
+  throw std::runtime_error("out of memory");
+}
+
 }  // namespace
 
 Test(write_limits, a_response_whose_time_is_over_ends_with_a_reset) {
@@ -89,3 +99,12 @@
   cr_assert(response.returned);
   cr_assert_eq(handler.closed, 1);
 }
+
+Test(write_limits, a_response_that_a_handler_leaves_unfinished_ends_with_a_reset) {
+  FunctionHandler handler(SendPartAndThrow);
+  HttpLoopback loopback(handler);
+  loopback.Write("GET / HTTP/1.0\r\n\r\n");
+  const std::string received = loopback.Read();
+  cr_assert(loopback.IsEnded());
+  cr_assert(loopback.WasReset(), "%s", received.c_str());
+}
