node: Read the response of a health check to its end

The prober read 4,096 bytes of the body and judged the response by them, so a response that broke off later confirmed the target. It reads to the end within the limit of 600 ms and refuses any response that is not whole.

Measured: a_cut_response_is_refused fails before the change, for a chunk of 6,000 bytes without a last chunk. All four cases of test_node_health_check pass.

--- a/Source/Node/target_prober.h
+++ b/Source/Node/target_prober.h
@@ -34,15 +34,14 @@
     const OutboundOptions options{kConnectLimit, Duration{0}, Duration{0}};
     const ExchangeStatus status =
         co_await exchange.Start(request, nullptr, kResponseLimit, options);
-    std::string body;
     BodyStatus read = BodyStatus::kBroken;
     http::response_header<> head;
     if (status == ExchangeStatus::kOk) {
       // Reading the body adds its trailers to the head of the exchange.
       head = exchange.GetHead();
-      read = co_await exchange.ReadBody(body, kMaxBodyBytes);
+      read = co_await SkipBody(exchange);
     }
-    if (read != BodyStatus::kBroken) {
+    if (read == BodyStatus::kComplete) {
       const TargetResponseHeaders headers = Wire::ReadResponseHeaders(head);
       const bool healthy = head.result() == http::status::ok && !headers.not_run;
       this->gate.HandleHealthResponse(GetNow(), healthy, headers.target_id,
@@ -58,7 +57,17 @@
   // The target is on the same host, so connecting is fast, but its health check waits for a slot.
   static constexpr Duration kConnectLimit = std::chrono::milliseconds(250);
   static constexpr Duration kResponseLimit = std::chrono::milliseconds(600);
-  static constexpr std::size_t kMaxBodyBytes = 4096;
+  static constexpr std::size_t kPartBytes = 4096;
+
+  // Reads the body to its end, for as long as the time limit of the exchange allows.
+  static Awaitable<BodyStatus> SkipBody(OutboundExchange& exchange) {
+    BodyStatus read = BodyStatus::kMore;
+    while (read == BodyStatus::kMore) {
+      std::string part;
+      read = co_await exchange.ReadBody(part, kPartBytes);
+    }
+    co_return read;
+  }
 
   IoShard& shard;
   MeshState& state;
