--- a/Tests/test_platform_store_client.cc
+++ b/Tests/test_platform_store_client.cc
@@ -1,10 +1,14 @@
 // Guards against a store, a target or another daemon that sends bytes without end: the daemon kept
 // them all, and its host ran out of memory.
 
+#include <fmt/format.h>
+
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "Fakes/keep_alive_target.h"
+#include "Fakes/scripted_responder.h"
 #include "Http/io_shard.h"
 #include "Http/outbound_exchange.h"
 #include "store_client.h"
@@ -67,6 +71,11 @@
   second = co_await client.Get("k");
 }
 
+Awaitable<void> RenewAndEnd(PlatformStoreClient& client, Status& renewed, Status& ended) {
+  renewed = co_await client.RenewLease(3);
+  ended = co_await client.EndLease(3);
+}
+
 }  // namespace
 
 // Guards against a response that was sent before the store was restored and arrives after it.
@@ -92,6 +101,60 @@
   cr_assert_eq(eras, 1);
 }
 
+// Guards against a store that refuses to renew a lease with a status that is not known here: its
+// daemon would rely on a lease that ends.
+Test(platform_store_client, only_a_success_renews_or_ends_a_lease) {
+  for (const auto& [status, expected] :
+       {std::pair("200 OK", true), std::pair("400 Bad Request", false),
+        std::pair("302 Found", false), std::pair("403 Forbidden", false),
+        std::pair("503 Unavailable", false)}) {
+    KeepAliveTarget store(
+        [&status = status](const std::string&, int) -> TargetReply {
+          return {std::string("HTTP/1.1 ") + status + "\r\nContent-Length: 2\r\n\r\n{}"};
+        },
+        "");
+    IoShard shard(1);
+    PlatformStoreClient client(shard, store.GetAddress());
+    Status renewed = MakeOkStatus();
+    Status ended = MakeOkStatus();
+    asio::co_spawn(shard.GetContext(), RenewAndEnd(client, renewed, ended), asio::detached);
+    shard.GetContext().run();
+    cr_assert_eq(IsOk(renewed), expected, "%s", status);
+    cr_assert_eq(IsOk(ended), expected, "%s", status);
+  }
+}
+
+Test(platform_store_client, a_trailer_is_no_header) {
+  KeepAliveTarget store(
+      [](const std::string&, int) -> TargetReply {
+        return {kChunked +
+                fmt::format("{:x}\r\n{}\r\n0\r\nStore-Era: 9\r\n\r\n", kItem.size(), kItem)};
+      },
+      "");
+  IoShard shard(1);
+  PlatformStoreClient client(shard, store.GetAddress());
+  Result<StoreItem> first = StoreItem();
+  Result<StoreItem> second = StoreItem();
+  asio::co_spawn(shard.GetContext(), GetTwice(client, first, second), asio::detached);
+  shard.GetContext().run();
+  cr_assert(IsOk(first));
+  cr_assert_eq(client.GetEra(), 0);
+}
+
+// The part is a whole JSON text, so only the end of the connection shows that it is a part.
+Test(platform_store_client, a_response_without_a_length_that_is_reset_is_a_failed_call) {
+  ScriptedResponder store;
+  store.SetScript({"HTTP/1.1 200 OK\r\n\r\n" + kItem, 0, true});
+  IoShard shard(1);
+  PlatformStoreClient client(shard, store.GetAddress());
+  Result<StoreItem> first = StoreItem();
+  Result<StoreItem> second = StoreItem();
+  asio::co_spawn(shard.GetContext(), GetTwice(client, first, second), asio::detached);
+  shard.GetContext().run();
+  cr_assert_not(IsOk(first));
+  cr_assert_not(IsOk(second));
+}
+
 Test(outbound_exchange, bytes_without_end_are_not_kept) {
   for (const TargetReply& reply : MakeEndlessReplies()) {
     for (const std::size_t max_bytes : {std::size_t{4096}, std::size_t{8} << 20U}) {
