--- a/Tests/Fakes/early_target.h
+++ b/Tests/Fakes/early_target.h
@@ -26,6 +26,8 @@
   bool reset = false;
   // Written once the rest of the request has been read, in place of an early end.
   std::string late_bytes;
+  // Ends the response in order and then resets the connection, without reading the rest.
+  bool reset_after_end = false;
 };
 
 // A target on loopback that responds before it has read the body of a request.
@@ -92,6 +94,10 @@
       return;
     }
     shutdown(connection, SHUT_WR);
+    if (this->reply.reset_after_end) {
+      // Closing with unread bytes resets the connection.
+      return;
+    }
     while (Read(connection, request)) {
     }
   }
--- a/Tests/test_node_cut_responses.cc
+++ b/Tests/test_node_cut_responses.cc
@@ -85,3 +85,12 @@
   cr_assert(HasStatus(response, "200"), "%s", response.substr(0, 200).c_str());
   cr_assert(LooksComplete(response) && response.ends_with(body), "%zu bytes", response.size());
 }
+
+// The reset shows as EPIPE to the write, because the end of the response has arrived before it.
+Test(cut_responses, a_response_that_ends_in_order_before_a_reset_is_complete) {
+  const std::string body(3000, 'x');
+  Mesh mesh({kHead + ("\r\n" + body), milliseconds(60), false, "", true});
+  const std::string response = mesh.Upload();
+  cr_assert(HasStatus(response, "200"), "%s", response.substr(0, 200).c_str());
+  cr_assert(LooksComplete(response) && response.ends_with(body), "%zu bytes", response.size());
+}
--- a/Tests/test_node_slow_reader.cc
+++ b/Tests/test_node_slow_reader.cc
@@ -99,3 +99,21 @@
     cr_assert(caller->IsEnded());
   }
 }
+
+// A target that responds early and leaves the rest of the upload unread. Its response waited until
+// the target went on reading.
+Test(slow_reader, an_early_response_does_not_wait_for_the_rest_of_the_upload) {
+  FakeMesh<EarlyTarget> mesh(0, EarlyReply{std::string(kHead) + "3\r\n\r\nnow", seconds(7)},
+                             std::string(kHead) + "0\r\n\r\n");
+  const std::string body(std::size_t{24} * 1024 * 1024, 'u');
+  RawClient client(mesh.GetFront().GetSettings().caller_address);
+  client.Write("POST /slow/1 HTTP/1.1\r\nHost: a\r\nX-Id: r1\r\nContent-Length: " +
+               std::to_string(body.size()) + "\r\n\r\n");
+  std::thread writer([&client, &body] { client.Write(body); });
+  const std::string response = client.ReadFor(seconds(5));
+  cr_assert(HasStatus(response, "200"), "%s", response.substr(0, 200).c_str());
+  cr_assert(response.ends_with("now"));
+  writer.join();
+  // The target reads the rest of the upload on its connection, so it does not respond there again.
+  cr_assert(HasStatus(mesh.Send("GET", "/write/1"), "200"));
+}
