--- a/Source/Admission/target_admission.cc
+++ b/Source/Admission/target_admission.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "Core/duration_scale.h"
+
 namespace lacewingbridge {
 
 namespace {
@@ -11,10 +13,6 @@
   average += (newest - average) / divisor;
 }
 
-Duration Scale(Duration duration, double factor) {
-  return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
-}
-
 }  // namespace
 
 Duration TargetAdmission::GetServiceTimeOf(std::uint32_t work_class) const {
--- a/Source/Routing/hop_placement.cc
+++ b/Source/Routing/hop_placement.cc
@@ -5,6 +5,7 @@
 
 #include "Admission/link_schedule.h"
 #include "Admission/work_pace.h"
+#include "Core/duration_scale.h"
 
 namespace lacewingbridge {
 
@@ -14,10 +15,6 @@
   return std::chrono::milliseconds(milliseconds);
 }
 
-Duration Scale(Duration duration, double factor) {
-  return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
-}
-
 // Estimates the fraction of requests that take longer than the time left. The service time is
 // assumed to have a log-logistic distribution: one request in two takes longer than the mean, one
 // in nine longer than 1.5 times the mean, and one in thirty longer than twice the mean.
