proxy: Share the exchange of daemons that ask each other

The limit of idle connections between daemons stood in three files and stands beside it. Behaviour is unchanged.

--- a/Source/Node/peer_checker.cc
+++ b/Source/Node/peer_checker.cc
@@ -7,8 +7,8 @@
 
 #include "Http/boot_clock.h"
 #include "Http/io_shard.h"
-#include "Http/outbound_exchange.h"
 #include "Proxy/mesh_state.h"
+#include "Proxy/peer_exchange.h"
 #include "Proxy/peer_handler.h"
 #include "Workspaces/proof_readers.h"
 #include "Workspaces/proof_schedule.h"
@@ -79,23 +79,14 @@
 }
 
 Awaitable<std::optional<PeerProgress>> PeerChecker::Ask(const std::string& peer_address) {
-  OutboundExchange exchange(this->shard, peer_address);
-  OutboundExchange::Request request(http::verb::get, kProgressPath, 11);
-  request.set(http::field::host, peer_address);
-  const OutboundOptions options{kConnectLimit, kPeerIdleLimit, kPeerIdleLimit};
+  const OutboundExchange::Request request(http::verb::get, kProgressPath, 11);
+  const PeerExchangeLimits limits{kConnectLimit, kResponseLimit, kPeerIdleLimit, kMaxBytes};
   const TimePoint sent = GetNow();
-  const ExchangeStatus status = co_await exchange.Start(request, nullptr, kResponseLimit, options);
-  std::optional<PeerProgress> progress;
-  if (status == ExchangeStatus::kOk && exchange.GetHead().result() == http::status::ok) {
-    std::string body;
-    const BodyStatus read = co_await exchange.ReadBody(body, kMaxBytes);
-    PeerProgress decoded;
-    if (read == BodyStatus::kComplete && Decode(body, decoded)) {
-      progress = decoded;
-      this->state.RecordPeerProof(sent, decoded.table_version, decoded.proof_age_ms);
-    }
+  const std::optional<PeerProgress> progress =
+      co_await ExchangeWithPeer<PeerProgress>(this->shard, peer_address, request, limits);
+  if (progress.has_value()) {
+    this->state.RecordPeerProof(sent, progress->table_version, progress->proof_age_ms);
   }
-  exchange.Finish();
   co_return progress;
 }
 
--- a/Source/Node/peer_checker.h
+++ b/Source/Node/peer_checker.h
@@ -32,8 +32,6 @@
   static constexpr Duration kCheckInterval = std::chrono::milliseconds(700);
   static constexpr Duration kConnectLimit = std::chrono::milliseconds(300);
   static constexpr Duration kResponseLimit = std::chrono::milliseconds(500);
-  // Shorter than the time for which daemons keep idle connections of each other open.
-  static constexpr Duration kPeerIdleLimit = std::chrono::seconds(4);
   static constexpr std::size_t kMaxBytes = 256;
 
   Awaitable<void> Run();
--- a/Source/Node/snapshot_fetcher.cc
+++ b/Source/Node/snapshot_fetcher.cc
@@ -1,12 +1,13 @@
 #include "Node/snapshot_fetcher.h"
 
 #include <cstdint>
+#include <optional>
 #include <utility>
 
 #include "Http/boot_clock.h"
 #include "Http/io_shard.h"
-#include "Http/outbound_exchange.h"
 #include "Proxy/mesh_state.h"
+#include "Proxy/peer_exchange.h"
 #include "Proxy/peer_handler.h"
 #include "Store/table_offer_log.h"
 #include "mesh_codec.h"
@@ -36,23 +37,17 @@
 }
 
 Awaitable<void> SnapshotFetcher::FetchFrom(const std::string& peer_address) {
-  OutboundExchange exchange(this->shard, peer_address);
-  OutboundExchange::Request request(http::verb::get, kSnapshotPath, 11);
-  request.set(http::field::host, peer_address);
-  const OutboundOptions options{kConnectLimit, Duration{0}, Duration{0}};
-  const ExchangeStatus status = co_await exchange.Start(request, nullptr, kResponseLimit, options);
-  if (status == ExchangeStatus::kOk && exchange.GetHead().result() == http::status::ok) {
-    std::string body;
-    PeerSnapshot snapshot;
-    const BodyStatus read = co_await exchange.ReadBody(body, kMaxBytes);
-    if (read == BodyStatus::kComplete && Decode(body, snapshot)) {
-      OfferAndLog(this->state, std::move(snapshot.table), peer_address);
-      for (const HostRecord& record : snapshot.hosts) {
-        this->state.MergeHost(GetNow(), record);
-      }
-    }
+  const OutboundExchange::Request request(http::verb::get, kSnapshotPath, 11);
+  const PeerExchangeLimits limits{kConnectLimit, kResponseLimit, Duration{0}, kMaxBytes};
+  std::optional<PeerSnapshot> snapshot =
+      co_await ExchangeWithPeer<PeerSnapshot>(this->shard, peer_address, request, limits);
+  if (!snapshot.has_value()) {
+    co_return;
+  }
+  OfferAndLog(this->state, std::move(snapshot->table), peer_address);
+  for (const HostRecord& record : snapshot->hosts) {
+    this->state.MergeHost(GetNow(), record);
   }
-  exchange.Finish();
 }
 
 }  // namespace lacewingbridge
--- a/Source/Proxy/caller_request.cc
+++ b/Source/Proxy/caller_request.cc
@@ -14,6 +14,7 @@
 #include "Proxy/daemon_stage.h"
 #include "Proxy/header_fields.h"
 #include "Proxy/mesh_state.h"
+#include "Proxy/peer_exchange.h"
 #include "Proxy/target_gate.h"
 
 namespace lacewingbridge {
@@ -22,8 +23,6 @@
 
 // Longer than the round trip between regions including the retransmission of one lost packet.
 constexpr Duration kConnectLimit = std::chrono::milliseconds(300);
-// Shorter than the time for which daemons keep idle connections of each other open.
-constexpr Duration kPeerIdleLimit = std::chrono::seconds(4);
 // Maximum time without data within a response that has started.
 constexpr Duration kMaxResponseSilence = std::chrono::seconds(5);
 // Retry-After of a daemon that stops. After this delay callers reach another daemon.
--- a/Source/Proxy/quota_asker.cc
+++ b/Source/Proxy/quota_asker.cc
@@ -1,6 +1,5 @@
 #include "Proxy/quota_asker.h"
 
-#include <chrono>
 #include <exception>
 #include <memory>
 #include <optional>
@@ -9,8 +8,8 @@
 
 #include "Http/boot_clock.h"
 #include "Http/io_shard.h"
-#include "Http/outbound_exchange.h"
 #include "Proxy/mesh_state.h"
+#include "Proxy/peer_exchange.h"
 #include "Proxy/quota_gate.h"
 #include "quota_codec.h"
 
@@ -18,29 +17,16 @@
 
 namespace {
 
-// Shorter than the time for which daemons keep idle connections of each other open.
-constexpr Duration kPeerIdleLimit = std::chrono::seconds(4);
 constexpr std::size_t kMaxReplyBytes = 256;
 
 Awaitable<std::optional<QuotaReply>> SendAsk(IoShard& shard, const std::string& peer_address,
                                              const QuotaAsk& ask) {
-  OutboundExchange exchange(shard, peer_address);
   OutboundExchange::Request request(http::verb::post, kQuotaPath, 11);
-  request.set(http::field::host, peer_address);
   request.body() = Encode(ask);
   request.prepare_payload();
-  const OutboundOptions options{kAskLimit, kPeerIdleLimit, kPeerIdleLimit};
-  const ExchangeStatus status = co_await exchange.Start(request, nullptr, kAskLimit, options);
-  std::optional<QuotaReply> reply;
-  if (status == ExchangeStatus::kOk && exchange.GetHead().result() == http::status::ok) {
-    std::string body;
-    const BodyStatus read = co_await exchange.ReadBody(body, kMaxReplyBytes);
-    QuotaReply decoded;
-    if (read == BodyStatus::kComplete && Decode(body, decoded)) {
-      reply = decoded;
-    }
-  }
-  exchange.Finish();
+  const PeerExchangeLimits limits{kAskLimit, kAskLimit, kPeerIdleLimit, kMaxReplyBytes};
+  std::optional<QuotaReply> reply =
+      co_await ExchangeWithPeer<QuotaReply>(shard, peer_address, std::move(request), limits);
   co_return reply;
 }
 
