--- a/Source/Store/table_follower.h
+++ b/Source/Store/table_follower.h
@@ -44,41 +44,10 @@
     StoreReach reach(this->shard, "follow_table");
     this->reading = true;
     while (!this->ended) {
-      const TimePoint sent = GetNow();
-      const bool read_key = this->reading;
-      const std::uint64_t era = this->client.GetEra();
-      Result<StoreView> view = StoreView();
-      if (read_key) {
-        view = co_await this->ReadKey();
+      if (this->reading) {
+        co_await this->FollowByReading(reach);
       } else {
-        view = co_await this->watches.WatchTable(Source::GetKey(), this->known, this->version);
-      }
-      if (!read_key && era != this->client.GetEra()) {
-        continue;
-      }
-      if (!IsOk(view)) {
-        // Reading the key returns any version that was missed.
-        this->reading = true;
-        if (GetError(view).kind != ErrorKind::kStoreHistoryGone) {
-          co_await reach.PauseAfterError(GetError(view));
-        }
-        continue;
-      }
-      reach.RecordReached();
-      const std::size_t bytes = this->Apply(GetValue(view));
-      if (!read_key && bytes > 0) {
-        this->restore.RecordWrite();
-      }
-      if (read_key) {
-        this->RecordProof(sent, GetValue(view));
-      }
-      this->known =
-          read_key ? GetValue(view).revision : std::max(this->known, GetValue(view).revision);
-      this->reading = false;
-      if (!read_key && bytes > 0) {
-        const Duration pause =
-            ComputeTablePause(bytes, this->bounds.link_bytes_per_second, this->bounds.table_bound);
-        co_await this->Pause(pause);
+        co_await this->FollowByWatching(reach);
       }
     }
   }
@@ -144,6 +113,51 @@
     co_return view;
   }
 
+  Awaitable<void> FollowByReading(StoreReach& reach) {
+    const TimePoint sent = GetNow();
+    const Result<StoreView> view = co_await this->ReadKey();
+    if (!IsOk(view)) {
+      co_await this->HandleFailure(reach, GetError(view));
+      co_return;
+    }
+    reach.RecordReached();
+    this->Apply(GetValue(view));
+    this->RecordProof(sent, GetValue(view));
+    this->known = GetValue(view).revision;
+    this->reading = false;
+  }
+
+  Awaitable<void> FollowByWatching(StoreReach& reach) {
+    const std::uint64_t era = this->client.GetEra();
+    const Result<StoreView> view =
+        co_await this->watches.WatchTable(Source::GetKey(), this->known, this->version);
+    if (era != this->client.GetEra()) {
+      co_return;
+    }
+    if (!IsOk(view)) {
+      co_await this->HandleFailure(reach, GetError(view));
+      co_return;
+    }
+    reach.RecordReached();
+    const std::size_t bytes = this->Apply(GetValue(view));
+    this->known = std::max(this->known, GetValue(view).revision);
+    this->reading = false;
+    if (bytes > 0) {
+      this->restore.RecordWrite();
+      const Duration pause =
+          ComputeTablePause(bytes, this->bounds.link_bytes_per_second, this->bounds.table_bound);
+      co_await this->Pause(pause);
+    }
+  }
+
+  // Reading the key returns any version that was missed.
+  Awaitable<void> HandleFailure(StoreReach& reach, const Error& error) {
+    this->reading = true;
+    if (error.kind != ErrorKind::kStoreHistoryGone) {
+      co_await reach.PauseAfterError(error);
+    }
+  }
+
   // Returns the version of the item, also of one that is not applied.
   std::optional<std::uint64_t> ApplyItem(const StoreItem& item) {
     if (!item.value.has_value()) {
