http: Share the wait of a coroutine for a value

The wait for a slot and the wait for credit were the same structure; AsyncResult is both. Behaviour is unchanged.

--- a/Source/Proxy/caller_request_quota.cc
+++ b/Source/Proxy/caller_request_quota.cc
@@ -6,7 +6,7 @@
 #include <memory>
 #include <random>
 
-#include "Http/async_signal.h"
+#include "Http/async_result.h"
 #include "Http/boot_clock.h"
 #include "Http/io_shard.h"
 #include "Observe/event_log.h"
@@ -24,12 +24,7 @@
 constexpr Duration kShortestWait = std::chrono::milliseconds(50);
 constexpr Duration kShortestResendDelay = std::chrono::milliseconds(20);
 
-// The wait of a request for credit. Used on the thread of the request's shard only.
-struct CreditWait {
-  explicit CreditWait(asio::io_context& context) : signal(context) {}
-  AsyncSignal signal;
-  std::optional<CreditTake> end;
-};
+using CreditWait = AsyncResult<CreditTake>;
 
 }  // namespace
 
@@ -37,16 +32,13 @@
   QuotaGate& quotas = this->context.quotas;
   asio::io_context& io_context = this->shard.GetContext();
   std::shared_ptr<CreditWait> wait;
-  const QuotaGate::Entry entry = quotas.Take(GetNow(), *this->workspace,
-                                             this->index->GetTable().version, [&wait, &io_context] {
-                                               wait = std::make_shared<CreditWait>(io_context);
-                                               return [wait, &io_context](const CreditTake& end) {
-                                                 asio::post(io_context, [wait, end] {
-                                                   wait->end = end;
-                                                   wait->signal.Notify();
-                                                 });
-                                               };
-                                             });
+  const QuotaGate::Entry entry = quotas.Take(
+      GetNow(), *this->workspace, this->index->GetTable().version, [&wait, &io_context] {
+        wait = std::make_shared<CreditWait>(io_context);
+        return [wait, &io_context](const CreditTake& end) {
+          asio::post(io_context, [wait, end] { wait->Set(end); });
+        };
+      });
   if (entry.take.starts_asks) {
     asio::co_spawn(io_context,
                    AskForCredit(this->shard, this->context.state, quotas, this->workspace->name),
@@ -59,19 +51,19 @@
   const Duration limit = std::max(
       std::min((this->facts.objective_at - now) / kObjectiveDivisor, this->facts.GetEnd() - now),
       kShortestWait);
-  if (!wait->end.has_value()) {
+  if (!wait->value.has_value()) {
     co_await wait->signal.WaitFor(limit);
   }
-  if (!wait->end.has_value() && quotas.Leave(this->workspace->name, entry.ticket)) {
+  if (!wait->value.has_value() && quotas.Leave(this->workspace->name, entry.ticket)) {
     CreditTake late;
     late.outcome = CreditOutcome::kUnknown;
     co_return late;
   }
   // The end has been decided and is on its way to this thread.
-  while (!wait->end.has_value()) {
+  while (!wait->value.has_value()) {
     co_await wait->signal.WaitFor(kShortestWait);
   }
-  co_return *wait->end;
+  co_return *wait->value;
 }
 
 Awaitable<bool> CallerRequest::TakeQuota() {
--- a/Source/Proxy/peer_request.cc
+++ b/Source/Proxy/peer_request.cc
@@ -42,12 +42,6 @@
 
 }  // namespace
 
-struct PeerRequest::SlotWait {
-  explicit SlotWait(asio::io_context& io_context) : signal(io_context) {}
-  AsyncSignal signal;
-  std::optional<bool> admitted;
-};
-
 PeerRequest::PeerRequest(const ProxyContext& proxy_context, IoShard& io_shard,
                          ServerExchange& server_exchange, HopRequest hop_request)
     : context(proxy_context),
@@ -131,10 +125,7 @@
   const GateVerdict verdict =
       this->context.gate.Offer(this->arrived_at, this->hop, this->offer,
                                [wait, &io = this->shard.GetContext()](bool admitted) {
-                                 asio::post(io, [wait, admitted] {
-                                   wait->admitted = admitted;
-                                   wait->signal.Notify();
-                                 });
+                                 asio::post(io, [wait, admitted] { wait->Set(admitted); });
                                });
   if (verdict == GateVerdict::kAdmitted) {
     if (this->exchange.IsCallerGone()) {
@@ -159,21 +150,21 @@
 
 Awaitable<bool> PeerRequest::WaitForAdmission(const std::shared_ptr<SlotWait>& wait) {
   this->exchange.SetGoneListener([wait] { wait->signal.Notify(); });
-  while (!wait->admitted.has_value() && !this->exchange.IsCallerGone()) {
+  while (!wait->value.has_value() && !this->exchange.IsCallerGone()) {
     co_await wait->signal.WaitFor(kExpiryInterval);
-    if (!wait->admitted.has_value()) {
+    if (!wait->value.has_value()) {
       this->context.gate.Expire(GetNow());
     }
   }
   this->exchange.SetGoneListener(nullptr);
   if (this->exchange.IsCallerGone()) {
-    const bool refused = wait->admitted.has_value() && !*wait->admitted;
+    const bool refused = wait->value.has_value() && !*wait->value;
     if (!refused && this->context.gate.Cancel(GetNow(), this->offer.id)) {
       this->context.gate.Finish(GetNow(), this->offer.id, RunResult::kNoResult);
     }
     co_return false;
   }
-  co_return *wait->admitted;
+  co_return *wait->value;
 }
 
 TargetHeaders PeerRequest::MakeTargetHeaders() const {
--- a/Source/Proxy/peer_request.h
+++ b/Source/Proxy/peer_request.h
@@ -7,7 +7,7 @@
 #include <string_view>
 
 #include "Admission/target_admission.h"
-#include "Http/async_signal.h"
+#include "Http/async_result.h"
 #include "Http/boot_clock.h"
 #include "Http/io_shard.h"
 #include "Http/outbound_exchange.h"
@@ -75,7 +75,7 @@
  private:
   static constexpr int kMaxSurplusResponses = 2;
 
-  struct SlotWait;
+  using SlotWait = AsyncResult<bool>;
 
   // Registers the request with the containment and waits while it must not start beside another
   // request. Returns true if the request was refused instead. Otherwise it counts as running until
