--- a/Source/Core/digest.cc
+++ b/Source/Core/digest.cc
@@ -7,10 +7,15 @@
 
 namespace lacewingbridge {
 
-std::string ComputeDigest(std::string_view text) {
-  std::array<unsigned char, SHA256_DIGEST_LENGTH> full{};
+std::string ComputeSha256(std::string_view text) {
+  static_assert(kSha256Bytes == SHA256_DIGEST_LENGTH);
+  std::array<unsigned char, kSha256Bytes> full{};
   SHA256(reinterpret_cast<const unsigned char*>(text.data()), text.size(), full.data());
-  return {reinterpret_cast<const char*>(full.data()), kDigestBytes};
+  return {reinterpret_cast<const char*>(full.data()), full.size()};
+}
+
+std::string ComputeDigest(std::string_view text) {
+  return ComputeSha256(text).substr(0, kDigestBytes);
 }
 
 bool AreDigestsEqual(std::string_view first, std::string_view second) {
--- a/Source/Core/digest.h
+++ b/Source/Core/digest.h
@@ -7,8 +7,11 @@
 
 namespace lacewingbridge {
 
+inline constexpr std::size_t kSha256Bytes = 32;
 inline constexpr std::size_t kDigestBytes = 16;
 
+std::string ComputeSha256(std::string_view text);
+
 // First 16 bytes of the SHA-256 of the text.
 std::string ComputeDigest(std::string_view text);
 
--- a/Source/Tool/tool_commands.cc
+++ b/Source/Tool/tool_commands.cc
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <fstream>
+#include <iostream>
 #include <random>
 #include <sstream>
 #include <string>
@@ -17,6 +18,7 @@
 #include "Rules/rules_parser.h"
 #include "Tool/tool_options.h"
 #include "Tool/tool_session.h"
+#include "Workspaces/bearer_key.h"
 #include "admin_codec.h"
 
 namespace lacewingbridge {
@@ -292,6 +294,25 @@
   return ShowJson(json, session.GetClient().GetFailure());
 }
 
+// Reads an API key from the standard input and prints its digest for a rules file. An argument
+// would show the key in the list of processes.
+int PrintDigest(const ToolOptions& /*options*/) {
+  std::string api_key;
+  std::getline(std::cin, api_key);
+  const bool has_more = std::cin.peek() != std::istream::traits_type::eof();
+  // Requests with such a key count as without one; see ReadBearerKey.
+  const bool is_usable = !api_key.empty() && ReadBearerKey("Bearer " + api_key) == api_key &&
+                         api_key.find('\r') == std::string::npos;
+  if (!is_usable || has_more) {
+    PrintError(
+        {ErrorKind::kInvalidArgument,
+         "the standard input has to be one line with an API key, without blanks and commas"});
+    return kToolUsageError;
+  }
+  fmt::print("{}\n", FormatHex(ComputeSha256(api_key)));
+  return kToolDone;
+}
+
 struct ToolCommand {
   std::string_view name;
   std::size_t argument_count;
@@ -299,9 +320,9 @@
 };
 
 constexpr ToolCommand kCommands[] = {
-    {"check", 1, CheckFile},         {"submit", 1, SubmitFile}, {"status", 0, ShowStatus},
-    {"explain", 2, ShowExplanation}, {"rules", 0, ShowRules},   {"dump", 0, ShowDump},
-    {"drain", 0, DrainDaemon},
+    {"check", 1, CheckFile},         {"submit", 1, SubmitFile},  {"status", 0, ShowStatus},
+    {"explain", 2, ShowExplanation}, {"rules", 0, ShowRules},    {"dump", 0, ShowDump},
+    {"drain", 0, DrainDaemon},       {"digest", 0, PrintDigest},
 };
 
 }  // namespace
--- a/Source/Tool/tool_options.cc
+++ b/Source/Tool/tool_options.cc
@@ -17,6 +17,7 @@
     "  explain METHOD PATH  which rule applies, who asked for it, which target and why\n"
     "  dump               state of the daemon\n"
     "  drain              let the daemon of a host leave\n"
+    "  digest             print the digest of the API key on the standard input\n"
     "options:\n"
     "  -d, --daemon IP:PORT   control address of a daemon (default 127.0.0.1:7500)\n"
     "  -o, --operator NAME    who submits (default: the user's login name)\n"
