--- a/Source/Daemon/cluster_node.h
+++ b/Source/Daemon/cluster_node.h
@@ -100,6 +100,8 @@
   // set, the own data centre otherwise.
   std::vector<WatchMember> ListScopeMembers(bool region_scope);
   std::vector<DataCentreProgress> ListProgress(TimePoint now);
+  // Whether a peer or another data centre has reported a newer version than this one.
+  bool KnowsNewerVersion(const VersionStamp& version);
   // Whether a member other than this host is neither draining nor suspect.
   bool HasOtherActiveMember();
   bool IsOwnDataCentre(std::string_view host);
--- a/Source/Daemon/cluster_node_queries.cc
+++ b/Source/Daemon/cluster_node_queries.cc
@@ -53,6 +53,11 @@
   return this->progress.List(now);
 }
 
+bool ClusterNode::KnowsNewerVersion(const VersionStamp& version) {
+  const std::lock_guard guard(this->mutex);
+  return this->spread.KnowsNewer(version) || this->progress.KnowsNewer(version);
+}
+
 bool ClusterNode::HasOtherActiveMember() {
   const std::lock_guard guard(this->mutex);
   const std::vector<const MemberRecord*> members = this->table.ListMembers("");
--- a/Source/Daemon/daemon.cc
+++ b/Source/Daemon/daemon.cc
@@ -108,8 +108,22 @@
 }
 
 ProxyEnvironment Daemon::MakeProxyEnvironment() {
-  return {this->settings, this->incarnation, this->rules,   this->services,
-          *this->claims,  this->targets,     this->metrics, [this] { return this->IsReady(); }};
+  return {this->settings,
+          this->incarnation,
+          this->rules,
+          this->services,
+          *this->claims,
+          this->targets,
+          this->metrics,
+          [this] { return this->IsReady(); },
+          [this](const VersionStamp& version) { return this->IsNewestKnown(version); }};
+}
+
+bool Daemon::IsNewestKnown(const VersionStamp& version) {
+  const bool cut_off = this->cluster->IsDistrusted() ||
+                       (this->watcher->IsWatching() && !this->watcher->IsStoreReachable());
+  return !cut_off && !IsNewer(this->rules.GetStamp(), version) &&
+         !this->cluster->KnowsNewerVersion(version);
 }
 
 StoreWatcher::Hooks Daemon::MakeWatcherHooks() {
--- a/Source/Daemon/daemon.h
+++ b/Source/Daemon/daemon.h
@@ -77,6 +77,8 @@
   Status CreateParts();
   StoreWatcher::Hooks MakeWatcherHooks();
   ProxyEnvironment MakeProxyEnvironment();
+  // Whether this daemon knows of no newer version, and is in touch with those that would tell it.
+  bool IsNewestKnown(const VersionStamp& version);
 
   void PerformOne(SendDatagram& action);
   void PerformOne(const MemberEvent& action);
--- a/Source/Daemon/proxy_exchange.cc
+++ b/Source/Daemon/proxy_exchange.cc
@@ -11,6 +11,7 @@
 #include <string_view>
 
 #include "Daemon/daemon_clock.h"
+#include "Daemon/request_access.h"
 #include "Daemon/target_connections.h"
 #include "Http/io_shard.h"
 #include "Http/outbound_exchange.h"
@@ -46,6 +47,9 @@
     kDepthHeader,  kDoNotRetryHeader, kOutcomeHeader,
     kAttemptHeader};
 
+// Headers that are not forwarded either if the version in force has workspaces.
+constexpr std::array<std::string_view, 2> kAccessHeaders = {kApiKeyHeader, kWorkspaceHeader};
+
 // Headers of a target that are not forwarded to the caller.
 constexpr std::array<std::string_view, 10> kResponseHeadersDropped = {
     "Connection", "Keep-Alive",     "Proxy-Connection", "Trailer",         "Transfer-Encoding",
@@ -96,13 +100,16 @@
 
 OutboundExchange::Request MakeTargetRequest(const std::string& address,
                                             const httplib::Request& request, Duration time_limit,
-                                            unsigned depth, std::string_view attempt_id) {
+                                            unsigned depth, const RequestAccess& access,
+                                            std::string_view attempt_id) {
   OutboundExchange::Request copy;
   copy.method_string(request.method);
   copy.target(request.target);
   copy.version(11);
   for (const auto& [name, value] : request.headers) {
-    if (!IsOneOf(name, kRequestHeadersDropped) && !IsNamedByConnection(request.headers, name)) {
+    const bool dropped = IsOneOf(name, kRequestHeadersDropped) ||
+                         (access.has_workspaces && IsOneOf(name, kAccessHeaders));
+    if (!dropped && !IsNamedByConnection(request.headers, name)) {
       copy.insert(GetForwardedName(name), value);
     }
   }
@@ -111,6 +118,9 @@
   copy.set(kDeadlineHeader, std::to_string(CountMilliseconds(time_limit)));
   copy.set(kDepthHeader, std::to_string(depth));
   copy.set(kAttemptHeader, boost::string_view(attempt_id.data(), attempt_id.size()));
+  if (!access.workspace.empty()) {
+    copy.set(kWorkspaceHeader, access.workspace);
+  }
   copy.body() = request.body;
   // A method that usually has no body states a length only if it has one.
   if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD")) {
@@ -225,11 +235,12 @@
 }
 
 TargetAttempt SendToTarget(TargetConnections& connections, const std::string& address,
-                           const httplib::Request& request, Duration time_limit, unsigned depth) {
+                           const httplib::Request& request, Duration time_limit, unsigned depth,
+                           const RequestAccess& access) {
   std::unique_ptr<IoShard> connection = connections.Take(address);
   const std::string attempt_id = DrawAttemptId();
   const OutboundExchange::Request message =
-      MakeTargetRequest(address, request, time_limit, depth, attempt_id);
+      MakeTargetRequest(address, request, time_limit, depth, access, attempt_id);
   const TimePoint started = GetNow();
   TargetExchange exchange(*connection, address, attempt_id);
   connection->GetContext().restart();
--- a/Source/Daemon/proxy_exchange.h
+++ b/Source/Daemon/proxy_exchange.h
@@ -16,6 +16,7 @@
 namespace lacewingbridge {
 
 class TargetConnections;
+struct RequestAccess;
 
 // Names of the headers that callers, daemons and targets exchange.
 inline constexpr char kOutcomeHeader[] = "Lacewing-Outcome";
@@ -60,12 +61,14 @@
 
 // Sends one request to one target and returns the complete response, within the time limit.
 // Blocks the calling thread. `depth` is the level of the call chain, which the target receives
-// in Lacewing-Depth. A response counts as lost in two further cases:
+// in Lacewing-Depth. With workspaces, the target receives the workspace of `access` in place of
+// the caller's API key. A response counts as lost in two further cases:
 // - It states no length, so that its end cannot be told from a crash of the target.
 // - It has the id of another attempt, or no id on a connection that has carried other
 //   requests: a faulty target may have written it for an earlier request.
 TargetAttempt SendToTarget(TargetConnections& connections, const std::string& address,
-                           const httplib::Request& request, Duration time_limit, unsigned depth);
+                           const httplib::Request& request, Duration time_limit, unsigned depth,
+                           const RequestAccess& access);
 
 // Copies the target's response to the response for the caller, without the headers that belong
 // to a connection.
--- a/Source/Daemon/proxy_handler.cc
+++ b/Source/Daemon/proxy_handler.cc
@@ -9,11 +9,13 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "Daemon/daemon_clock.h"
 #include "Daemon/proxy_exchange.h"
 #include "Daemon/proxy_refusal.h"
 #include "Daemon/proxy_request.h"
+#include "Daemon/request_access.h"
 #include "Daemon/request_path.h"
 #include "Daemon/rules_state.h"
 #include "Daemon/service_table.h"
@@ -48,6 +50,21 @@
   return now + limit;
 }
 
+std::optional<RefusalKind> GetAccessRefusal(AccessVerdict verdict) {
+  switch (verdict) {
+    case AccessVerdict::kAllowed:
+      return std::nullopt;
+    case AccessVerdict::kNoKey:
+      return RefusalKind::kNoApiKey;
+    case AccessVerdict::kUnknownKey:
+      return RefusalKind::kUnknownApiKey;
+    case AccessVerdict::kNewerPossible:
+    case AccessVerdict::kNotProven:
+      return RefusalKind::kNewerVersionPossible;
+  }
+  return RefusalKind::kNewerVersionPossible;
+}
+
 const LimitRule* FindReachedLimit(const RulesDocument& document, const RouteRule& route,
                                   ServiceTable& services, TimePoint now) {
   for (const LimitRule& limit : document.limits) {
@@ -113,6 +130,16 @@
     this->RecordMetrics("", response.status, GetNow() - now);
     return;
   }
+  CheckedAccess checked = CheckAccess(*snapshot, match->route, request, false);
+  if (checked.verdict == AccessVerdict::kNewerPossible &&
+      this->environment.is_newest(snapshot->GetVersion())) {
+    checked = CheckAccess(*snapshot, match->route, request, true);
+  }
+  if (const auto refusal = GetAccessRefusal(checked.verdict)) {
+    WriteRefusal(*refusal, match->route.name, response);
+    this->RecordMetrics(match->route.name, response.status, GetNow() - now);
+    return;
+  }
   const unsigned depth = GetNumberHeader(request, kDepthHeader).value_or(0) + 1;
   const LimitRule* limit =
       FindReachedLimit(snapshot->GetDocument(), match->route, this->environment.services, now);
@@ -121,8 +148,8 @@
   } else if (limit != nullptr) {
     WriteRefusal(RefusalKind::kRateLimited, limit->name, response);
   } else {
-    ProxyRequest(this->environment, request, match->route, GetDeadline(request, match->route, now),
-                 depth)
+    ProxyRequest(this->environment, request, match->route, std::move(checked.access),
+                 GetDeadline(request, match->route, now), depth)
         .Run(response);
   }
   this->RecordMetrics(match->route.name, response.status, GetNow() - now);
--- a/Source/Daemon/proxy_handler.h
+++ b/Source/Daemon/proxy_handler.h
@@ -25,6 +25,7 @@
 class TargetConnections;
 struct RouteRule;
 struct Settings;
+struct VersionStamp;
 
 // Parts of the daemon that are needed to handle a request. All referenced objects outlive the
 // handler.
@@ -38,10 +39,12 @@
   MetricsRegistry& metrics;
   // Whether the daemon knows enough of the mesh to serve requests; see JoinProcess.
   std::function<bool()> is_ready;
+  // Whether the daemon knows of nothing that speaks against this being the newest version.
+  std::function<bool(const VersionStamp& version)> is_newest;
 };
 
-// Serves the requests of callers: finds the route, applies the limit rules, and then runs the
-// request as a ProxyRequest. The listener's threads call Handle concurrently.
+// Serves the requests of callers: finds the route, checks the API key, applies the limit rules, and
+// then runs the request as a ProxyRequest. The listener's threads call Handle concurrently.
 class ProxyHandler {
  public:
   explicit ProxyHandler(ProxyEnvironment given) : environment(std::move(given)) {}
--- a/Source/Daemon/proxy_refusal.cc
+++ b/Source/Daemon/proxy_refusal.cc
@@ -21,7 +21,7 @@
   std::string_view text;
 };
 
-constexpr std::array<RefusalDescription, 16> kRefusals = {{
+constexpr std::array<RefusalDescription, 20> kRefusals = {{
     {RefusalKind::kNotReady, "not_ready", 503, true,
      "this daemon holds no rules yet; send the request again shortly"},
     {RefusalKind::kAmbiguousPath, "ambiguous_path", 400, true,
@@ -29,6 +29,15 @@
      "encoding that is not valid; send it in its plain form"},
     {RefusalKind::kNoRoute, "no_route", 404, true,
      "no route matches; check method and path, or add a route to the rules file"},
+    {RefusalKind::kNoApiKey, "no_key", 401, true,
+     "the route needs an API key; send exactly one Authorization header of the scheme Bearer"},
+    {RefusalKind::kUnknownApiKey, "unknown_key", 401, true,
+     "no workspace has the API key; check the key, or have its digest added to the rules file"},
+    {RefusalKind::kNewerVersionPossible, "newer_version_possible", 503, true,
+     "this daemon does not know the API key, but may not hold the newest rules; send the request "
+     "again shortly"},
+    {RefusalKind::kApiKeyChanged, "key_changed", 503, true,
+     "the rules of the API key changed while the request waited; send the request again"},
     {RefusalKind::kTooDeep, "too_deep", 508, true,
      "the call chain is too deep; check the routes for a loop"},
     {RefusalKind::kRateLimited, "rate_limited", 429, true,
@@ -59,6 +68,16 @@
      "the request with this Idempotency-Key has run; its answer was too long to be kept"},
 }};
 
+constexpr int kUnauthorized = 401;
+// Seconds, for refusals because of a version that is not the newest one.
+constexpr char kVersionRetryAfter[] = "1";
+
+// Whether another daemon, or this one a moment later, may serve the request.
+bool MaySoonBeServed(RefusalKind kind) {
+  return kind == RefusalKind::kNotReady || kind == RefusalKind::kNoTarget ||
+         kind == RefusalKind::kNewerVersionPossible;
+}
+
 const RefusalDescription& FindDescription(RefusalKind kind) {
   for (const RefusalDescription& description : kRefusals) {
     if (description.kind == kind) {
@@ -75,9 +94,15 @@
   response.status = description.status;
   response.set_header(kOutcomeHeader, description.not_run ? kNotRunOutcome : kUnknownOutcome);
   // Daemons further up the call chain do not retry a request that this level has decided on.
-  if (kind != RefusalKind::kNotReady && kind != RefusalKind::kNoTarget) {
+  if (!MaySoonBeServed(kind)) {
     response.set_header(kDoNotRetryHeader, "1");
   }
+  if (description.status == kUnauthorized) {
+    response.set_header("WWW-Authenticate", "Bearer");
+  }
+  if (kind == RefusalKind::kNewerVersionPossible || kind == RefusalKind::kApiKeyChanged) {
+    response.set_header("Retry-After", kVersionRetryAfter);
+  }
   response.set_content(
       fmt::format("{}{}{}\n", description.text, particulars.empty() ? "" : ": ", particulars),
       "text/plain");
--- a/Source/Daemon/proxy_refusal.h
+++ b/Source/Daemon/proxy_refusal.h
@@ -14,6 +14,10 @@
   kNotReady,
   kAmbiguousPath,
   kNoRoute,
+  kNoApiKey,
+  kUnknownApiKey,
+  kNewerVersionPossible,
+  kApiKeyChanged,
   kTooDeep,
   kRateLimited,
   kQueueFull,
@@ -29,8 +33,8 @@
   kDoneResponseNotStored,
 };
 
-// Writes the status, the Lacewing-Outcome header, and a text that names the remedy. The
-// particulars, such as the name of a route, are appended to the text.
+// Writes the status, the headers that belong to it, the Lacewing-Outcome header, and a text that
+// names the remedy. The particulars, such as the name of a route, are appended to the text.
 void WriteRefusal(RefusalKind kind, std::string_view particulars, httplib::Response& response);
 
 // Returns the short name of the refusal for metrics, such as "queue_full".
--- a/Source/Daemon/proxy_request.cc
+++ b/Source/Daemon/proxy_request.cc
@@ -14,9 +14,11 @@
 #include "Daemon/connection_probe.h"
 #include "Daemon/daemon_clock.h"
 #include "Daemon/request_waiter.h"
+#include "Daemon/rules_state.h"
 #include "Daemon/service_table.h"
 #include "Observe/event_log.h"
 #include "Retry/retry_policy.h"
+#include "Version/route_snapshot.h"
 #include "settings.h"
 
 namespace lacewingbridge {
@@ -106,13 +108,15 @@
 };
 
 ProxyRequest::ProxyRequest(const ProxyEnvironment& shared, const httplib::Request& incoming,
-                           const RouteRule& matched, TimePoint limit, unsigned request_depth)
+                           const RouteRule& matched, RequestAccess allowed, TimePoint limit,
+                           unsigned request_depth)
     : environment(shared),
       request(incoming),
       route(matched),
+      access(std::move(allowed)),
       deadline(limit),
       depth(request_depth),
-      key(incoming.get_header_value(kKeyHeader)),
+      key(MakeClaimKey(this->access.workspace, incoming.get_header_value(kKeyHeader))),
       request_hash(
           CombineHashes(HashBytes(incoming.method + incoming.target), HashBytes(incoming.body))),
       fingerprint(ComputeFingerprint(
@@ -283,7 +287,7 @@
 
 TargetAttempt ProxyRequest::Send(const Choice& choice) {
   TargetAttempt attempt = SendToTarget(this->environment.targets, choice.address, this->request,
-                                       this->GetTimeLeft(), this->depth);
+                                       this->GetTimeLeft(), this->depth, this->access);
   this->tried.push_back(choice.address);
   const bool lost = attempt.outcome == TargetOutcome::kLostMidRequest && !attempt.timed_out;
   const bool has_response = attempt.outcome == TargetOutcome::kOk;
@@ -321,15 +325,23 @@
   return attempt;
 }
 
+std::optional<RefusalKind> ProxyRequest::FindBar(const ClaimGate& gate) const {
+  // After a pause of this process the owner may have dropped the grant, and the request must not
+  // start.
+  if (!gate.IsStartAllowed(GetNow())) {
+    return RefusalKind::kDeadline;
+  }
+  const bool is_current = IsAccessCurrent(*this->environment.rules.GetSnapshot(), this->access);
+  return is_current ? std::nullopt : std::optional<RefusalKind>(RefusalKind::kApiKeyChanged);
+}
+
 ProxyRequest::Outcome ProxyRequest::RunAttempts(const ClaimGate& gate) {
   const RetryRoute retry_route{this->route.idempotent, this->route.retries};
   RetryAttempt state;
   state.attempts = 0;
   while (true) {
-    // After a pause of this process the owner may have dropped the grant, and the request must
-    // not start.
-    const Choice choice = gate.IsStartAllowed(GetNow()) ? this->ChooseTarget()
-                                                        : Choice{{}, 0, RefusalKind::kDeadline};
+    const std::optional<RefusalKind> bar = this->FindBar(gate);
+    const Choice choice = bar.has_value() ? Choice{{}, 0, bar} : this->ChooseTarget();
     if (choice.refusal.has_value()) {
       this->claim_outcome =
           state.earlier_may_have_run ? ClaimAttemptOutcome::kLost : ClaimAttemptOutcome::kNotRun;
--- a/Source/Daemon/proxy_request.h
+++ b/Source/Daemon/proxy_request.h
@@ -12,6 +12,7 @@
 #include "Daemon/proxy_exchange.h"
 #include "Daemon/proxy_handler.h"
 #include "Daemon/proxy_refusal.h"
+#include "Daemon/request_access.h"
 #include "Rules/route_rule.h"
 
 namespace lacewingbridge {
@@ -21,7 +22,8 @@
 class ProxyRequest {
  public:
   ProxyRequest(const ProxyEnvironment& shared, const httplib::Request& incoming,
-               const RouteRule& matched, TimePoint limit, unsigned request_depth);
+               const RouteRule& matched, RequestAccess allowed, TimePoint limit,
+               unsigned request_depth);
 
   // Runs the request and fills in the response of a target or a refusal.
   void Run(httplib::Response& response);
@@ -43,6 +45,8 @@
   Outcome RunAndReport(ClaimGate& gate);
   // Makes the response from the owner's record of an earlier run.
   Outcome MakeStoredResponse(const ClaimRecord& record) const;
+  // Returns why the request must not be sent to a target at this time, if there is a reason.
+  std::optional<RefusalKind> FindBar(const ClaimGate& gate) const;
   // Sends the request to one target after another until the retry policy ends it.
   Outcome RunAttempts(const ClaimGate& gate);
 
@@ -58,8 +62,10 @@
   const ProxyEnvironment& environment;
   const httplib::Request& request;
   const RouteRule& route;
+  const RequestAccess access;
   TimePoint deadline;
   unsigned depth;
+  // The idempotency key as it is claimed; see MakeClaimKey.
   std::string key;
   std::uint64_t request_hash;
   std::uint64_t fingerprint;
--- /dev/null
+++ b/Source/Daemon/request_access.cc
@@ -0,0 +1,78 @@
+#include "Daemon/request_access.h"
+
+#include <httplib.h>
+
+#include "Claims/claim_key_time.h"
+#include "Core/digest.h"
+#include "Rules/route_rule.h"
+#include "Version/route_snapshot.h"
+#include "Workspaces/bearer_key.h"
+#include "Workspaces/workspace_index.h"
+
+namespace lacewingbridge {
+
+namespace {
+
+// Empty unless the request has exactly one Authorization header, with one key.
+std::string ReadApiKey(const httplib::Request& request) {
+  if (request.get_header_value_count(kApiKeyHeader) != 1) {
+    return {};
+  }
+  return std::string(ReadBearerKey(request.get_header_value(kApiKeyHeader)));
+}
+
+}  // namespace
+
+CheckedAccess CheckAccess(const RouteSnapshot& snapshot, const RouteRule& route,
+                          const httplib::Request& request, bool is_newest) {
+  const WorkspaceIndex& workspaces = snapshot.GetWorkspaces();
+  if (!workspaces.HasWorkspaces()) {
+    return {};
+  }
+  CheckedAccess checked;
+  checked.access.version = snapshot.GetVersion();
+  checked.access.has_workspaces = true;
+  // There is no bound on removed keys, so a known key needs no proof.
+  VersionCertainty certainty;
+  certainty.is_proven = true;
+  if (is_newest) {
+    certainty.proof_age = Duration{0};
+  }
+  HostRoute asked;
+  asked.is_public = route.is_public;
+  const std::string api_key = ReadApiKey(request);
+  const AccessDecision decision = DecideAccess(workspaces, asked, api_key, certainty);
+  checked.verdict = decision.verdict;
+  if (decision.workspace != nullptr) {
+    checked.access.workspace = decision.workspace->name;
+    checked.access.key_digest = ComputeDigest(api_key);
+  }
+  return checked;
+}
+
+bool IsAccessCurrent(const RouteSnapshot& current, const RequestAccess& access) {
+  if (access.workspace.empty() || current.GetVersion() == access.version) {
+    return true;
+  }
+  const MeshWorkspace* holder = current.GetWorkspaces().FindByKey(access.key_digest);
+  return holder != nullptr && holder->name == access.workspace;
+}
+
+std::string MakeClaimKey(std::string_view workspace, std::string_view idempotency_key) {
+  if (workspace.empty() || idempotency_key.empty()) {
+    return std::string(idempotency_key);
+  }
+  std::string digest =
+      FormatHex(ComputeDigest(std::string(workspace) + "\n" + std::string(idempotency_key)));
+  if (!ClaimKeyTime::Read(idempotency_key).has_value()) {
+    return digest;
+  }
+  // The time, the version and the variant of a version 7 UUID, then digits of the digest.
+  constexpr std::size_t kKeptLength = 20;
+  constexpr std::size_t kFourthGroupRest = 3;
+  constexpr std::size_t kFifthGroup = 12;
+  return std::string(idempotency_key.substr(0, kKeptLength)) + digest.substr(0, kFourthGroupRest) +
+         "-" + digest.substr(kFourthGroupRest, kFifthGroup);
+}
+
+}  // namespace lacewingbridge
--- a/Source/Rules/route_rule.h
+++ b/Source/Rules/route_rule.h
@@ -33,6 +33,8 @@
   // Attempts allowed after the first one. 0 unless the route is idempotent.
   std::uint32_t retries = 0;
   RoutePriority priority = RoutePriority::kNormal;
+  // Whether requests need no API key although the rules have workspaces.
+  bool is_public = false;
   // Number of the line in the file.
   std::uint32_t line = 0;
   // The comment of the line, "# who: why": the person responsible for the rule, and the reason.
--- a/Source/Rules/rules_checker.cc
+++ b/Source/Rules/rules_checker.cc
@@ -86,6 +86,25 @@
   }
 }
 
+// Reports each workspace that has an API key of an earlier one: the key would identify neither.
+void CheckSharedKeys(const std::vector<RulesDraft::Entry<WorkspaceRule>>& workspaces,
+                     RulesReport& report) {
+  std::unordered_map<std::string_view, const WorkspaceRule*> holders;
+  for (const RulesDraft::Entry<WorkspaceRule>& entry : workspaces) {
+    for (const std::string& digest : entry.rule.key_digests) {
+      const auto [position, added] = holders.try_emplace(digest, &entry.rule);
+      const WorkspaceRule& holder = *position->second;
+      if (!added && &holder != &entry.rule) {
+        report.AddError(entry.rule.line, entry.keys_column,
+                        "an API key also belongs to the workspace " + QuoteForMessage(holder.name) +
+                            " in line " + std::to_string(holder.line),
+                        "remove its digest from one of the two");
+        break;
+      }
+    }
+  }
+}
+
 }  // namespace
 
 void RulesChecker::CheckDraft(const RulesDraft& draft, RulesReport& report) {
@@ -101,7 +120,9 @@
                    report);
     CheckReference(routes, "route", entry.rule.route, entry.rule.line, entry.route_column, report);
   }
+  CheckNames(draft.workspaces, "workspace", report);
   CheckOverlaps(draft.routes, report);
+  CheckSharedKeys(draft.workspaces, report);
 }
 
 }  // namespace lacewingbridge
--- a/Source/Rules/rules_checker.h
+++ b/Source/Rules/rules_checker.h
@@ -9,8 +9,8 @@
 // Checks the conditions that concern more than one line of a rules file.
 class RulesChecker {
  public:
-  // Reports names that are defined twice, references to rules that do not exist, and routes that
-  // accept the same requests.
+  // Reports names that are defined twice, references to rules that do not exist, routes that accept
+  // the same requests, and API keys of more than one workspace.
   static void CheckDraft(const RulesDraft& draft, RulesReport& report);
 };
 
--- a/Source/Rules/rules_document.h
+++ b/Source/Rules/rules_document.h
@@ -7,6 +7,7 @@
 #include "Rules/limit_rule.h"
 #include "Rules/route_rule.h"
 #include "Rules/service_rule.h"
+#include "Rules/workspace_rule.h"
 
 namespace lacewingbridge {
 
@@ -16,6 +17,8 @@
   std::vector<ServiceRule> services;
   std::vector<RouteRule> routes;
   std::vector<LimitRule> limits;
+  // If there are none, no request needs an API key.
+  std::vector<WorkspaceRule> workspaces;
 
   bool operator==(const RulesDocument&) const = default;
 };
--- a/Source/Rules/rules_draft.h
+++ b/Source/Rules/rules_draft.h
@@ -8,6 +8,7 @@
 #include "Rules/limit_rule.h"
 #include "Rules/route_rule.h"
 #include "Rules/service_rule.h"
+#include "Rules/workspace_rule.h"
 
 namespace lacewingbridge {
 
@@ -23,11 +24,13 @@
     std::size_t path_column = 0;
     std::size_t service_column = 0;
     std::size_t route_column = 0;
+    std::size_t keys_column = 0;
   };
 
   std::vector<Entry<ServiceRule>> services;
   std::vector<Entry<RouteRule>> routes;
   std::vector<Entry<LimitRule>> limits;
+  std::vector<Entry<WorkspaceRule>> workspaces;
 };
 
 }  // namespace lacewingbridge
--- a/Source/Rules/rules_line_reader.cc
+++ b/Source/Rules/rules_line_reader.cc
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <string>
+#include <type_traits>
 #include <utility>
 
 #include "Rules/rules_draft.h"
@@ -97,6 +98,7 @@
   kRouteDeadline,
   kRouteRetries,
   kRoutePriority,
+  kRoutePublic,
   kRouteKeyCount,
 };
 
@@ -142,6 +144,10 @@
                                           {"normal", RoutePriority::kNormal},
                                           {"low", RoutePriority::kLow}}});
      }},
+    {"public", "write yes or no",
+     [](RouteRule& rule, std::string_view value) {
+       return SetWord<bool, 2>(rule.is_public, value, {{{"yes", true}, {"no", false}}});
+     }},
 }};
 
 enum LimitKey : std::size_t { kLimitRoute, kLimitService, kLimitRate, kLimitBurst, kLimitKeyCount };
@@ -161,6 +167,30 @@
      }},
 }};
 
+constexpr std::array<KeySpec<WorkspaceRule>, 1> kWorkspaceKeySpecs = {{
+    {"keys",
+     "list the SHA-256 digests of the API keys, each of 64 hexadecimal digits and once, with "
+     "commas and no spaces; lacewingctl digest prints them",
+     [](WorkspaceRule& rule, std::string_view value) {
+       return SetIfPresent(rule.key_digests, ParseKeyDigests(value));
+     }},
+}};
+
+// Returns a word for an error message, after a space. Words of a workspace are left out: one of
+// them may be an API key that was written in place of its digest.
+template <typename Rule>
+std::string QuoteWord(std::string_view word) {
+  return std::is_same_v<Rule, WorkspaceRule> ? std::string() : " " + QuoteForMessage(word);
+}
+
+// Returns what is not valid about a word KEY=VALUE, for an error message.
+template <typename Rule>
+std::string DescribeInvalid(std::string_view key, std::string_view word) {
+  return std::is_same_v<Rule, WorkspaceRule>
+             ? "the value of " + QuoteForMessage(key) + " is not valid"
+             : QuoteForMessage(word) + " is not valid";
+}
+
 // Returns the names of the keys for an error message.
 template <typename Rule, std::size_t kCount>
 std::string ListKeys(const std::array<KeySpec<Rule>, kCount>& specs) {
@@ -179,7 +209,7 @@
   const std::size_t column = line.GetColumn(word);
   const std::size_t equals = word.find('=');
   if (equals == std::string_view::npos) {
-    report.AddError(line.number, column, "unknown word " + QuoteForMessage(word),
+    report.AddError(line.number, column, "unknown word" + QuoteWord<Rule>(word),
                     "remove it, or write it as one of " + ListKeys(specs));
     return;
   }
@@ -195,12 +225,12 @@
     }
     given[i] = {word, specs[i].set(rule, word.substr(equals + 1))};
     if (!given[i].valid) {
-      report.AddError(line.number, column, QuoteForMessage(word) + " is not valid",
+      report.AddError(line.number, column, DescribeInvalid<Rule>(name, word),
                       std::string(specs[i].remedy));
     }
     return;
   }
-  report.AddError(line.number, column, "unknown key " + QuoteForMessage(name),
+  report.AddError(line.number, column, "unknown key" + QuoteWord<Rule>(name),
                   "use one of " + ListKeys(specs));
 }
 
@@ -316,6 +346,14 @@
   AddNamedEntry(draft.limits, std::move(entry));
 }
 
+void ReadWorkspace(const RulesLine& line, RulesDraft& draft, RulesReport& report) {
+  RulesDraft::Entry<WorkspaceRule> entry;
+  const auto given = ReadWords(line, kWorkspaceKeySpecs, entry, report);
+  RequireKey(line, given[0], "keys", report);
+  entry.keys_column = GetValidColumn(line, given[0]);
+  AddNamedEntry(draft.workspaces, std::move(entry));
+}
+
 }  // namespace
 
 void RulesLineReader::ReadRule(const RulesLine& line, RulesDraft& draft, RulesReport& report) {
@@ -328,9 +366,11 @@
     ReadRoute(line, draft, report);
   } else if (kind == "limit") {
     ReadLimit(line, draft, report);
+  } else if (kind == "workspace") {
+    ReadWorkspace(line, draft, report);
   } else {
     report.AddError(line.number, line.GetColumn(kind), "unknown rule " + QuoteForMessage(kind),
-                    "start the line with service, route or limit");
+                    "start the line with service, route, limit or workspace");
   }
 }
 
--- a/Source/Rules/rules_parser.cc
+++ b/Source/Rules/rules_parser.cc
@@ -63,7 +63,7 @@
     return report.TakeErrors();
   }
   return RulesDocument{std::string(file_name), TakeRules(draft.services), TakeRules(draft.routes),
-                       TakeRules(draft.limits)};
+                       TakeRules(draft.limits), TakeRules(draft.workspaces)};
 }
 
 }  // namespace lacewingbridge
--- a/Source/Rules/rules_values.cc
+++ b/Source/Rules/rules_values.cc
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <charconv>
 #include <limits>
+#include <set>
+
+#include "Core/digest.h"
 
 namespace lacewingbridge {
 
@@ -16,6 +19,25 @@
          (byte >= '0' && byte <= '9') || byte == '-' || byte == '_' || byte == '.';
 }
 
+// Returns nothing unless the text is a SHA-256 digest of 64 hexadecimal digits.
+std::optional<std::string> ParseKeyDigest(std::string_view text) {
+  constexpr std::size_t kDigitsPerByte = 2;
+  constexpr int kHexBase = 16;
+  constexpr std::string_view kDigits = "0123456789abcdefABCDEF";
+  if (text.size() != kSha256Bytes * kDigitsPerByte ||
+      text.find_first_not_of(kDigits) != std::string_view::npos) {
+    return std::nullopt;
+  }
+  std::string digest;
+  for (std::size_t i = 0; i < kDigestBytes; ++i) {
+    const char* digits = text.data() + i * kDigitsPerByte;
+    unsigned char byte = 0;
+    std::from_chars(digits, digits + kDigitsPerByte, byte, kHexBase);
+    digest += static_cast<char>(byte);
+  }
+  return digest;
+}
+
 bool IsPathByte(char byte) { return byte > ' ' && byte < 0x7f && byte != '?' && byte != '#'; }
 
 }  // namespace
@@ -97,4 +119,20 @@
   return methods;
 }
 
+std::optional<std::vector<std::string>> ParseKeyDigests(std::string_view text) {
+  std::vector<std::string> digests;
+  std::set<std::string> known;
+  std::size_t start = 0;
+  while (start <= text.size()) {
+    const std::size_t end = std::min(text.find(',', start), text.size());
+    std::optional<std::string> digest = ParseKeyDigest(text.substr(start, end - start));
+    if (!digest || !known.insert(*digest).second) {
+      return std::nullopt;
+    }
+    digests.push_back(*std::move(digest));
+    start = end + 1;
+  }
+  return digests;
+}
+
 }  // namespace lacewingbridge
--- a/Source/Rules/rules_values.h
+++ b/Source/Rules/rules_values.h
@@ -3,7 +3,9 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
+#include <vector>
 
 #include "Core/time_point.h"
 #include "Rules/http_method.h"
@@ -30,6 +32,10 @@
 // twice.
 std::optional<HttpMethodSet> ParseHttpMethodSet(std::string_view text);
 
+// Parses a comma-separated list of SHA-256 digests in hexadecimal form, and returns them in the
+// form of ComputeDigest. Returns nothing if a digest is malformed or occurs twice.
+std::optional<std::vector<std::string>> ParseKeyDigests(std::string_view text);
+
 }  // namespace lacewingbridge
 
 #endif  // LACEWINGBRIDGE_SOURCE_RULES_RULES_VALUES_H_
--- a/Source/Spread/spread_node.cc
+++ b/Source/Spread/spread_node.cc
@@ -115,6 +115,7 @@
   if (!kIsOlder(this->held, source.stamp)) {
     return;
   }
+  this->newest_reported = std::max(this->newest_reported, source.stamp, kIsOlder);
   this->DropSource(source.host);
   if (this->sources.size() >= this->options.max_sources) {
     const auto oldest = std::min_element(this->sources.begin(), this->sources.end(),
@@ -133,6 +134,10 @@
   std::erase_if(this->sources, [&](const SpreadSource& known) { return known.host == host; });
 }
 
+bool SpreadNode::KnowsNewer(const VersionStamp& stamp) const {
+  return kIsOlder(stamp, this->newest_reported);
+}
+
 // Picks a random source of the newest version, so that the daemons of a data centre do not all
 // fetch a newly announced version from the same daemon.
 void SpreadNode::StartFetch(TimePoint now, std::mt19937_64& random, Actions& actions) {
--- a/Source/Spread/spread_node.h
+++ b/Source/Spread/spread_node.h
@@ -98,6 +98,8 @@
 
   // Returns the stamp of the version that this daemon holds.
   const VersionStamp& GetHeld() const { return this->held; }
+  // Whether a peer has reported a newer version than this one.
+  bool KnowsNewer(const VersionStamp& stamp) const;
   // Returns the delta from the parent of the held version if it fits into a datagram.
   const std::optional<RulesDeltaScript>& GetDelta() const { return this->delta; }
 
@@ -127,6 +129,8 @@
 
   SpreadNodeOptions options;
   VersionStamp held;
+  // Newest version that a peer has reported while this daemon held an older one.
+  VersionStamp newest_reported;
   std::optional<RulesDeltaScript> delta;
   // Peers that hold a newer version than this daemon.
   std::vector<SpreadSource> sources;
--- a/Source/Spread/spread_progress.cc
+++ b/Source/Spread/spread_progress.cc
@@ -87,6 +87,12 @@
   return known ? found->second.stamp : VersionStamp{};
 }
 
+bool SpreadProgress::KnowsNewer(const VersionStamp& stamp) const {
+  return std::any_of(this->entries.begin(), this->entries.end(), [&stamp](const auto& entry) {
+    return kIsOlder(stamp, entry.second.progress.lowest);
+  });
+}
+
 void SpreadProgress::Measure(const MemberTable& table, TimePoint now) {
   const MemberRecord& self = table.GetSelf();
   this->stamps[self.host] = ReportedStamp{self.incarnation, this->held};
--- a/Source/Spread/spread_progress.h
+++ b/Source/Spread/spread_progress.h
@@ -56,6 +56,8 @@
 
   // Returns all entries with their current age, ordered by data centre.
   std::vector<DataCentreProgress> List(TimePoint now) const;
+  // Whether all members of a data centre hold a newer version than this one.
+  bool KnowsNewer(const VersionStamp& stamp) const;
   // Returns the entries in turn, one for each call, because a datagram contains at most one. Empty
   // if there is no entry.
   std::optional<DataCentreProgress> GetNextEntry(TimePoint now);
--- a/Source/Version/route_snapshot.cc
+++ b/Source/Version/route_snapshot.cc
@@ -1,9 +1,12 @@
 #include "Version/route_snapshot.h"
 
 #include <algorithm>
+#include <iterator>
 #include <string>
 #include <utility>
 
+#include "Core/digest.h"
+
 namespace lacewingbridge {
 
 namespace {
@@ -14,6 +17,21 @@
       [](const SnapshotService& service, std::string_view key) { return service.rule.name < key; });
 }
 
+// Leaves out digests that are no digests of API keys. Only a document that did not come from the
+// parser has any.
+std::vector<MeshWorkspace> MakeWorkspaces(const RulesDocument& document) {
+  std::vector<MeshWorkspace> workspaces;
+  workspaces.reserve(document.workspaces.size());
+  for (const WorkspaceRule& rule : document.workspaces) {
+    MeshWorkspace& workspace = workspaces.emplace_back();
+    workspace.name = rule.name;
+    std::copy_if(rule.key_digests.begin(), rule.key_digests.end(),
+                 std::back_inserter(workspace.key_digests),
+                 [](const std::string& digest) { return digest.size() == kDigestBytes; });
+  }
+  return workspaces;
+}
+
 }  // namespace
 
 RouteSnapshot::RouteSnapshot(VersionStamp stamp,
@@ -22,6 +40,8 @@
     : version(std::move(stamp)),
       document(std::move(shared_document)),
       matcher(RulesMatcher::Create(*this->document)),
+      workspaces(MakeWorkspaces(*this->document)),
+      workspace_index(GetValue(WorkspaceIndex::Create(this->workspaces))),
       services(std::move(named_services)) {
   this->route_services.reserve(this->document->routes.size());
   for (const RouteRule& route : this->document->routes) {
--- a/Source/Version/route_snapshot.h
+++ b/Source/Version/route_snapshot.h
@@ -11,6 +11,8 @@
 #include "Rules/rules_document.h"
 #include "Rules/rules_matcher.h"
 #include "Version/snapshot_service.h"
+#include "Workspaces/workspace_index.h"
+#include "mesh.h"
 #include "rules.h"
 
 namespace lacewingbridge {
@@ -26,12 +28,13 @@
     const SnapshotService& service;
   };
 
-  // Neither copied nor moved, because the matcher refers to the document.
+  // Neither copied nor moved, because the matcher and the index of workspaces refer to members.
   RouteSnapshot(const RouteSnapshot&) = delete;
   RouteSnapshot& operator=(const RouteSnapshot&) = delete;
 
   const VersionStamp& GetVersion() const { return this->version; }
   const RulesDocument& GetDocument() const { return *this->document; }
+  const WorkspaceIndex& GetWorkspaces() const { return this->workspace_index; }
 
   // Ordered by name.
   std::span<const SnapshotService> GetServices() const { return this->services; }
@@ -52,6 +55,8 @@
   VersionStamp version;
   std::shared_ptr<const RulesDocument> document;
   RulesMatcher matcher;
+  std::vector<MeshWorkspace> workspaces;
+  WorkspaceIndex workspace_index;
   std::vector<SnapshotService> services;
   // For each route of the document, the index of its service in `services`.
   std::vector<std::size_t> route_services;
--- /dev/null
+++ b/Tests/test_daemon_access.cc
@@ -0,0 +1,222 @@
+// Guards against requests that a daemon of the rules file serves without an API key or for the
+// wrong workspace, keys that are denied although a newer version may have them, and workspaces that
+// share idempotency keys.
+#include <criterion/criterion.h>
+#include <httplib.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "Claims/claim_key_time.h"
+#include "Core/digest.h"
+#include "Daemon/claim_service.h"
+#include "Daemon/daemon_clock.h"
+#include "Daemon/daemon_settings_loader.h"
+#include "Daemon/peer_client.h"
+#include "Daemon/proxy_exchange.h"
+#include "Daemon/proxy_handler.h"
+#include "Daemon/request_access.h"
+#include "Daemon/rules_state.h"
+#include "Daemon/service_table.h"
+#include "Daemon/target_connections.h"
+#include "Daemon/work_queue.h"
+#include "Fakes/raw_target.h"
+#include "Observe/event_log.h"
+#include "Observe/metrics_registry.h"
+#include "Rules/rules_delta.h"
+#include "Version/route_snapshot.h"
+
+using namespace lacewingbridge;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+const std::string kSettings =
+    "host = \"host-1\"\ndata_centre = \"dc-1\"\nregion = \"carolinas\"\n"
+    "caller_address = \"127.0.0.1:7000\"\ncontrol_address = \"127.0.0.1:7001\"\n"
+    "store_address = \"127.0.0.1:1\"\nlog_level = \"error\"\n";
+
+const std::string kRoutes =
+    "service designs slots=9  # Ana: designs\n"
+    "route lookup path=/designs service=designs idempotent=yes  # Ana: lookups\n"
+    "route health path=/health service=designs idempotent=yes public=yes  # Ana: checks\n"
+    "limit lookups route=lookup rate=1 burst=100  # Ana: bound\n";
+
+std::string MakeWorkspaceLine(const std::string& name, const std::string& api_key) {
+  return "workspace " + name + " keys=" + FormatHex(ComputeSha256(api_key)) + "  # Ana: customer\n";
+}
+
+std::string MakeBearer(const std::string& api_key) { return "Bearer " + api_key; }
+
+// The request path of a daemon, with one target.
+struct Fixture {
+  explicit Fixture(const std::string& rules_text)
+      : settings(GetValue(DaemonSettingsLoader::LoadText(kSettings, "daemon.toml"))) {
+    EventLog::Configure("host-1", "error");
+    this->HoldRules(1, rules_text);
+  }
+
+  void HoldRules(std::uint64_t number, const std::string& text) {
+    RulesVersion version;
+    version.stamp = {number, ComputeDigest(text)};
+    version.text = text;
+    if (const auto held = this->rules.GetHeld()) {
+      RulesDeltaScript delta = RulesDelta::Compute(held->text, text);
+      delta.parent = held->stamp;
+      delta.result = version.stamp;
+      const auto outcome = this->rules.OfferDelta(delta);
+      cr_assert(IsOk(outcome) && GetValue(outcome) == OfferOutcome::kApplied);
+    } else {
+      cr_assert_eq(this->rules.Offer(version), OfferOutcome::kApplied);
+    }
+    MemberRecord member;
+    member.host = "host-1";
+    member.region = "carolinas";
+    member.data_centre = "dc-1";
+    member.state = MemberState::kAlive;
+    member.targets = {{"designs", this->target.GetAddress(), 9, false, 0, 1}};
+    const std::vector<MemberRecord> members = {member};
+    this->rules.RebuildSnapshot(members);
+    this->services.ApplySnapshot(*this->rules.GetSnapshot(), members, GetNow());
+  }
+
+  httplib::Response Get(const std::string& path, const httplib::Headers& headers = {}) {
+    httplib::Request request;
+    request.method = "GET";
+    request.target = path;
+    request.path = path;
+    request.headers = headers;
+    httplib::Response response;
+    this->handler.Handle(request, response);
+    return response;
+  }
+
+  httplib::Response GetWithKey(const std::string& authorization) {
+    return this->Get("/designs/1", {{"Authorization", authorization}});
+  }
+
+  Settings settings;
+  bool newest = true;
+  RawTarget target{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"};
+  RulesState rules;
+  ServiceTable services{"dc-1", "carolinas", 1};
+  MetricsRegistry metrics{1};
+  TargetConnections targets{1, std::chrono::seconds(1)};
+  TargetConnections connections{1, std::chrono::seconds(1)};
+  PeerClient peers{this->connections, this->metrics, std::chrono::seconds(1)};
+  WorkQueue work{1, 1};
+  std::unique_ptr<ClaimService> claims =
+      GetValue(ClaimService::Create(this->settings, 1, GetNow(), this->peers, this->work,
+                                    [](std::string_view) { return std::string(); }));
+  ProxyHandler handler{{this->settings, 1, this->rules, this->services, *this->claims,
+                        this->targets, this->metrics, [] { return true; },
+                        [this](const VersionStamp&) { return this->newest; }}};
+};
+
+void AssertDenied(const httplib::Response& response, const std::string& what) {
+  cr_assert_eq(response.status, 401, "%s: %d", what.c_str(), response.status);
+  cr_assert_eq(response.get_header_value("WWW-Authenticate"), "Bearer");
+  cr_assert_eq(response.get_header_value(kOutcomeHeader), kNotRunOutcome);
+  cr_assert(response.body.find("sesame") == std::string::npos, "%s", response.body.c_str());
+}
+
+}  // namespace
+
+Test(access, a_route_needs_a_key_of_a_workspace_unless_it_is_public) {
+  Fixture fixture(kRoutes + MakeWorkspaceLine("press", "sesame"));
+  cr_assert_eq(fixture.GetWithKey(MakeBearer("sesame")).status, 200);
+  cr_assert(fixture.target.ListRequests().back().find("Lacewing-Workspace: press\r\n") !=
+            std::string::npos);
+  AssertDenied(fixture.Get("/designs/1"), "no key");
+  AssertDenied(fixture.GetWithKey(MakeBearer("open-sesame")), "unknown key");
+  cr_assert_eq(
+      fixture
+          .Get("/health", {{"Authorization", MakeBearer("sesame")}, {kWorkspaceHeader, "forged"}})
+          .status,
+      200);
+  cr_assert_eq(fixture.target.ListRequests().size(), 2U);
+  for (const std::string& sent : fixture.target.ListRequests()) {
+    cr_assert(sent.find("sesame") == std::string::npos && sent.find("forged") == std::string::npos);
+  }
+  cr_assert(fixture.metrics.Format("").find("sesame") == std::string::npos);
+}
+
+Test(access, odd_keys_count_as_none) {
+  Fixture fixture(kRoutes + MakeWorkspaceLine("press", "sesame"));
+  const std::string long_key(100'000, 'k');
+  for (const std::string& value :
+       {std::string(), std::string("Bearer"), std::string("Bearer "), std::string("sesame"),
+        std::string("Basic sesame"), std::string("Bearer sesame sesame"),
+        std::string("Bearer sesame,sesame"), std::string("Bearer Sesame"), MakeBearer(long_key)}) {
+    AssertDenied(fixture.GetWithKey(value), value.substr(0, 40));
+  }
+  AssertDenied(fixture.Get("/designs/1", {{"Authorization", MakeBearer("sesame")},
+                                          {"authorization", MakeBearer("sesame")}}),
+               "two headers");
+  AssertDenied(fixture.Get("/designs/1", {{kWorkspaceHeader, "press"}}), "forged workspace");
+  cr_assert(fixture.target.ListRequests().empty());
+  cr_assert_eq(fixture.GetWithKey("bearer  sesame").status, 200);
+}
+
+// Refused callers must not use up a limit of those that have a key.
+Test(access, denied_requests_take_no_token_of_a_limit) {
+  Fixture fixture(kRoutes + MakeWorkspaceLine("press", "sesame"));
+  for (int i = 0; i < 200; ++i) {
+    fixture.Get("/designs/1");
+  }
+  cr_assert_eq(fixture.GetWithKey(MakeBearer("sesame")).status, 200);
+}
+
+Test(access, only_a_daemon_that_knows_of_no_newer_version_denies_a_key_for_good) {
+  Fixture fixture(kRoutes + MakeWorkspaceLine("press", "sesame"));
+  fixture.newest = false;
+  const httplib::Response unsure = fixture.GetWithKey(MakeBearer("new-key"));
+  cr_assert_eq(unsure.status, 503);
+  cr_assert_eq(unsure.get_header_value(kOutcomeHeader), kNotRunOutcome);
+  cr_assert_eq(unsure.get_header_value("Retry-After"), "1");
+  cr_assert_not(unsure.has_header("WWW-Authenticate"));
+  cr_assert_eq(fixture.GetWithKey(MakeBearer("sesame")).status, 200);
+  cr_assert_eq(fixture.Get("/health").status, 200);
+  fixture.HoldRules(2, kRoutes + MakeWorkspaceLine("film", "new-key"));
+  cr_assert_eq(fixture.GetWithKey(MakeBearer("new-key")).status, 200);
+  fixture.newest = true;
+  AssertDenied(fixture.GetWithKey(MakeBearer("sesame")), "removed key");
+}
+
+Test(access, without_workspaces_headers_pass_unchanged) {
+  Fixture fixture(kRoutes);
+  cr_assert_eq(fixture.Get("/designs/1").status, 200);
+  cr_assert_eq(fixture.GetWithKey(MakeBearer("sesame")).status, 200);
+  cr_assert(fixture.target.ListRequests().back().find("Bearer sesame") != std::string::npos);
+}
+
+Test(access, a_waiting_request_loses_its_access_with_its_key) {
+  Fixture fixture(kRoutes + MakeWorkspaceLine("press", "sesame"));
+  RequestAccess access;
+  access.version = fixture.rules.GetSnapshot()->GetVersion();
+  access.has_workspaces = true;
+  access.workspace = "press";
+  access.key_digest = ComputeDigest("sesame");
+  cr_assert(IsAccessCurrent(*fixture.rules.GetSnapshot(), access));
+  fixture.HoldRules(
+      2, kRoutes + MakeWorkspaceLine("press", "sesame") + MakeWorkspaceLine("film", "other"));
+  cr_assert(IsAccessCurrent(*fixture.rules.GetSnapshot(), access));
+  fixture.HoldRules(3, kRoutes + MakeWorkspaceLine("film", "sesame"));
+  cr_assert_not(IsAccessCurrent(*fixture.rules.GetSnapshot(), access));
+  fixture.HoldRules(4, kRoutes + MakeWorkspaceLine("press", "other"));
+  cr_assert_not(IsAccessCurrent(*fixture.rules.GetSnapshot(), access));
+  access.workspace.clear();
+  cr_assert(IsAccessCurrent(*fixture.rules.GetSnapshot(), access));
+}
+
+Test(access, workspaces_have_idempotency_keys_of_their_own) {
+  const std::string timed = "01939f3c-7d00-7abc-9def-0123456789ab";
+  for (const std::string& key : {std::string("k-1"), timed}) {
+    cr_assert_eq(MakeClaimKey("", key), key);
+    cr_assert_eq(MakeClaimKey("press", key), MakeClaimKey("press", key));
+    cr_assert_neq(MakeClaimKey("press", key), MakeClaimKey("film", key));
+    cr_assert_neq(MakeClaimKey("press", key), key);
+    cr_assert(ClaimKeyTime::Read(MakeClaimKey("press", key)) == ClaimKeyTime::Read(key));
+  }
+  cr_assert_eq(MakeClaimKey("press", ""), "");
+}
--- a/Tests/test_daemon_cluster_node.cc
+++ b/Tests/test_daemon_cluster_node.cc
@@ -90,6 +90,29 @@
   cr_assert_eq(asked, 2U);
 }
 
+Test(cluster_node, knows_of_newer_versions_that_peers_and_data_centres_report) {
+  const auto node = MakeNode("host-1", "dc-1");
+  ListMembersReply listed;
+  listed.members = {MakeNode("host-2", "dc-1")->GetOwnRecord()};
+  node->HandleMembers(listed, kStart);
+  const VersionStamp older{2, "b"};
+  const VersionStamp newer{3, "c"};
+  cr_assert_not(node->KnowsNewerVersion(older));
+  GossipDatagram datagram = MakeAck("host-2", 12345);
+  datagram.held = newer;
+  node->HandleDatagram(datagram, "10.0.0.2:7501", kStart);
+  cr_assert(node->KnowsNewerVersion(older));
+  cr_assert_not(node->KnowsNewerVersion(newer));
+  const auto other = MakeNode("host-3", "dc-1");
+  datagram = MakeAck("host-9", 12345);
+  DataCentreProgress& progress = datagram.progress.emplace_back();
+  progress.data_centre = "dc-2";
+  progress.lowest = newer;
+  other->HandleDatagram(datagram, "10.0.0.9:7501", kStart);
+  cr_assert(other->KnowsNewerVersion(older));
+  cr_assert_not(other->KnowsNewerVersion(newer));
+}
+
 Test(member_sync, ignores_differences_shorter_than_five_seconds) {
   MemberSync sync;
   cr_assert_not(sync.HandleHash(1, 2, kStart));
--- a/Tests/test_daemon_proxy_exchange.cc
+++ b/Tests/test_daemon_proxy_exchange.cc
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "Daemon/proxy_exchange.h"
+#include "Daemon/request_access.h"
 #include "Daemon/target_connections.h"
 #include "Fakes/keep_alive_target.h"
 #include "Fakes/raw_target.h"
@@ -32,11 +33,12 @@
   return request;
 }
 
-Exchange Send(const httplib::Request& request, const std::string& response) {
+Exchange Send(const httplib::Request& request, const std::string& response,
+              const RequestAccess& access = {}) {
   RawTarget target(response);
   TargetConnections connections(1, kConnectLimit);
   Exchange exchange;
-  exchange.attempt = SendToTarget(connections, target.GetAddress(), request, kTimeLimit, 3);
+  exchange.attempt = SendToTarget(connections, target.GetAddress(), request, kTimeLimit, 3, access);
   const auto requests = target.ListRequests();
   exchange.sent = requests.empty() ? std::string() : requests.front();
   return exchange;
@@ -64,10 +66,10 @@
   TargetConnections connections(1, kConnectLimit);
   const httplib::Request request = MakeRequest("POST", "/orders");
   const TargetAttempt first =
-      SendToTarget(connections, target.GetAddress(), request, kTimeLimit, 1);
+      SendToTarget(connections, target.GetAddress(), request, kTimeLimit, 1, {});
   cr_assert_eq(first.outcome, TargetOutcome::kShed);
   const TargetAttempt second =
-      SendToTarget(connections, target.GetAddress(), request, kTimeLimit, 1);
+      SendToTarget(connections, target.GetAddress(), request, kTimeLimit, 1, {});
   cr_assert_eq(second.outcome, TargetOutcome::kOk);
   cr_assert_eq(second.response.body, "done");
 }
@@ -87,6 +89,28 @@
   cr_assert_eq(exchange.attempt.response.body, "hello");
 }
 
+// Guards against a target that learns an API key, or a workspace that the caller made up.
+Test(proxy_exchange, replaces_the_headers_of_the_caller_that_tell_the_workspace) {
+  httplib::Request request = MakeRequest("GET", "/designs/1");
+  request.headers = {{"authorization", "Bearer sesame"},
+                     {"Authorization", "Basic sesame"},
+                     {"LACEWING-WORKSPACE", "forged"},
+                     {"Lacewing-Workspace", "forged"},
+                     {"Connection", "Lacewing-Workspace"}};
+  const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  RequestAccess access;
+  access.has_workspaces = true;
+  const Exchange on_public = Send(request, response, access);
+  cr_assert_not(Contains(on_public.sent, "sesame") || Contains(on_public.sent, "forged"));
+  access.workspace = "press";
+  const Exchange keyed = Send(request, response, access);
+  cr_assert_not(Contains(keyed.sent, "sesame") || Contains(keyed.sent, "forged"));
+  cr_assert(Contains(keyed.sent, "Lacewing-Workspace: press\r\n"));
+  request.headers.erase("Connection");
+  const Exchange without = Send(request, response);
+  cr_assert(Contains(without.sent, "Bearer sesame") && Contains(without.sent, "forged"));
+}
+
 Test(proxy_exchange, gives_no_partial_response_when_the_target_closes_early) {
   for (const std::string response :
        {"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhello",
@@ -273,8 +297,9 @@
         TargetReply{"HTTP/1.1 200 OK\r\n", "X-A: b\r\n", milliseconds(20)}}) {
     KeepAliveTarget target([&](const std::string&, int) { return reply; }, "");
     TargetConnections connections(1, kConnectLimit);
-    const TargetAttempt attempt = SendToTarget(
-        connections, target.GetAddress(), MakeRequest("GET", "/designs/1"), milliseconds(400), 1);
+    const TargetAttempt attempt =
+        SendToTarget(connections, target.GetAddress(), MakeRequest("GET", "/designs/1"),
+                     milliseconds(400), 1, {});
     cr_assert_eq(attempt.outcome, TargetOutcome::kLostMidRequest);
   }
 }
--- a/Tests/test_rules_parser.cc
+++ b/Tests/test_rules_parser.cc
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "Core/digest.h"
 #include "Rules/rules_parser.h"
 
 using namespace lacewingbridge;  // NOLINT(google-build-using-namespace)
@@ -54,6 +55,9 @@
   return "service s # A\nroute r path=/p service=s " + std::string(keys) + " # A\n";
 }
 
+// Returns the digest of an API key as it is written in a rules file.
+std::string DigestKey(std::string_view api_key) { return FormatHex(ComputeSha256(api_key)); }
+
 std::string ReadSample(std::string_view name) {
   const auto root = std::filesystem::path(__FILE__).parent_path().parent_path();
   std::ifstream file(root / "Samples" / name);
@@ -153,6 +157,45 @@
   cr_assert(GetErrors(MakeRoute("idempotent=yes retries=5 key=optional")).empty());
 }
 
+Test(rules_parser, reads_workspaces_and_public_routes) {
+  const RulesDocument document =
+      GetDocument(MakeRoute("public=yes") + "workspace w keys=" + DigestKey("a") + "," +
+                  DigestKey("b") + " # Ana: press\n");
+  cr_assert(document.routes.front().is_public);
+  cr_assert(document.workspaces ==
+            std::vector<WorkspaceRule>(
+                {{"w", {ComputeDigest("a"), ComputeDigest("b")}, 3, "Ana", "press"}}));
+  cr_assert_not(GetDocument(MakeRoute("public=no")).routes.front().is_public);
+  cr_assert(GetDocument(MakeRoute("")).workspaces.empty());
+}
+
+Test(rules_parser, rejects_workspaces_whose_keys_identify_none) {
+  ExpectErrors("workspace # A\nworkspace v # A",
+               {"1:1: the workspace has no name", "1:1: the workspace has no \"keys\" key",
+                "2:1: the workspace has no \"keys\" key"});
+  const std::string digest = DigestKey("a");
+  for (const std::string& keys :
+       {std::string(), std::string("k1"), digest.substr(1), digest + "0", digest + ",",
+        digest + "," + digest, "x" + digest.substr(1), "+" + digest.substr(1)}) {
+    ExpectErrors("workspace w keys=" + keys + " # A", {"1:13: the value of \"keys\" is not valid"});
+  }
+  ExpectErrors("workspace w keys=" + digest + " # A\nworkspace v keys=" + DigestKey("b") + "," +
+                   digest + " # A\nworkspace w keys=" + DigestKey("c") + " # A",
+               {"2:13: an API key also belongs to the workspace \"w\" in line 1",
+                "3:11: the workspace \"w\" is already defined in line 1"});
+}
+
+// Guards against an API key in an error message or a log, after it was written into the file.
+Test(rules_parser, shows_no_words_of_a_workspace_line) {
+  for (const char* words : {"keys=sesame", "key=sesame", "sesame=1", "key sesame", "sesame"}) {
+    const auto errors = GetErrors("workspace w " + std::string(words) + " # A");
+    cr_assert_not(errors.empty());
+    for (const RulesError& error : errors) {
+      cr_assert(FormatRulesError(error).find("sesame") == std::string::npos, "%s", words);
+    }
+  }
+}
+
 Test(rules_parser, rejects_routes_that_accept_the_same_requests) {
   const std::string first = MakeRoute("methods=GET,PUT");
   ExpectErrors(first + "route q path=/p service=s methods=PUT,POST # A",
