tool: Explain which rule decides on the access of a request

explain did not tell whether a request needs an API key. No key or digest is taken or shown. The call with a workspace is a method of its own, because the JSON-RPC library refuses calls that lack a parameter, as those of earlier releases would. check also counts workspaces.

test_daemon_admin (with a new test) and process_tool.sh pass.

--- a/Source/Admin/admin_handlers.h
+++ b/Source/Admin/admin_handlers.h
@@ -15,6 +15,11 @@
       submit;
   std::function<std::string(const std::string& text, const std::string& file_name)> check;
   std::function<std::string(const std::string& method, const std::string& path)> explain;
+  // The same for a request with a key of the workspace. A call of its own, because the library
+  // refuses a call that lacks a parameter, as calls of earlier releases would.
+  std::function<std::string(const std::string& method, const std::string& path,
+                            const std::string& workspace)>
+      explain_workspace;
   std::function<std::string()> status;
   std::function<std::string()> dump;
   std::function<std::string()> rules;
--- a/Source/Admin/admin_rpc_client.cc
+++ b/Source/Admin/admin_rpc_client.cc
@@ -78,6 +78,12 @@
       [&](AdminClientStub& stub) { return stub.explain(method, path); });
 }
 
+std::string AdminRpcClient::ExplainWorkspace(const std::string& method, const std::string& path,
+                                             const std::string& workspace) {
+  return this->implementation->Run(
+      [&](AdminClientStub& stub) { return stub.explain_workspace(method, path, workspace); });
+}
+
 std::string AdminRpcClient::GetStatus() {
   return this->implementation->Run([](AdminClientStub& stub) { return stub.status(); });
 }
--- a/Source/Admin/admin_rpc_client.h
+++ b/Source/Admin/admin_rpc_client.h
@@ -26,6 +26,8 @@
                      bool resumed);
   std::string Check(const std::string& text, const std::string& file_name);
   std::string Explain(const std::string& method, const std::string& path);
+  std::string ExplainWorkspace(const std::string& method, const std::string& path,
+                               const std::string& workspace);
   std::string GetStatus();
   std::string GetDump();
   std::string GetRules();
--- a/Source/Admin/admin_rpc_server.cc
+++ b/Source/Admin/admin_rpc_server.cc
@@ -58,6 +58,10 @@
   Json::Value explain(const std::string& method, const std::string& path) override {
     return ParseObject(this->handlers.explain(method, path));
   }
+  Json::Value explain_workspace(const std::string& method, const std::string& path,
+                                const std::string& workspace) override {
+    return ParseObject(this->handlers.explain_workspace(method, path, workspace));
+  }
   Json::Value status() override { return ParseObject(this->handlers.status()); }
   Json::Value dump() override { return ParseObject(this->handlers.dump()); }
   Json::Value rules() override { return ParseObject(this->handlers.rules()); }
--- a/Source/Daemon/admin_service.cc
+++ b/Source/Daemon/admin_service.cc
@@ -17,6 +17,7 @@
 #include "Core/digest.h"
 #include "Daemon/daemon.h"
 #include "Daemon/daemon_clock.h"
+#include "Daemon/request_access.h"
 #include "Daemon/request_path.h"
 #include "Daemon/submit_runner.h"
 #include "Observe/event_log.h"
@@ -210,6 +211,7 @@
   reply.service_count = static_cast<std::uint32_t>(document.services.size());
   reply.route_count = static_cast<std::uint32_t>(document.routes.size());
   reply.limit_count = static_cast<std::uint32_t>(document.limits.size());
+  reply.workspace_count = static_cast<std::uint32_t>(document.workspaces.size());
   return reply;
 }
 
@@ -264,7 +266,8 @@
   return std::string(text.substr(0, text.find_first_of("\r\n")));
 }
 
-ExplainReply Explain(Daemon& daemon, const std::string& method, const std::string& path) {
+ExplainReply Explain(Daemon& daemon, const std::string& method, const std::string& path,
+                     const std::string& workspace) {
   ExplainReply reply;
   const auto snapshot = daemon.GetRules().GetSnapshot();
   const auto held = daemon.GetRules().GetHeld();
@@ -293,6 +296,9 @@
   reply.rule = GetLine(held->text, route.line);
   reply.asked_by = route.who;
   reply.reason = route.why;
+  const AccessExplanation access = ExplainAccess(snapshot->GetDocument(), route, workspace);
+  reply.access = DescribeAccessVerdict(access.verdict);
+  reply.access_reason = access.reason;
   const TimePoint now = GetNow();
   daemon.GetServices().WithService(route.service, now, [&](ServiceRuntime& runtime) {
     std::mt19937_64 random(0);
@@ -329,7 +335,11 @@
     return EncodeJson(Check(text, file_name));
   };
   handlers.explain = [&daemon](const std::string& method, const std::string& path) {
-    return EncodeJson(Explain(daemon, method, path));
+    return EncodeJson(Explain(daemon, method, path, ""));
+  };
+  handlers.explain_workspace = [&daemon](const std::string& method, const std::string& path,
+                                         const std::string& workspace) {
+    return EncodeJson(Explain(daemon, method, path, workspace));
   };
   handlers.status = [&daemon] { return EncodeJson(GetStatus(daemon)); };
   handlers.dump = [&daemon] { return EncodeJson(daemon.DumpState()); };
--- a/Source/Daemon/request_access.cc
+++ b/Source/Daemon/request_access.cc
@@ -1,10 +1,13 @@
 #include "Daemon/request_access.h"
 
+#include <fmt/format.h>
 #include <httplib.h>
 
+#include <algorithm>
+
 #include "Claims/claim_key_time.h"
 #include "Core/digest.h"
-#include "Rules/route_rule.h"
+#include "Rules/rules_document.h"
 #include "Version/route_snapshot.h"
 #include "Workspaces/bearer_key.h"
 #include "Workspaces/workspace_index.h"
@@ -50,6 +53,32 @@
   return checked;
 }
 
+AccessExplanation ExplainAccess(const RulesDocument& document, const RouteRule& route,
+                                std::string_view workspace) {
+  if (document.workspaces.empty()) {
+    return {AccessVerdict::kAllowed, "the rules have no workspaces, so requests need no API key"};
+  }
+  if (route.is_public) {
+    return {AccessVerdict::kAllowed,
+            fmt::format("the route in line {} is public, so requests need no API key", route.line)};
+  }
+  if (workspace.empty()) {
+    return {AccessVerdict::kNoKey,
+            fmt::format("the route in line {} is not public, so requests need an API key of one of "
+                        "the {} workspaces",
+                        route.line, document.workspaces.size())};
+  }
+  const auto found =
+      std::find_if(document.workspaces.begin(), document.workspaces.end(),
+                   [workspace](const WorkspaceRule& rule) { return rule.name == workspace; });
+  if (found == document.workspaces.end()) {
+    return {AccessVerdict::kUnknownKey,
+            fmt::format("there is no workspace {}, so its API keys are not known", workspace)};
+  }
+  return {AccessVerdict::kAllowed, fmt::format("the workspace {} in line {} has {} API keys",
+                                               workspace, found->line, found->key_digests.size())};
+}
+
 bool IsAccessCurrent(const RouteSnapshot& current, const RequestAccess& access) {
   if (access.workspace.empty() || current.GetVersion() == access.version) {
     return true;
--- a/Source/Daemon/request_access.h
+++ b/Source/Daemon/request_access.h
@@ -15,6 +15,7 @@
 
 class RouteSnapshot;
 struct RouteRule;
+struct RulesDocument;
 
 // Headers of the API key and of the workspace. With workspaces in the version in force, what a
 // caller wrote into them ends at the daemon.
@@ -44,6 +45,17 @@
 CheckedAccess CheckAccess(const RouteSnapshot& snapshot, const RouteRule& route,
                           const httplib::Request& request, bool is_newest);
 
+// Why a request is allowed or denied, for operators.
+struct AccessExplanation {
+  AccessVerdict verdict = AccessVerdict::kAllowed;
+  std::string reason;
+};
+
+// Explains the access of a request with a key of the workspace, or without a key if the name is
+// empty.
+AccessExplanation ExplainAccess(const RulesDocument& document, const RouteRule& route,
+                                std::string_view workspace);
+
 // Whether the API key of a request that was allowed belongs to the same workspace in the version
 // that is now in force.
 bool IsAccessCurrent(const RouteSnapshot& current, const RequestAccess& access);
--- a/Source/Generated/admin.h
+++ b/Source/Generated/admin.h
@@ -53,6 +53,7 @@
   std::uint32_t service_count = 0;
   std::uint32_t route_count = 0;
   std::uint32_t limit_count = 0;
+  std::uint32_t workspace_count = 0;
 
   bool operator==(const CheckReply&) const = default;
 };
@@ -80,6 +81,8 @@
   std::string reason;
   std::string target;
   std::string target_reason;
+  std::string access;
+  std::string access_reason;
 
   bool operator==(const ExplainReply&) const = default;
 };
--- a/Source/Generated/admin_codec.cc
+++ b/Source/Generated/admin_codec.cc
@@ -240,6 +240,7 @@
   wire.set_service_count(plain.service_count);
   wire.set_route_count(plain.route_count);
   wire.set_limit_count(plain.limit_count);
+  wire.set_workspace_count(plain.workspace_count);
 }
 
 void FromWire(const wire::CheckReply& wire, CheckReply& plain) {
@@ -250,6 +251,7 @@
   plain.service_count = wire.service_count();
   plain.route_count = wire.route_count();
   plain.limit_count = wire.limit_count();
+  plain.workspace_count = wire.workspace_count();
 }
 
 std::string Encode(const CheckReply& plain) {
@@ -387,6 +389,8 @@
   wire.set_reason(plain.reason);
   wire.set_target(plain.target);
   wire.set_target_reason(plain.target_reason);
+  wire.set_access(plain.access);
+  wire.set_access_reason(plain.access_reason);
 }
 
 void FromWire(const wire::ExplainReply& wire, ExplainReply& plain) {
@@ -402,6 +406,8 @@
   plain.reason = wire.reason();
   plain.target = wire.target();
   plain.target_reason = wire.target_reason();
+  plain.access = wire.access();
+  plain.access_reason = wire.access_reason();
 }
 
 std::string Encode(const ExplainReply& plain) {
--- a/Source/Generated/adminclientstub.h
+++ b/Source/Generated/adminclientstub.h
@@ -58,6 +58,18 @@
             else
                 throw jsonrpc::JsonRpcException(jsonrpc::Errors::ERROR_CLIENT_INVALID_RESPONSE, result.toStyledString());
         }
+        Json::Value explain_workspace(const std::string& method, const std::string& path, const std::string& workspace) throw (jsonrpc::JsonRpcException)
+        {
+            Json::Value p;
+            p["method"] = method;
+            p["path"] = path;
+            p["workspace"] = workspace;
+            Json::Value result = this->CallMethod("explain_workspace",p);
+            if (result.isObject())
+                return result;
+            else
+                throw jsonrpc::JsonRpcException(jsonrpc::Errors::ERROR_CLIENT_INVALID_RESPONSE, result.toStyledString());
+        }
         Json::Value dump() throw (jsonrpc::JsonRpcException)
         {
             Json::Value p;
--- a/Source/Generated/adminserverstub.h
+++ b/Source/Generated/adminserverstub.h
@@ -16,6 +16,7 @@
             this->bindAndAddMethod(jsonrpc::Procedure("check", jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT, "file_name",jsonrpc::JSON_STRING,"text",jsonrpc::JSON_STRING, NULL), &AdminServerStub::checkI);
             this->bindAndAddMethod(jsonrpc::Procedure("status", jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT,  NULL), &AdminServerStub::statusI);
             this->bindAndAddMethod(jsonrpc::Procedure("explain", jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT, "method",jsonrpc::JSON_STRING,"path",jsonrpc::JSON_STRING, NULL), &AdminServerStub::explainI);
+            this->bindAndAddMethod(jsonrpc::Procedure("explain_workspace", jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT, "method",jsonrpc::JSON_STRING,"path",jsonrpc::JSON_STRING,"workspace",jsonrpc::JSON_STRING, NULL), &AdminServerStub::explain_workspaceI);
             this->bindAndAddMethod(jsonrpc::Procedure("dump", jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT,  NULL), &AdminServerStub::dumpI);
             this->bindAndAddMethod(jsonrpc::Procedure("rules", jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT,  NULL), &AdminServerStub::rulesI);
             this->bindAndAddMethod(jsonrpc::Procedure("drain", jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT,  NULL), &AdminServerStub::drainI);
@@ -38,6 +39,10 @@
         {
             response = this->explain(request["method"].asString(), request["path"].asString());
         }
+        inline virtual void explain_workspaceI(const Json::Value &request, Json::Value &response)
+        {
+            response = this->explain_workspace(request["method"].asString(), request["path"].asString(), request["workspace"].asString());
+        }
         inline virtual void dumpI(const Json::Value &request, Json::Value &response)
         {
             (void)request;
@@ -57,6 +62,7 @@
         virtual Json::Value check(const std::string& file_name, const std::string& text) = 0;
         virtual Json::Value status() = 0;
         virtual Json::Value explain(const std::string& method, const std::string& path) = 0;
+        virtual Json::Value explain_workspace(const std::string& method, const std::string& path, const std::string& workspace) = 0;
         virtual Json::Value dump() = 0;
         virtual Json::Value rules() = 0;
         virtual Json::Value drain() = 0;
--- a/Source/Tool/tool_commands.cc
+++ b/Source/Tool/tool_commands.cc
@@ -108,12 +108,13 @@
     reply.service_count = static_cast<std::uint32_t>(document.services.size());
     reply.route_count = static_cast<std::uint32_t>(document.routes.size());
     reply.limit_count = static_cast<std::uint32_t>(document.limits.size());
+    reply.workspace_count = static_cast<std::uint32_t>(document.workspaces.size());
   }
   if (options.json) {
     fmt::print("{}\n", EncodeJson(reply));
   } else if (reply.problems.empty()) {
-    fmt::print("{}: valid, {} services, {} routes, {} limits\n", path, reply.service_count,
-               reply.route_count, reply.limit_count);
+    fmt::print("{}: valid, {} services, {} routes, {} limits, {} workspaces\n", path,
+               reply.service_count, reply.route_count, reply.limit_count, reply.workspace_count);
   } else {
     fmt::print(stderr, "{} errors; nothing was applied\n", reply.problems.size());
   }
@@ -228,7 +229,11 @@
 
 int ShowExplanation(const ToolOptions& options) {
   ToolSession session(options.daemon);
-  const std::string json = session.GetClient().Explain(options.arguments[0], options.arguments[1]);
+  const std::string& method = options.arguments[0];
+  const std::string& path = options.arguments[1];
+  const std::string json = options.workspace.empty() ? session.GetClient().Explain(method, path)
+                                                     : session.GetClient().ExplainWorkspace(
+                                                           method, path, options.workspace);
   const auto reply = session.Decode<ExplainReply>(json, &DecodeJson);
   if (!IsOk(reply)) {
     PrintError(GetError(reply));
@@ -246,6 +251,7 @@
              explanation.version.number, explanation.version.operator_name, explanation.rule);
   fmt::print("asked for by {}{}{}\n", explanation.asked_by, explanation.reason.empty() ? "" : ": ",
              explanation.reason);
+  fmt::print("access: {}\n  {}\n", explanation.access, explanation.access_reason);
   fmt::print("service {}, target {}\n  {}\n", explanation.service,
              explanation.target.empty() ? "none" : explanation.target, explanation.target_reason);
   return kToolDone;
--- a/Source/Tool/tool_options.cc
+++ b/Source/Tool/tool_options.cc
@@ -23,6 +23,7 @@
     "  -o, --operator NAME    who submits (default: the user's login name)\n"
     "  -b, --base NUMBER      version that the file was edited from (0: none yet)\n"
     "  -i, --submission-id ID ask for the outcome of an earlier submission\n"
+    "  -W, --workspace NAME   with explain: the request has a key of this workspace\n"
     "  -w, --wait             with submit and status: until in force everywhere\n"
     "  -t, --timeout SECONDS  limit for --wait (default 30)\n"
     "  -j, --json             print the daemon's answer as JSON\n"
@@ -54,6 +55,9 @@
     case 'i':
       options.submission_id = value;
       return true;
+    case 'W':
+      options.workspace = value;
+      return true;
     case 'b':
       options.base = ParseNumber(value, base) ? std::optional(base) : std::nullopt;
       return options.base.has_value();
@@ -80,6 +84,7 @@
                           {"operator", required_argument, nullptr, 'o'},
                           {"base", required_argument, nullptr, 'b'},
                           {"submission-id", required_argument, nullptr, 'i'},
+                          {"workspace", required_argument, nullptr, 'W'},
                           {"timeout", required_argument, nullptr, 't'},
                           {"json", no_argument, nullptr, 'j'},
                           {"wait", no_argument, nullptr, 'w'},
@@ -88,7 +93,7 @@
   ToolOptions options;
   int choice = 0;
   opterr = 0;
-  while ((choice = getopt_long(argc, argv, "d:o:b:i:t:jwh", table, nullptr)) != -1) {
+  while ((choice = getopt_long(argc, argv, "d:o:b:i:W:t:jwh", table, nullptr)) != -1) {
     if (!ApplyOption(choice, optarg, options)) {
       return MakeUsageError(std::string("option ") + argv[optind - 1] +
                             " is unknown, or its value is missing or not valid");
--- a/Source/Tool/tool_options.h
+++ b/Source/Tool/tool_options.h
@@ -18,6 +18,7 @@
   std::string operator_name;
   std::optional<std::uint64_t> base;
   std::string submission_id;
+  std::string workspace;
   bool json = false;
   bool wait = false;
   std::uint32_t timeout_seconds = 30;
--- a/Tests/process_tool.sh
+++ b/Tests/process_tool.sh
@@ -70,6 +70,10 @@
 is_json
 expect 0 explain GET /designs/1
 shows out "Ana"
+shows out "access: allowed"
+expect 0 explain GET /designs/1 --workspace press --json
+is_json
+shows out '"access":"allowed"'
 expect 0 explain POST /orders --json
 is_json
 expect 1 explain GET /nothing
--- a/Tests/test_daemon_admin.cc
+++ b/Tests/test_daemon_admin.cc
@@ -39,11 +39,11 @@
     this->handlers = MakeAdminHandlers(*this->daemon);
   }
 
-  void HoldRules() const {
+  void HoldRules(std::uint64_t number = 1, const std::string& text = kRules) const {
     RulesVersion version;
-    version.stamp = {1, ComputeDigest(kRules)};
+    version.stamp = {number, ComputeDigest(text)};
     version.operator_name = "maria";
-    version.text = kRules;
+    version.text = text;
     cr_assert_eq(this->daemon->OfferVersion(version), OfferOutcome::kApplied);
   }
 
@@ -120,6 +120,29 @@
               ErrorKind::kNotFound);
 }
 
+Test(admin, explain_tells_which_rule_decides_on_the_access) {
+  const Fixture fixture;
+  const auto explain = [&fixture](const std::string& path, const std::string& workspace) {
+    return Fixture::Read<ExplainReply>(
+        workspace.empty() ? fixture.handlers.explain("GET", path)
+                          : fixture.handlers.explain_workspace("GET", path, workspace));
+  };
+  fixture.HoldRules();
+  cr_assert_eq(explain("/designs", "").access, "allowed");
+  const std::string digest = FormatHex(ComputeSha256("sesame"));
+  const std::string keyed = kRules +
+                            "route open path=/open service=designs public=yes  # Ana: a\n" +
+                            "workspace press keys=" + digest + "  # Ana: customer\n";
+  fixture.HoldRules(2, keyed);
+  cr_assert_eq(explain("/designs", "").access, "no_key");
+  cr_assert_eq(explain("/designs", "film").access, "unknown_key");
+  cr_assert_eq(explain("/open", "").access, "allowed");
+  const ExplainReply allowed = explain("/designs", "press");
+  cr_assert_eq(allowed.access, "allowed");
+  cr_assert(allowed.access_reason.find("line 5") != std::string::npos);
+  cr_assert(allowed.access_reason.find(digest) == std::string::npos);
+}
+
 Test(admin, explain_describes_the_request_that_the_proxy_would_match) {
   const Fixture fixture;
   fixture.HoldRules();
