--- a/Source/Tool/tool_commands.cc
+++ b/Source/Tool/tool_commands.cc
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <fstream>
+#include <iostream>
 #include <random>
 #include <sstream>
 #include <string>
@@ -17,6 +18,7 @@
 #include "Rules/rules_parser.h"
 #include "Tool/tool_options.h"
 #include "Tool/tool_session.h"
+#include "Workspaces/bearer_key.h"
 #include "admin_codec.h"
 
 namespace lacewingbridge {
@@ -106,12 +108,13 @@
     reply.service_count = static_cast<std::uint32_t>(document.services.size());
     reply.route_count = static_cast<std::uint32_t>(document.routes.size());
     reply.limit_count = static_cast<std::uint32_t>(document.limits.size());
+    reply.workspace_count = static_cast<std::uint32_t>(document.workspaces.size());
   }
   if (options.json) {
     fmt::print("{}\n", EncodeJson(reply));
   } else if (reply.problems.empty()) {
-    fmt::print("{}: valid, {} services, {} routes, {} limits\n", path, reply.service_count,
-               reply.route_count, reply.limit_count);
+    fmt::print("{}: valid, {} services, {} routes, {} limits, {} workspaces\n", path,
+               reply.service_count, reply.route_count, reply.limit_count, reply.workspace_count);
   } else {
     fmt::print(stderr, "{} errors; nothing was applied\n", reply.problems.size());
   }
@@ -226,7 +229,11 @@
 
 int ShowExplanation(const ToolOptions& options) {
   ToolSession session(options.daemon);
-  const std::string json = session.GetClient().Explain(options.arguments[0], options.arguments[1]);
+  const std::string& method = options.arguments[0];
+  const std::string& path = options.arguments[1];
+  const std::string json = options.workspace.empty() ? session.GetClient().Explain(method, path)
+                                                     : session.GetClient().ExplainWorkspace(
+                                                           method, path, options.workspace);
   const auto reply = session.Decode<ExplainReply>(json, &DecodeJson);
   if (!IsOk(reply)) {
     PrintError(GetError(reply));
@@ -244,6 +251,7 @@
              explanation.version.number, explanation.version.operator_name, explanation.rule);
   fmt::print("asked for by {}{}{}\n", explanation.asked_by, explanation.reason.empty() ? "" : ": ",
              explanation.reason);
+  fmt::print("access: {}\n  {}\n", explanation.access, explanation.access_reason);
   fmt::print("service {}, target {}\n  {}\n", explanation.service,
              explanation.target.empty() ? "none" : explanation.target, explanation.target_reason);
   return kToolDone;
@@ -292,6 +300,25 @@
   return ShowJson(json, session.GetClient().GetFailure());
 }
 
+// Reads an API key from the standard input and prints its digest for a rules file. An argument
+// would show the key in the list of processes.
+int PrintDigest(const ToolOptions& /*options*/) {
+  std::string api_key;
+  std::getline(std::cin, api_key);
+  const bool has_more = std::cin.peek() != std::istream::traits_type::eof();
+  // Requests with such a key count as without one; see ReadBearerKey.
+  const bool is_usable = !api_key.empty() && ReadBearerKey("Bearer " + api_key) == api_key &&
+                         api_key.find('\r') == std::string::npos;
+  if (!is_usable || has_more) {
+    PrintError(
+        {ErrorKind::kInvalidArgument,
+         "the standard input has to be one line with an API key, without blanks and commas"});
+    return kToolUsageError;
+  }
+  fmt::print("{}\n", FormatHex(ComputeSha256(api_key)));
+  return kToolDone;
+}
+
 struct ToolCommand {
   std::string_view name;
   std::size_t argument_count;
@@ -299,9 +326,9 @@
 };
 
 constexpr ToolCommand kCommands[] = {
-    {"check", 1, CheckFile},         {"submit", 1, SubmitFile}, {"status", 0, ShowStatus},
-    {"explain", 2, ShowExplanation}, {"rules", 0, ShowRules},   {"dump", 0, ShowDump},
-    {"drain", 0, DrainDaemon},
+    {"check", 1, CheckFile},         {"submit", 1, SubmitFile},  {"status", 0, ShowStatus},
+    {"explain", 2, ShowExplanation}, {"rules", 0, ShowRules},    {"dump", 0, ShowDump},
+    {"drain", 0, DrainDaemon},       {"digest", 0, PrintDigest},
 };
 
 }  // namespace
