--- a/Source/Proxy/caller_request.cc
+++ b/Source/Proxy/caller_request.cc
@@ -121,7 +121,7 @@
   });
   ProgressDecision decision = this->progress->HandleShareRefusals(
       this->context.state.CountShareRefusals(now, this->service, this->GetWorkspaceName()));
-  while (decision.action == ProgressAction::kPlace && !this->exchange.IsCallerGone()) {
+  while (decision.action == ProgressAction::kPlace && !this->exchange.CheckCallerGone()) {
     decision = co_await this->PlaceOnce();
   }
   this->ReturnUnusedQuota(decision);
--- a/Source/Proxy/peer_request.cc
+++ b/Source/Proxy/peer_request.cc
@@ -129,7 +129,7 @@
                                  asio::post(io, [wait, admitted] { wait->Set(admitted); });
                                });
   if (verdict == GateVerdict::kAdmitted) {
-    if (this->exchange.IsCallerGone()) {
+    if (this->exchange.CheckCallerGone()) {
       this->context.gate.Finish(GetNow(), this->offer.id, RunResult::kNoResult);
       co_return false;
     }
@@ -163,7 +163,7 @@
     }
   }
   this->exchange.SetGoneListener(nullptr);
-  if (this->exchange.IsCallerGone()) {
+  if (this->exchange.CheckCallerGone()) {
     const bool refused = wait->value.has_value() && !*wait->value;
     if (!refused && this->context.gate.Cancel(GetNow(), this->offer.id)) {
       this->context.gate.Finish(GetNow(), this->offer.id, RunResult::kNoResult);
