--- a/Tests/test_node_health_check.cc
+++ b/Tests/test_node_health_check.cc
@@ -54,8 +54,8 @@
   cr_assert_not(IsAccepted(std::string(kHead) + kChunked + "2\r\nok\r\n"));
   cr_assert_not(IsAccepted(std::string(kHead) + kChunked + "2\r\nok\r\n0\r\nX-A: b\r\n"));
   cr_assert_not(IsAccepted(std::string(kHead) + kChunked + MakeChunk()));
-  cr_assert_not(IsAccepted(std::string(kHead) + "Content-Length: 6001\r\n\r\n" +
-                           std::string(6000, 'x')));
+  cr_assert_not(
+      IsAccepted(std::string(kHead) + "Content-Length: 6001\r\n\r\n" + std::string(6000, 'x')));
 }
 
 Test(health_check, a_malformed_chunk_or_trailer_is_refused) {
--- a/Tests/test_node_write_limits.cc
+++ b/Tests/test_node_write_limits.cc
@@ -39,8 +39,7 @@
 };
 
 FunctionHandler MakeHandler(LongResponse& response) {
-  return FunctionHandler(
-      [&response](ServerExchange& exchange) { return response.Send(exchange); });
+  return FunctionHandler([&response](ServerExchange& exchange) { return response.Send(exchange); });
 }
 
 Awaitable<void> SendPartAndThrow(ServerExchange& exchange) {
