claims: Run a keyed request once although its workspace changes

A keyed request was claimed under a digest of its workspace and its Idempotency-Key. The claim was therefore not found when the request was repeated after a version that gave it a workspace or took it away (first workspace, public=), renamed the workspace or moved the API key, and while two daemons held different versions. The request then ran a second time.

The key is claimed as the caller sent it. ClaimRequest and ClaimRecord carry the workspace. Equal names, or an empty one on one side, are the same request; two different names are refused as key_reused, so that no workspace gets the stored response of another. A repetition after a rename or a moved API key is refused as well: it cannot be told apart from a request of another workspace. Messages of older releases have no workspace. The fingerprints of the quarantine still tell workspaces apart.

Before the change, access::a_keyed_request_runs_once_whatever_its_workspace_becomes failed at the first workspace (more than two requests reached the target). With the new field but without the comparison of workspaces, the new test of claims_table failed at the foreign workspace.

Ruled out: comparing digests of API keys, which would lose the stored response whenever a customer replaces a key; and looking for the request under all names of workspaces, of which a new version no longer has the removed ones.

--- a/Source/Claims/claim_gate.cc
+++ b/Source/Claims/claim_gate.cc
@@ -19,6 +19,7 @@
       key_missing(facts.key_rule == ClaimKeyRule::kRequired && facts.key.empty()) {
   this->request.key = facts.key;
   this->request.request_hash = facts.request_hash;
+  this->request.workspace = facts.workspace;
   this->request.attempt_id = caller.attempt_id;
   this->request.caller_host = caller.host;
   this->request.caller_incarnation = caller.incarnation;
--- a/Source/Claims/claim_gate.h
+++ b/Source/Claims/claim_gate.h
@@ -22,6 +22,9 @@
   std::string_view key;
   // Hash of the request. Another request with the same key is refused as key reused.
   std::uint64_t request_hash = 0;
+  // Empty on public routes and without workspaces. A key that another workspace has used is refused
+  // as key reused.
+  std::string_view workspace;
 };
 
 // Identifies the daemon that makes the attempt, and the attempt itself.
@@ -47,7 +50,7 @@
   kRefuseNotRun,
   // Refuse the request as outcome unknown.
   kRefuseUnknown,
-  // The key was used for another request; this one was not run.
+  // The key was used for another request or by another workspace; this one was not run.
   kRefuseKeyReused,
   // The key's time is ahead of its owner's clock; the request was not run.
   kRefuseKeyAhead,
--- a/Source/Claims/claim_table.cc
+++ b/Source/Claims/claim_table.cc
@@ -20,16 +20,23 @@
 std::size_t CountBytes(const ClaimRecord& record) {
   // The key is stored twice: as the key of the map and in the record.
   return kEntryOverheadBytes + 2 * record.key.size() + record.answer.size() +
-         record.content_type.size() + record.caller_host.size();
+         record.content_type.size() + record.caller_host.size() + record.workspace.size();
 }
 
 bool HasValidLengths(const ClaimRecord& record) {
   return !record.key.empty() && record.key.size() <= kMaxClaimNameBytes &&
          record.caller_host.size() <= kMaxClaimNameBytes &&
          record.content_type.size() <= kMaxClaimNameBytes &&
+         record.workspace.size() <= kMaxClaimNameBytes &&
          record.answer.size() <= kMaxStoredResponseBytes;
 }
 
+// A new version may add a workspace to a request that has already run, or remove it. A request
+// without a workspace therefore counts as one of any workspace.
+bool IsSameWorkspace(std::string_view left, std::string_view right) {
+  return left == right || left.empty() || right.empty();
+}
+
 void DropResponse(ClaimRecord& record) {
   record.answer.clear();
   record.answer_kept = false;
@@ -117,7 +124,8 @@
 ClaimReply ClaimTable::ReplyFromEntry(const ClaimRequest& request, const Entry& entry) const {
   ClaimReply reply;
   reply.owner_map_epoch = this->view.GetEpoch();
-  if (entry.record.request_hash != request.request_hash) {
+  if (entry.record.request_hash != request.request_hash ||
+      !IsSameWorkspace(entry.record.workspace, request.workspace)) {
     reply.decision = ClaimDecision::kKeyReused;
   } else if (entry.record.state == ClaimState::kDone) {
     reply.decision = ClaimDecision::kAlreadyDone;
@@ -138,6 +146,7 @@
   ClaimRecord record;
   record.key = request.key;
   record.request_hash = request.request_hash;
+  record.workspace = request.workspace;
   record.state = ClaimState::kRunning;
   record.attempt_id = request.attempt_id;
   record.caller_host = request.caller_host;
--- a/Source/Claims/claim_transfer.cc
+++ b/Source/Claims/claim_transfer.cc
@@ -15,7 +15,7 @@
 
 std::size_t CountEncodedBytes(const ClaimRecord& record) {
   return kClaimRecordOverheadBytes + record.key.size() + record.answer.size() +
-         record.content_type.size() + record.caller_host.size();
+         record.content_type.size() + record.caller_host.size() + record.workspace.size();
 }
 
 }  // namespace
--- a/Source/Daemon/proxy_refusal.cc
+++ b/Source/Daemon/proxy_refusal.cc
@@ -53,7 +53,8 @@
     {RefusalKind::kKeyMissing, "key_missing", 400, true,
      "the route requires an Idempotency-Key; add one that is unique to the request"},
     {RefusalKind::kKeyReused, "key_reused", 422, true,
-     "the Idempotency-Key was used for another request; use a new one"},
+     "the Idempotency-Key was used for another request or by another workspace; use a new one "
+     "only for a new request"},
     {RefusalKind::kKeyAhead, "key_ahead", 503, true,
      "the time in the Idempotency-Key is in the future, so the caller's clock is ahead; correct "
      "the clock, or send the request again with the same key once that time has come"},
--- a/Source/Daemon/proxy_request.cc
+++ b/Source/Daemon/proxy_request.cc
@@ -77,6 +77,12 @@
   }
 }
 
+// The key may be used by several workspaces, and a request that crashes targets must not
+// quarantine those of another workspace.
+std::string QualifyKey(const std::string& workspace, const std::string& key) {
+  return workspace.empty() ? key : workspace + "\n" + key;
+}
+
 std::string GetContentType(const TargetResponse& response) {
   for (const auto& [name, value] : response.headers) {
     if (name == "Content-Type") {
@@ -116,11 +122,12 @@
       access(std::move(allowed)),
       deadline(limit),
       depth(request_depth),
-      key(MakeClaimKey(this->access.workspace, incoming.get_header_value(kKeyHeader))),
+      key(incoming.get_header_value(kKeyHeader)),
       request_hash(
           CombineHashes(HashBytes(incoming.method + incoming.target), HashBytes(incoming.body))),
       fingerprint(ComputeFingerprint(
-          matched.name, this->key.empty() ? incoming.target + incoming.body : this->key)),
+          matched.name, this->key.empty() ? incoming.target + incoming.body
+                                          : QualifyKey(this->access.workspace, this->key))),
       id(GetNextRequestId()) {}
 
 Duration ProxyRequest::GetTimeLeft() const {
@@ -184,6 +191,7 @@
   facts.key_rule = GetKeyRule(this->route);
   facts.key = this->key;
   facts.request_hash = this->request_hash;
+  facts.workspace = this->access.workspace;
   ClaimCaller caller;
   caller.host = this->environment.settings.host;
   caller.incarnation = this->environment.incarnation;
--- a/Source/Daemon/proxy_request.h
+++ b/Source/Daemon/proxy_request.h
@@ -65,7 +65,6 @@
   const RequestAccess access;
   TimePoint deadline;
   unsigned depth;
-  // The idempotency key as it is claimed; see MakeClaimKey.
   std::string key;
   std::uint64_t request_hash;
   std::uint64_t fingerprint;
--- a/Source/Daemon/request_access.cc
+++ b/Source/Daemon/request_access.cc
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 
-#include "Claims/claim_key_time.h"
 #include "Core/digest.h"
 #include "Rules/rules_document.h"
 #include "Version/route_snapshot.h"
@@ -87,21 +86,4 @@
   return holder != nullptr && holder->name == access.workspace;
 }
 
-std::string MakeClaimKey(std::string_view workspace, std::string_view idempotency_key) {
-  if (workspace.empty() || idempotency_key.empty()) {
-    return std::string(idempotency_key);
-  }
-  std::string digest =
-      FormatHex(ComputeDigest(std::string(workspace) + "\n" + std::string(idempotency_key)));
-  if (!ClaimKeyTime::Read(idempotency_key).has_value()) {
-    return digest;
-  }
-  // The time, the version and the variant of a version 7 UUID, then digits of the digest.
-  constexpr std::size_t kKeptLength = 20;
-  constexpr std::size_t kFourthGroupRest = 3;
-  constexpr std::size_t kFifthGroup = 12;
-  return std::string(idempotency_key.substr(0, kKeptLength)) + digest.substr(0, kFourthGroupRest) +
-         "-" + digest.substr(kFourthGroupRest, kFifthGroup);
-}
-
 }  // namespace lacewingbridge
--- a/Source/Daemon/request_access.h
+++ b/Source/Daemon/request_access.h
@@ -60,10 +60,6 @@
 // that is now in force.
 bool IsAccessCurrent(const RouteSnapshot& current, const RequestAccess& access);
 
-// Returns the key under which the idempotency key of a request is claimed. Workspaces that use the
-// same idempotency key get different ones. The time of a timed key is kept.
-std::string MakeClaimKey(std::string_view workspace, std::string_view idempotency_key);
-
 }  // namespace lacewingbridge
 
 #endif  // LACEWINGBRIDGE_SOURCE_DAEMON_REQUEST_ACCESS_H_
--- a/Source/Generated/peer.h
+++ b/Source/Generated/peer.h
@@ -173,6 +173,7 @@
   std::uint64_t attempt_id = 0;
   std::string caller_host;
   std::uint64_t caller_incarnation = 0;
+  std::string workspace;
 
   bool operator==(const ClaimRecord&) const = default;
 };
@@ -184,6 +185,7 @@
   std::uint64_t attempt_id = 0;
   std::string caller_host;
   std::uint64_t caller_incarnation = 0;
+  std::string workspace;
 
   bool operator==(const ClaimRequest&) const = default;
 };
--- a/Source/Generated/peer_codec.cc
+++ b/Source/Generated/peer_codec.cc
@@ -580,6 +580,7 @@
   wire.set_attempt_id(plain.attempt_id);
   wire.set_caller_host(plain.caller_host);
   wire.set_caller_incarnation(plain.caller_incarnation);
+  wire.set_workspace(plain.workspace);
 }
 
 void FromWire(const wire::ClaimRecord& wire, ClaimRecord& plain) {
@@ -594,6 +595,7 @@
   plain.attempt_id = wire.attempt_id();
   plain.caller_host = wire.caller_host();
   plain.caller_incarnation = wire.caller_incarnation();
+  plain.workspace = wire.workspace();
 }
 
 std::string Encode(const ClaimRecord& plain) {
@@ -644,6 +646,7 @@
   wire.set_attempt_id(plain.attempt_id);
   wire.set_caller_host(plain.caller_host);
   wire.set_caller_incarnation(plain.caller_incarnation);
+  wire.set_workspace(plain.workspace);
 }
 
 void FromWire(const wire::ClaimRequest& wire, ClaimRequest& plain) {
@@ -653,6 +656,7 @@
   plain.attempt_id = wire.attempt_id();
   plain.caller_host = wire.caller_host();
   plain.caller_incarnation = wire.caller_incarnation();
+  plain.workspace = wire.workspace();
 }
 
 std::string Encode(const ClaimRequest& plain) {
--- a/Tests/Fakes/claims_cluster.h
+++ b/Tests/Fakes/claims_cluster.h
@@ -85,7 +85,7 @@
   // Sends the request of the key to the daemon with this index.
   void SendRequest(std::size_t host, std::size_t key) {
     const std::uint64_t id = this->attempts.size() + 1;
-    const ClaimFacts facts{false, ClaimKeyRule::kRequired, this->keys.GetName(key), key};
+    const ClaimFacts facts{false, ClaimKeyRule::kRequired, this->keys.GetName(key), key, {}};
     Attempt attempt{Gate(facts, {this->hosts[host].name, this->hosts[host].incarnation, id}), host,
                     this->hosts[host].incarnation, key};
     this->attempts.push_back(std::move(attempt));
