daemon: Do not deny API keys for good while other data centres are silent

A daemon whose whole data centre was cut off answered an API key that it did not know with 401, although a newer version may have it: it still heard the members that it probes, which are those of its own data centre, and only the acting watcher sees that the store does not respond.

A daemon now also counts as cut off if the progress of another data centre that has members is unknown or older than kMaxProgressAgeMs (15 s). The constant moves beside SpreadProgress, and the status keeps using it.

With the former condition, cluster_node::is_cut_off_without_recent_progress_of_another_data_centre failed at its first report of a silent data centre; it passes with this one.

--- a/Source/Daemon/admin_service.cc
+++ b/Source/Daemon/admin_service.cc
@@ -215,10 +215,6 @@
   return reply;
 }
 
-// A report of a data centre that is older than this does not count, since the data centre
-// may hold any version by now.
-constexpr std::uint64_t kMaxProgressAgeMs = 15000;
-
 // Whether all members of the data centre hold the version or a newer one.
 bool HasVersion(const DataCentreProgress& entry, const VersionStamp& stamp) {
   return entry.lagging_count == 0 && entry.member_count > 0 && entry.age_ms <= kMaxProgressAgeMs &&
--- a/Source/Daemon/cluster_node.h
+++ b/Source/Daemon/cluster_node.h
@@ -95,6 +95,9 @@
   bool HasFirstSibling();
   // Whether the prober distrusts this daemon's own view of the members.
   bool IsDistrusted();
+  // Whether a newer version may be in force elsewhere without this daemon hearing of it: it
+  // distrusts its own view, or has no recent report of another data centre.
+  bool IsCutOff(TimePoint now);
   std::vector<MemberRecord> ListMembers();
   // Lists the live members of the scope of a store watch: the own region if region_scope is
   // set, the own data centre otherwise.
--- a/Source/Daemon/cluster_node_queries.cc
+++ b/Source/Daemon/cluster_node_queries.cc
@@ -26,6 +26,16 @@
   return this->prober.IsDistrusted();
 }
 
+bool ClusterNode::IsCutOff(TimePoint now) {
+  const std::lock_guard guard(this->mutex);
+  const auto data_centres = this->table.ListDataCentres();
+  return this->prober.IsDistrusted() ||
+         std::any_of(data_centres.begin(), data_centres.end(), [this, now](const auto& entry) {
+           return entry.first != this->settings.data_centre &&
+                  !this->progress.HasRecent(entry.first, now);
+         });
+}
+
 std::vector<MemberRecord> ClusterNode::ListMembers() {
   const std::lock_guard guard(this->mutex);
   std::vector<MemberRecord> members;
--- a/Source/Daemon/daemon.cc
+++ b/Source/Daemon/daemon.cc
@@ -120,7 +120,7 @@
 }
 
 bool Daemon::IsNewestKnown(const VersionStamp& version) {
-  const bool cut_off = this->cluster->IsDistrusted() ||
+  const bool cut_off = this->cluster->IsCutOff(GetNow()) ||
                        (this->watcher->IsWatching() && !this->watcher->IsStoreReachable());
   return !cut_off && !IsNewer(this->rules.GetStamp(), version) &&
          !this->cluster->KnowsNewerVersion(version);
--- a/Source/Spread/spread_progress.cc
+++ b/Source/Spread/spread_progress.cc
@@ -172,6 +172,12 @@
   return list;
 }
 
+bool SpreadProgress::HasRecent(std::string_view data_centre, TimePoint now) const {
+  const auto found = this->entries.find(data_centre);
+  return found != this->entries.end() &&
+         this->GetProgressWithAge(found->second, now).age_ms <= kMaxProgressAgeMs;
+}
+
 std::optional<DataCentreProgress> SpreadProgress::GetNextEntry(TimePoint now) {
   if (this->entries.empty()) {
     return std::nullopt;
--- a/Source/Spread/spread_progress.h
+++ b/Source/Spread/spread_progress.h
@@ -31,6 +31,10 @@
   std::size_t max_data_centres = 64;
 };
 
+// A report of a data centre that is older than this does not count, since the data centre
+// may hold any version by now.
+inline constexpr std::uint64_t kMaxProgressAgeMs = 15000;
+
 // Tracks which version each data centre has reached. The member that is ranked first by hash in a
 // data centre is its collector: it receives the stamps of all members and publishes the lowest one.
 // Not synchronized.
@@ -58,6 +62,8 @@
   std::vector<DataCentreProgress> List(TimePoint now) const;
   // Whether all members of a data centre hold a newer version than this one.
   bool KnowsNewer(const VersionStamp& stamp) const;
+  // Whether the progress of the data centre is known and at most kMaxProgressAgeMs old.
+  bool HasRecent(std::string_view data_centre, TimePoint now) const;
   // Returns the entries in turn, one for each call, because a datagram contains at most one. Empty
   // if there is no entry.
   std::optional<DataCentreProgress> GetNextEntry(TimePoint now);
--- a/Tests/test_daemon_cluster_node.cc
+++ b/Tests/test_daemon_cluster_node.cc
@@ -113,6 +113,30 @@
   cr_assert_not(other->KnowsNewerVersion(newer));
 }
 
+// A daemon whose own data centre is cut off as a whole still hears all members that it probes.
+Test(cluster_node, is_cut_off_without_recent_progress_of_another_data_centre) {
+  const auto node = MakeNode("host-1", "dc-1");
+  ListMembersReply listed;
+  listed.members = {MakeNode("host-2", "dc-1")->GetOwnRecord()};
+  node->HandleMembers(listed, kStart);
+  cr_assert_not(node->IsCutOff(kStart));
+  listed.members = {MakeNode("host-3", "dc-2")->GetOwnRecord(),
+                    MakeNode("host-4", "dc-3")->GetOwnRecord()};
+  node->HandleMembers(listed, kStart);
+  cr_assert(node->IsCutOff(kStart));
+  GossipDatagram datagram = MakeAck("host-2", 12345);
+  for (const char* data_centre : {"dc-2", "dc-3"}) {
+    DataCentreProgress progress;
+    progress.data_centre = data_centre;
+    progress.age_ms = 5000;
+    datagram.progress = {progress};
+    cr_assert(node->IsCutOff(kStart));
+    node->HandleDatagram(datagram, "10.0.0.2:7501", kStart);
+  }
+  cr_assert_not(node->IsCutOff(kStart + seconds(10)));
+  cr_assert(node->IsCutOff(kStart + seconds(11)));
+}
+
 Test(member_sync, ignores_differences_shorter_than_five_seconds) {
   MemberSync sync;
   cr_assert_not(sync.HandleHash(1, 2, kStart));
