daemon: Refuse requests whose head is not well-formed

cpp-httplib 0.11.4 keeps blanks before the colon in the name of a header and resolves percent-encoding in values. lacewingbridged compares names exactly, and wrote names and values to the target unchecked. So "Authorization : Bearer KEY" and "Lacewing-Workspace : forged" reached the target, "X-A: b%0d%0aLacewing-Workspace: forged" as a header line of its own, and an encoded empty line began a second request. The query of a request target could hold control characters as well; its blanks and line feeds, and methods that are not known, are refused by the library.

ProxyHandler refuses such a request with 400 as not run, before anything else, and closes its connection: with "Content-Length : 5" the library takes the body for the next request. The checks of names and values are those of response heads, now in Transfer/field_syntax.

The daemon of the mesh is not affected: Beast refuses these heads. The control listener reads no values of headers, and calls to peers and the store write fixed ones.

Ruled out: leaving values encoded. The library decodes them before any hook runs; its input stream would have to escape each head.

--- a/Source/Daemon/proxy_handler.cc
+++ b/Source/Daemon/proxy_handler.cc
@@ -16,6 +16,7 @@
 #include "Daemon/proxy_refusal.h"
 #include "Daemon/proxy_request.h"
 #include "Daemon/request_access.h"
+#include "Daemon/request_headers.h"
 #include "Daemon/request_path.h"
 #include "Daemon/rules_state.h"
 #include "Daemon/service_table.h"
@@ -111,6 +112,13 @@
 
 void ProxyHandler::Serve(const httplib::Request& request, httplib::Response& response) {
   const TimePoint now = GetNow();
+  if (!IsHeadWellFormed(request)) {
+    WriteRefusal(RefusalKind::kMalformedHead, "", response);
+    // The library may have missed the length of the body, and then takes it for a request.
+    response.set_header("Connection", "close");
+    this->RecordMetrics("", response.status, GetNow() - now);
+    return;
+  }
   // The snapshot is held until the request ends, so that a new version in force does not change
   // the rules of a running request.
   const std::shared_ptr<const RouteSnapshot> snapshot = this->environment.rules.GetSnapshot();
--- a/Source/Daemon/proxy_refusal.cc
+++ b/Source/Daemon/proxy_refusal.cc
@@ -21,7 +21,11 @@
   std::string_view text;
 };
 
-constexpr std::array<RefusalDescription, 20> kRefusals = {{
+constexpr std::array<RefusalDescription, 21> kRefusals = {{
+    {RefusalKind::kMalformedHead, "malformed_head", 400, true,
+     "the request target holds a blank or a control character, the name of a header is not a "
+     "token, or its value holds a control character, plain or percent-encoded; correct the "
+     "request"},
     {RefusalKind::kNotReady, "not_ready", 503, true,
      "this daemon holds no rules yet; send the request again shortly"},
     {RefusalKind::kAmbiguousPath, "ambiguous_path", 400, true,
--- a/Source/Daemon/proxy_refusal.h
+++ b/Source/Daemon/proxy_refusal.h
@@ -11,6 +11,7 @@
 
 // Reason why the daemon responds with a refusal of its own instead of a response of a target.
 enum class RefusalKind {
+  kMalformedHead,
   kNotReady,
   kAmbiguousPath,
   kNoRoute,
--- a/Source/Transfer/response_head.cc
+++ b/Source/Transfer/response_head.cc
@@ -3,30 +3,17 @@
 #include <algorithm>
 #include <cctype>
 
+#include "Transfer/field_syntax.h"
+
 namespace lacewingbridge {
 
 namespace {
 
 constexpr std::string_view kVersion = "HTTP/1.";
 constexpr std::string_view kLineEnd = "\r\n";
-constexpr std::string_view kTokenMarks = "!#$%&'*+-.^_`|~";
 
 bool IsDigit(char c) { return c >= '0' && c <= '9'; }
 
-bool IsTokenCharacter(char c) {
-  const bool letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
-  return letter || IsDigit(c) || kTokenMarks.find(c) != std::string_view::npos;
-}
-
-bool IsTextCharacter(char c) {
-  const auto code = static_cast<unsigned char>(c);
-  return c == '\t' || (code >= 0x20 && code != 0x7f);
-}
-
-bool IsText(std::string_view text) {
-  return std::all_of(text.begin(), text.end(), IsTextCharacter);
-}
-
 bool EqualsIgnoringCase(std::string_view text, std::string_view lower) {
   return std::equal(text.begin(), text.end(), lower.begin(), lower.end(), [](char a, char b) {
     return std::tolower(static_cast<unsigned char>(a)) == b;
@@ -50,7 +37,7 @@
   const bool has_end = line.size() == kCodeEnd || line[kCodeEnd] == ' ';
   return (minor == '0' || minor == '1') && line[kCodeBegin - 1] == ' ' && code[0] >= '1' &&
          code[0] <= '5' && IsDigit(code[1]) && IsDigit(code[2]) && has_end &&
-         IsText(line.substr(kCodeEnd));
+         IsFieldText(line.substr(kCodeEnd));
 }
 
 // Reads the fields of one head and remembers those that determine the length of the body.
@@ -62,12 +49,11 @@
     }
     const std::size_t colon = line.find(':');
     const std::string_view name = line.substr(0, colon);
-    if (colon == std::string_view::npos || name.empty() ||
-        !std::all_of(name.begin(), name.end(), IsTokenCharacter)) {
+    if (colon == std::string_view::npos || !IsToken(name)) {
       return HeadFault::kFieldName;
     }
     const std::string_view value = line.substr(colon + 1);
-    if (!IsText(value)) {
+    if (!IsFieldText(value)) {
       return HeadFault::kFieldValue;
     }
     return this->AddFraming(name, Trim(value));
--- a/Tests/test_daemon_access.cc
+++ b/Tests/test_daemon_access.cc
@@ -1,9 +1,9 @@
 // Guards against requests that a daemon of the rules file serves without an API key or for the
 // wrong workspace, keys that are denied although a newer version may have them, and workspaces that
 // share idempotency keys.
-#include <criterion/criterion.h>
 #include <httplib.h>
 
+#include <boost/asio/read.hpp>
 #include <memory>
 #include <string>
 #include <vector>
@@ -13,6 +13,7 @@
 #include "Daemon/claim_service.h"
 #include "Daemon/daemon_clock.h"
 #include "Daemon/daemon_settings_loader.h"
+#include "Daemon/http_listener.h"
 #include "Daemon/peer_client.h"
 #include "Daemon/proxy_exchange.h"
 #include "Daemon/proxy_handler.h"
@@ -22,11 +23,15 @@
 #include "Daemon/target_connections.h"
 #include "Daemon/work_queue.h"
 #include "Fakes/raw_target.h"
+#include "Http/asio_types.h"
 #include "Observe/event_log.h"
 #include "Observe/metrics_registry.h"
 #include "Rules/rules_delta.h"
 #include "Version/route_snapshot.h"
 
+// Criterion defines macros that break headers of Boost.Intrusive, so it comes last.
+#include <criterion/criterion.h>
+
 using namespace lacewingbridge;  // NOLINT(google-build-using-namespace)
 
 namespace {
@@ -91,6 +96,28 @@
     return response;
   }
 
+  // Sends the bytes to the handler through a listener, and returns all bytes of the responses.
+  std::string SendBytes(const std::string& bytes) {
+    const std::string address = FindFreeAddress();
+    HttpListener listener(2);
+    listener.SetRequestHook(HideBodyHeaders);
+    listener.GetServer().Get(".*", [this](const auto& request, auto& response) {
+      this->handler.Handle(request, response);
+    });
+    cr_assert(IsOk(listener.Start(address)));
+    asio::io_context context;
+    TcpSocket socket(context);
+    const std::uint16_t port =
+        static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1)));
+    socket.connect({asio::ip::address_v4::loopback(), port});
+    asio::write(socket, asio::buffer(bytes));
+    socket.shutdown(TcpSocket::shutdown_send);
+    std::string received;
+    ErrorCode code;
+    asio::read(socket, asio::dynamic_buffer(received), code);
+    return received;
+  }
+
   httplib::Response GetWithKey(const std::string& authorization) {
     return this->Get("/designs/1", {{"Authorization", authorization}});
   }
@@ -158,6 +185,41 @@
   cr_assert_eq(fixture.GetWithKey("bearer  sesame").status, 200);
 }
 
+// Guards against headers and requests that the daemon does not see, but writes to the target.
+Test(access, a_request_whose_head_is_not_well_formed_is_refused) {
+  Fixture fixture(kRoutes + MakeWorkspaceLine("press", "sesame"));
+  for (const std::string line :
+       {"Authorization : Bearer sesame", "Lacewing-Workspace : forged",
+        "Lacewing-Workspace\t: forged", " Lacewing-Workspace: forged", "X(A): b", ": b",
+        "X-A: b%0d%0aLacewing-Workspace: forged", "X-A: b%0aLacewing-Workspace: forged",
+        "X-A: b%0d%0a%0d%0aGET /designs/9 HTTP/1.1%0d%0aHost: a", "X-A: b%00", "X-A: b%7f",
+        "X-A: b%u000ac", "X-A: b\x01", "X-A: b\rLacewing-Workspace: forged",
+        "Location: /\rLacewing-Workspace: forged", "Content-Type: a%0d%0aX-B: c",
+        "Content-Length : 5"}) {
+    // The second request must not be read either, because the length of the first is not certain.
+    const std::string received =
+        fixture.SendBytes("GET /health HTTP/1.1\r\nHost: a\r\n" + line +
+                          "\r\n\r\nGET /health HTTP/1.1\r\nHost: a\r\n\r\n");
+    cr_assert(received.starts_with("HTTP/1.1 400 "), "%s: %s", line.c_str(), received.c_str());
+    cr_assert(received.find("Lacewing-Outcome: not-run\r\n") != std::string::npos);
+    cr_assert(received.find("HTTP/1.1", 1) == std::string::npos, "%s", line.c_str());
+  }
+  for (const std::string target : {"/health?a=\rX", "/health?\x01", "/health?a\tb", "/health?\x7f",
+                                   "/health?a b", "/health?a=\nX"}) {
+    const std::string received =
+        fixture.SendBytes("GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n");
+    cr_assert(received.starts_with("HTTP/1.1 400 "), "%s: %s", target.c_str(), received.c_str());
+  }
+  // The patterns of the library match no line end in a path.
+  cr_assert(fixture.SendBytes("GET /health/\rX HTTP/1.1\r\nHost: a\r\n\r\n")
+                .starts_with("HTTP/1.1 404 "));
+  cr_assert(fixture.target.ListRequests().empty());
+  const std::string received = fixture.SendBytes(
+      "GET /health?a=%0d%0ab HTTP/1.1\r\nHost: a\r\nX-A: b\tc \xc3\xa4%20d\r\n\r\n");
+  cr_assert(received.starts_with("HTTP/1.1 200 "), "%s", received.c_str());
+  cr_assert(fixture.target.ListRequests().back().starts_with("GET /health?a=%0d%0ab HTTP/1.1\r\n"));
+}
+
 // Refused callers must not use up a limit of those that have a key.
 Test(access, denied_requests_take_no_token_of_a_limit) {
   Fixture fixture(kRoutes + MakeWorkspaceLine("press", "sesame"));
--- a/Tests/test_node_access.cc
+++ b/Tests/test_node_access.cc
@@ -192,6 +192,31 @@
   }
 }
 
+// Guards against headers that the daemon does not see, but writes to the target.
+Test(access, a_request_whose_head_is_not_well_formed_is_refused) {
+  Mesh mesh;
+  mesh.Put(MakeTable(2));
+  for (const std::string line :
+       {"X-Key : late", "X-Workspace : forged", "X-Workspace\t: forged", "X(A): b", ": b",
+        "X-A: b\x01", "X-A: b\x7f", "X-A: b\rX-Workspace: forged", "X-A: b\nX-Workspace : forged",
+        "Content-Length : 5"}) {
+    for (MeshDaemon* daemon : {&mesh.GetFront(), &mesh.GetBack()}) {
+      const std::string response = mesh.SendWith(*daemon, "/check/1", line + "\r\n");
+      cr_assert(HasStatus(response, "400"), "%s: %s", line.c_str(), response.c_str());
+    }
+    RawClient peer(mesh.GetBack().GetSettings().peer_address);
+    peer.Write("GET /check/1 HTTP/1.1\r\nHost: a\r\nX-Id: r1\r\n" + line + "\r\n\r\n");
+    const std::string response = peer.ReadFor(milliseconds(500));
+    cr_assert(HasStatus(response, "400"), "%s: %s", line.c_str(), response.c_str());
+  }
+  for (const std::string target :
+       {"/check/1?\x01", "/check/1?a\tb", "/check/1?a\rb", "/check/1?a b", "/check/1?\x7f"}) {
+    const std::string response = mesh.SendWith(mesh.GetFront(), target, "");
+    cr_assert(HasStatus(response, "400"), "%s: %s", target.c_str(), response.c_str());
+  }
+  cr_assert(mesh.TakeRequests().empty());
+}
+
 Test(access, without_workspaces_headers_pass_and_no_key_is_asked) {
   Mesh mesh;
   const std::string lines = MakeKeyLine("mine") + "X-Workspace: mine\r\n";
