node: Bound the body of a health check

The prober reads the body of a health response to its end, so a target that never ends it kept the shard reading for the 600 ms of each check. Beyond 64 KiB the check counts as not answered.

The new case of test_node_health_check failed before the change, on a body of 64 KiB and one byte.

--- a/Source/Node/target_prober.h
+++ b/Source/Node/target_prober.h
@@ -58,15 +58,19 @@
   static constexpr Duration kConnectLimit = std::chrono::milliseconds(250);
   static constexpr Duration kResponseLimit = std::chrono::milliseconds(600);
   static constexpr std::size_t kPartBytes = 4096;
+  static constexpr std::size_t kMaxBodyBytes = std::size_t{64} * 1024;
 
-  // Reads the body to its end, for as long as the time limit of the exchange allows.
+  // Reads the body to its end, for as long as the time limit of the exchange allows. Leaves the
+  // rest of a body that is too long, which counts as no response.
   static Awaitable<BodyStatus> SkipBody(OutboundExchange& exchange) {
     BodyStatus read = BodyStatus::kMore;
-    while (read == BodyStatus::kMore) {
+    std::size_t size = 0;
+    while (read == BodyStatus::kMore && size <= kMaxBodyBytes) {
       std::string part;
       read = co_await exchange.ReadBody(part, kPartBytes);
+      size += part.size();
     }
-    co_return read;
+    co_return size <= kMaxBodyBytes ? read : BodyStatus::kMore;
   }
 
   IoShard& shard;
--- a/Tests/test_node_health_check.cc
+++ b/Tests/test_node_health_check.cc
@@ -62,3 +62,13 @@
   cr_assert_not(IsAccepted(std::string(kHead) + kChunked + "g\r\nok\r\n0\r\n\r\n"));
   cr_assert_not(IsAccepted(std::string(kHead) + kChunked + "2\r\nok\r\n0\r\nX A: b\r\n\r\n"));
 }
+
+// Guards against a body without an end, which keeps the thread of the daemon reading.
+Test(health_check, a_long_body_is_not_read_to_the_end) {
+  const auto make_body = [](std::size_t size) {
+    return "Content-Length: " + std::to_string(size) + "\r\n\r\n" + std::string(size, 'x');
+  };
+  cr_assert(IsAccepted(kHead + make_body(64 * 1024)));
+  cr_assert_not(IsAccepted(kHead + make_body(64 * 1024 + 1)));
+  cr_assert_not(IsAccepted(kHead + make_body(8 << 20)));
+}
