tool: Refuse API keys that the daemon reads differently

The HTTP library of lacewingbridged decodes percent signs in header values, so a key with one never matched the digest that 'lacewingctl digest' had printed, and its callers got 401 for good. The tool now refuses such keys, and those with control characters, which the daemon refuses with 400.

--- a/Source/Tool/tool_commands.cc
+++ b/Source/Tool/tool_commands.cc
@@ -18,6 +18,7 @@
 #include "Rules/rules_parser.h"
 #include "Tool/tool_options.h"
 #include "Tool/tool_session.h"
+#include "Transfer/field_syntax.h"
 #include "Workspaces/bearer_key.h"
 #include "admin_codec.h"
 
@@ -306,13 +307,15 @@
   std::string api_key;
   std::getline(std::cin, api_key);
   const bool has_more = std::cin.peek() != std::istream::traits_type::eof();
-  // Requests with such a key count as without one; see ReadBearerKey.
+  // Requests with such a key count as without one; see ReadBearerKey. The HTTP library of the
+  // daemon decodes percent signs, so it would read another key.
   const bool is_usable = !api_key.empty() && ReadBearerKey("Bearer " + api_key) == api_key &&
-                         api_key.find('\r') == std::string::npos;
+                         IsFieldText(api_key) && api_key.find('%') == std::string::npos;
   if (!is_usable || has_more) {
     PrintError(
         {ErrorKind::kInvalidArgument,
-         "the standard input has to be one line with an API key, without blanks and commas"});
+         "the standard input has to be one line with an API key, without blanks, commas, percent "
+         "signs and control characters"});
     return kToolUsageError;
   }
   fmt::print("{}\n", FormatHex(ComputeSha256(api_key)));
--- a/Tests/process_tool.sh
+++ b/Tests/process_tool.sh
@@ -47,7 +47,7 @@
 expect 0 digest < <(printf 'sesame\n')
 [[ "$(cat "$FLEET_DIR/out.txt")" == "$(printf sesame | sha256sum | cut -d ' ' -f 1)" ]] ||
   fail "the digest is $(cat "$FLEET_DIR/out.txt")"
-for key in '' '\n' 'two words' 'two\nlines\n' 'dos\r\n' 'a,b'; do expect 2 digest < <(printf "$key"); done
+for key in '' '\n' 'two words' 'two\nlines\n' 'dos\r\n' 'a,b' 'a%%41b' 'a\x01b'; do expect 2 digest < <(printf "$key"); done
 
 start_store
 start_daemon 1 carolinas dc-1
