routing: Refuse only work that is not more urgent after a share refusal

A target orders requests by priority before it compares the shares of workspaces, but the daemon of the caller kept a refusal because of the share for all work of the workspace. Urgent work was therefore refused for up to a second, without being offered to any target, because less urgent work of the same workspace had been refused.

Keep the priority that the hop was sent with, and apply the refusal only to work at that priority and to less urgent work. Refusals at several priorities are kept side by side: if only the newest one counted, a late answer to less urgent work would reopen the peer for urgent work.

The new test fails if the priority is ignored: work at priority 1 finds no peer after refusals at priority 2. test_hop_placement, test_fair_share and test_node_shares pass.

--- a/Source/Proxy/caller_request.cc
+++ b/Source/Proxy/caller_request.cc
@@ -120,7 +120,7 @@
     }
   });
   ProgressDecision decision = this->progress->HandleShareRefusals(
-      this->context.state.CountShareRefusals(now, this->service, this->GetWorkspaceName()));
+      this->context.state.CountShareRefusals(now, this->service, this->GetWork()));
   while (decision.action == ProgressAction::kPlace && !this->exchange.CheckCallerGone()) {
     decision = co_await this->PlaceOnce();
   }
@@ -137,7 +137,7 @@
 HopRequirements CallerRequest::MakeHopRequirements(TimePoint now) {
   return {this->facts.objective_at - now, this->facts.GetEnd() - now,
           this->context.state.GetResponseBytes(this->route->name), this->route->priority,
-          this->GetWorkspaceName()};
+          this->GetWork()};
 }
 
 Awaitable<ProgressDecision> CallerRequest::PlaceOnce() {
@@ -156,8 +156,8 @@
       this->context.state.ChooseHop(now, this->service, this->MakeHopRequirements(now),
                                     this->refused_by, this->shard.GetRandom());
   if (!choice.has_value()) {
-    const bool beyond_share = this->context.state.IsBeyondShare(
-        now, this->service, this->GetWorkspaceName(), this->refused_by);
+    const bool beyond_share =
+        this->context.state.IsBeyondShare(now, this->service, this->GetWork(), this->refused_by);
     co_return beyond_share ? this->progress->HandleBeyondShare(now)
                            : this->progress->HandleNoCandidate(now);
   }
@@ -246,9 +246,8 @@
   }
   const bool failed = status == ExchangeStatus::kNotConnected || status == ExchangeStatus::kLost ||
                       (status == ExchangeStatus::kOk && !report.has_value());
-  this->context.state.RecordHopEnd(GetNow(), this->service, this->GetWorkspaceName(),
-                                   choice.peer_address, report.has_value() ? &*report : nullptr,
-                                   failed);
+  this->context.state.RecordHopEnd(GetNow(), this->service, this->GetWork(), choice.peer_address,
+                                   report.has_value() ? &*report : nullptr, failed);
   if (report.has_value()) {
     this->context.containment.Merge(GetNow(), this->service, report->strikes);
     this->context.state.RecordPeerProof(sent, report->table_version, report->proof_age_ms);
--- a/Source/Proxy/caller_request_refusal.cc
+++ b/Source/Proxy/caller_request_refusal.cc
@@ -22,13 +22,12 @@
     return kProofResendDelay;
   }
   std::optional<Duration> wait =
-      this->context.state.EstimateMinWait(now, this->service, this->GetWorkspaceName());
+      this->context.state.EstimateMinWait(now, this->service, this->GetWork());
   if (!wait.has_value()) {
     return std::nullopt;
   }
   if (reason == ProgressReason::kBeyondShare) {
-    *wait = std::max(
-        *wait, this->context.state.GetShareWait(now, this->service, this->GetWorkspaceName()));
+    *wait = std::max(*wait, this->context.state.GetShareWait(now, this->service, this->GetWork()));
   }
   const Duration objective = this->facts.objective_at - this->facts.arrived_at;
   return ComputeResendDelay(*wait, this->facts.deadline - now, objective / 2,
--- a/Source/Proxy/mesh_state.cc
+++ b/Source/Proxy/mesh_state.cc
@@ -266,7 +266,7 @@
                     [&](ServiceState& state) { state.placement.RecordStart(peer_address); });
 }
 
-void MeshState::RecordHopEnd(TimePoint now, std::string_view service, std::string_view workspace,
+void MeshState::RecordHopEnd(TimePoint now, std::string_view service, const WorkspaceWork& work,
                              std::string_view peer_address, const HopReport* report, bool failed) {
   if (report != nullptr) {
     const std::lock_guard guard(this->hosts_mutex);
@@ -276,7 +276,7 @@
     state.placement.RecordEnd(peer_address);
     if (report != nullptr) {
       state.placement.RecordReport(now, peer_address, *report);
-      state.placement.RecordShare(now, peer_address, workspace, *report);
+      state.placement.RecordShare(now, peer_address, work, *report);
     } else if (failed) {
       state.placement.RecordFailure(now, peer_address);
     }
@@ -290,30 +290,29 @@
 }
 
 std::optional<Duration> MeshState::EstimateMinWait(TimePoint now, std::string_view service,
-                                                   std::string_view workspace) {
-  return this->WithService(service, [&](ServiceState& state) {
-    return state.placement.EstimateMinWait(now, workspace);
-  });
+                                                   const WorkspaceWork& work) {
+  return this->WithService(
+      service, [&](ServiceState& state) { return state.placement.EstimateMinWait(now, work); });
 }
 
 std::size_t MeshState::CountShareRefusals(TimePoint now, std::string_view service,
-                                          std::string_view workspace) {
+                                          const WorkspaceWork& work) {
   return this->WithService(service, [&](ServiceState& state) {
-    return state.placement.GetShareRefusals().FindPeers(now, workspace).size();
+    return state.placement.GetShareRefusals().FindPeers(now, work).size();
   });
 }
 
 Duration MeshState::GetShareWait(TimePoint now, std::string_view service,
-                                 std::string_view workspace) {
+                                 const WorkspaceWork& work) {
   return this->WithService(service, [&](ServiceState& state) {
-    return state.placement.GetShareRefusals().GetLeastWait(now, workspace);
+    return state.placement.GetShareRefusals().GetLeastWait(now, work);
   });
 }
 
-bool MeshState::IsBeyondShare(TimePoint now, std::string_view service, std::string_view workspace,
+bool MeshState::IsBeyondShare(TimePoint now, std::string_view service, const WorkspaceWork& work,
                               std::span<const std::string> excluded) {
   return this->WithService(service, [&](ServiceState& state) {
-    return state.placement.IsBeyondShare(now, workspace, excluded);
+    return state.placement.IsBeyondShare(now, work, excluded);
   });
 }
 
--- a/Source/Proxy/mesh_state.h
+++ b/Source/Proxy/mesh_state.h
@@ -103,20 +103,20 @@
                                      std::span<const std::string> excluded,
                                      std::mt19937_64& random);
   void RecordHopStart(std::string_view service, std::string_view peer_address);
-  // Ends a hop of a request of the workspace. If there is no report, the hop failed, unless this
+  // Ends a hop of a request. If there is no report, the hop failed, unless this
   // daemon ended it itself.
-  void RecordHopEnd(TimePoint now, std::string_view service, std::string_view workspace,
+  void RecordHopEnd(TimePoint now, std::string_view service, const WorkspaceWork& work,
                     std::string_view peer_address, const HopReport* report, bool failed);
   // Decides with the retry budget of the service what follows the end of a hop.
   ProgressDecision DecideNext(TimePoint now, std::string_view service, const HopEnd& end,
                               RequestProgress& progress);
   std::optional<Duration> EstimateMinWait(TimePoint now, std::string_view service,
-                                          std::string_view workspace);
+                                          const WorkspaceWork& work);
   // See ShareRefusals and HopPlacement.
   std::size_t CountShareRefusals(TimePoint now, std::string_view service,
-                                 std::string_view workspace);
-  Duration GetShareWait(TimePoint now, std::string_view service, std::string_view workspace);
-  bool IsBeyondShare(TimePoint now, std::string_view service, std::string_view workspace,
+                                 const WorkspaceWork& work);
+  Duration GetShareWait(TimePoint now, std::string_view service, const WorkspaceWork& work);
+  bool IsBeyondShare(TimePoint now, std::string_view service, const WorkspaceWork& work,
                      std::span<const std::string> excluded);
 
  private:
--- a/Source/Routing/hop_placement.cc
+++ b/Source/Routing/hop_placement.cc
@@ -336,7 +336,7 @@
                                                  const RandomValues& random_values) const {
   const Candidate* best = nullptr;
   Duration best_cost{0};
-  std::vector<std::string> closed = this->share_refusals.FindPeers(now, requirements.workspace);
+  std::vector<std::string> closed = this->share_refusals.FindPeers(now, requirements.work);
   if (!closed.empty()) {
     closed.insert(closed.end(), excluded.begin(), excluded.end());
   }
@@ -362,17 +362,17 @@
   return choice;
 }
 
-bool HopPlacement::IsBeyondShare(TimePoint now, std::string_view workspace,
+bool HopPlacement::IsBeyondShare(TimePoint now, const WorkspaceWork& work,
                                  std::span<const std::string> excluded) const {
   return std::any_of(
       this->candidates.begin(), this->candidates.end(), [&](const Candidate& candidate) {
         return IsEligible(now, candidate, excluded) &&
-               this->share_refusals.GetWait(now, workspace, candidate.peer_address) > Duration{0};
+               this->share_refusals.GetWait(now, work, candidate.peer_address) > Duration{0};
       });
 }
 
 std::optional<Duration> HopPlacement::EstimateMinWait(TimePoint now,
-                                                      std::string_view workspace) const {
+                                                      const WorkspaceWork& work) const {
   std::optional<Duration> least;
   const Duration typical = this->ComputeTypical(now, 0).all;
   for (const Candidate& candidate : this->candidates) {
@@ -383,7 +383,7 @@
     const Duration service_time = GetServiceTime(candidate, typical);
     const Duration wait =
         std::max({this->EstimateWait(now, candidate, service_time), backoff,
-                  this->share_refusals.GetWait(now, workspace, candidate.peer_address)});
+                  this->share_refusals.GetWait(now, work, candidate.peer_address)});
     if (!least.has_value() || wait < *least) {
       least = wait;
     }
--- a/Source/Routing/hop_placement.h
+++ b/Source/Routing/hop_placement.h
@@ -27,8 +27,7 @@
   double response_bytes = 0;
   // Requests of one class are taken to need similar work; see HopRequest.work_class.
   std::uint32_t work_class = 0;
-  // Empty if the request has none.
-  std::string_view workspace;
+  WorkspaceWork work;
 };
 
 // The daemon and the target that a request is sent to.
@@ -95,21 +94,21 @@
   void RecordEnd(std::string_view peer_address);
   // Records a report that arrived with a response and clears the failures of the peer.
   void RecordReport(TimePoint now, std::string_view peer_address, const HopReport& report);
-  // Records what the report on a request of the workspace says about its share at the peer.
-  void RecordShare(TimePoint now, std::string_view peer_address, std::string_view workspace,
+  // Records what the report on such work says about the share of its workspace at the peer.
+  void RecordShare(TimePoint now, std::string_view peer_address, const WorkspaceWork& work,
                    const HopReport& report) {
-    this->share_refusals.Record(now, workspace, peer_address,
+    this->share_refusals.Record(now, work, peer_address,
                                 std::chrono::milliseconds(report.share_wait_ms));
   }
   // Records that no connection could be made, or that one was lost before a report arrived.
   void RecordFailure(TimePoint now, std::string_view peer_address);
 
-  // Estimates the shortest time after which a request of the workspace that is refused now could
-  // start at any peer; empty if there is no candidate.
-  std::optional<Duration> EstimateMinWait(TimePoint now, std::string_view workspace = {}) const;
+  // Estimates the shortest time after which work that is refused now could start at any peer; empty
+  // if there is no candidate.
+  std::optional<Duration> EstimateMinWait(TimePoint now, const WorkspaceWork& work = {}) const;
   const ShareRefusals& GetShareRefusals() const { return this->share_refusals; }
   // Whether there is a peer that could be chosen if the workspace were within its share there.
-  bool IsBeyondShare(TimePoint now, std::string_view workspace,
+  bool IsBeyondShare(TimePoint now, const WorkspaceWork& work,
                      std::span<const std::string> excluded) const;
 
  private:
--- a/Source/Routing/share_refusals.h
+++ b/Source/Routing/share_refusals.h
@@ -2,6 +2,7 @@
 #define LACEWINGBRIDGE_SOURCE_ROUTING_SHARE_REFUSALS_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
@@ -11,9 +12,16 @@
 
 namespace lacewingbridge {
 
+// Work of a workspace at a priority; 0 is the most urgent one.
+struct WorkspaceWork {
+  // Empty on public routes and without workspaces.
+  std::string_view workspace;
+  std::uint32_t priority = 0;
+};
+
 // The peers that have refused work of a workspace because it is beyond its fair share there. They
-// would refuse further work of the workspace as well, so it is not offered there for the time that
-// they state.
+// would refuse further work of the workspace that is not more urgent as well, so it is not offered
+// there for the time that they state. Targets compare shares only among work of one priority.
 //
 // Not thread-safe; the caller passes the current time.
 class ShareRefusals {
@@ -27,26 +35,28 @@
   // Records the refusal of a peer with the time until the workspace has room in its share there.
   // A time of zero, which is that of any other answer, is ignored: the answer may be to an earlier
   // request.
-  void Record(TimePoint now, std::string_view workspace, std::string_view peer_address,
+  void Record(TimePoint now, const WorkspaceWork& work, std::string_view peer_address,
               Duration wait);
 
-  // Returns the peers to which work of the workspace is not offered now.
-  std::vector<std::string> FindPeers(TimePoint now, std::string_view workspace) const;
-  // Returns the time until work of the workspace is offered to the peer again; zero if it is now.
-  Duration GetWait(TimePoint now, std::string_view workspace, std::string_view peer_address) const;
+  // Returns the peers to which the work is not offered now.
+  std::vector<std::string> FindPeers(TimePoint now, const WorkspaceWork& work) const;
+  // Returns the time until the work is offered to the peer again; zero if it is now.
+  Duration GetWait(TimePoint now, const WorkspaceWork& work, std::string_view peer_address) const;
 
   // Returns the time until the first of these peers is offered work again; zero if there is none.
-  Duration GetLeastWait(TimePoint now, std::string_view workspace) const;
+  Duration GetLeastWait(TimePoint now, const WorkspaceWork& work) const;
 
   std::size_t GetCount() const { return this->count; }
 
  private:
-  using Ends = std::map<std::string, TimePoint, std::less<>>;
+  // End of each refusal of a peer, by the priority of the refused work.
+  using Ends = std::map<std::uint32_t, TimePoint>;
+  using Peers = std::map<std::string, Ends, std::less<>>;
 
+  static Duration GetWaitAt(TimePoint now, std::uint32_t priority, const Ends& ends);
   void RemoveEnded(TimePoint now);
 
-  // End of each refusal, by workspace and peer.
-  std::map<std::string, Ends, std::less<>> ends;
+  std::map<std::string, Peers, std::less<>> workspaces;
   std::size_t count = 0;
 };
 
--- a/Tests/Fakes/fleet_simulation.cc
+++ b/Tests/Fakes/fleet_simulation.cc
@@ -119,10 +119,10 @@
   HopPlacement& placement = this->placements[request.caller];
   const HopRequirements requirements{request.arrived_at + this->load.objective - this->now,
                                      request.deadline - this->now, this->load.mean_response_bytes,
-                                     GetPriority(request), request.workspace};
+                                     GetPriority(request), GetWork(request)};
   if (request.refused_hops == 0) {
     request.share_refusals =
-        placement.GetShareRefusals().FindPeers(this->now, request.workspace).size();
+        placement.GetShareRefusals().FindPeers(this->now, GetWork(request)).size();
     if (request.share_refusals >= kMaxRefusedHops) {
       this->RefuseToCaller(id, true);
       return;
@@ -218,7 +218,7 @@
                    const std::string peer = std::to_string(completed.target);
                    placement.RecordEnd(peer);
                    placement.RecordReport(this->now, peer, report);
-                   placement.RecordShare(this->now, peer, completed.workspace, report);
+                   placement.RecordShare(this->now, peer, GetWork(completed), report);
                    this->Deliver(id);
                  });
 }
@@ -261,7 +261,7 @@
   const std::string peer = std::to_string(request.target);
   placement.RecordEnd(peer);
   placement.RecordReport(this->now, peer, report);
-  placement.RecordShare(this->now, peer, request.workspace, report);
+  placement.RecordShare(this->now, peer, GetWork(request), report);
   request.refused_by.push_back(peer);
   ++request.refused_hops;
   const std::size_t known = report.share_wait_ms > 0 ? request.share_refusals : 0;
@@ -275,9 +275,9 @@
 void FleetSimulation::RefuseToCaller(RequestId id, bool beyond_share) {
   Request& request = this->requests.at(id);
   const HopPlacement& placement = this->placements[request.caller];
-  Duration wait = placement.EstimateMinWait(this->now, request.workspace).value_or(Duration{0});
+  Duration wait = placement.EstimateMinWait(this->now, GetWork(request)).value_or(Duration{0});
   if (beyond_share) {
-    wait = std::max(wait, placement.GetShareRefusals().GetLeastWait(this->now, request.workspace));
+    wait = std::max(wait, placement.GetShareRefusals().GetLeastWait(this->now, GetWork(request)));
   }
   if (!request.workspace.empty()) {
     const std::size_t number = std::stoul(request.workspace);
--- a/Tests/Fakes/fleet_simulation.h
+++ b/Tests/Fakes/fleet_simulation.h
@@ -171,6 +171,9 @@
   std::size_t FindBestTarget(const Request& request) const;
   Duration GetMeanWork(const Request& request) const;
   static std::uint32_t GetPriority(const Request& request) { return 2 - request.weight_class; }
+  static WorkspaceWork GetWork(const Request& request) {
+    return {request.workspace, GetPriority(request)};
+  }
   // Draws the workspace of a request that arrives.
   void SetWorkspace(Request& request);
   void Place(RequestId id);
--- a/Tests/test_fair_share.cc
+++ b/Tests/test_fair_share.cc
@@ -305,21 +305,22 @@
 
 Test(fair_share, refusals_are_remembered_for_a_bounded_time_and_number) {
   ShareRefusals refusals;
-  refusals.Record(At(0), "hot", "a", milliseconds(300));
-  refusals.Record(At(0), "hot", "b", seconds(30));
-  refusals.Record(At(0), "hot", "c", milliseconds(0));
-  refusals.Record(At(0), "", "a", milliseconds(300));
+  refusals.Record(At(0), {"hot"}, "a", milliseconds(300));
+  refusals.Record(At(0), {"hot"}, "b", seconds(30));
+  refusals.Record(At(0), {"hot"}, "c", milliseconds(0));
+  refusals.Record(At(0), {""}, "a", milliseconds(300));
   cr_assert_eq(refusals.GetCount(), 2);
-  cr_assert_eq(refusals.FindPeers(At(299), "hot").size(), 2);
-  cr_assert_eq(refusals.GetLeastWait(At(200), "hot"), Duration(milliseconds(100)));
-  cr_assert_eq(refusals.FindPeers(At(300), "hot").size(), 1);
-  cr_assert(refusals.FindPeers(At(1000), "hot").empty());
-  cr_assert(refusals.FindPeers(At(0), "small").empty());
+  cr_assert_eq(refusals.FindPeers(At(299), {"hot"}).size(), 2);
+  cr_assert_eq(refusals.GetLeastWait(At(200), {"hot"}), Duration(milliseconds(100)));
+  cr_assert_eq(refusals.FindPeers(At(300), {"hot"}).size(), 1);
+  cr_assert(refusals.FindPeers(At(1000), {"hot"}).empty());
+  cr_assert(refusals.FindPeers(At(0), {"small"}).empty());
   for (std::size_t i = 0; i < 2 * ShareRefusals::kMaxEntries; ++i) {
-    refusals.Record(At(0), "w" + std::to_string(i), "a", milliseconds(300));
+    const std::string workspace = "w" + std::to_string(i);
+    refusals.Record(At(0), {workspace}, "a", milliseconds(300));
   }
   cr_assert_eq(refusals.GetCount(), ShareRefusals::kMaxEntries);
-  refusals.Record(At(2000), "hot", "a", milliseconds(300));
+  refusals.Record(At(2000), {"hot"}, "a", milliseconds(300));
   cr_assert_eq(refusals.GetCount(), 1);
 }
 
--- a/Tests/test_hop_placement.cc
+++ b/Tests/test_hop_placement.cc
@@ -277,17 +277,44 @@
 Test(hop_placement, does_not_choose_peers_where_the_workspace_is_beyond_its_share) {
   Fleet fleet;
   HopRequirements hot = kLookup;
-  hot.workspace = "hot";
+  hot.work = {"hot", 2};
   HopReport refusal;
   refusal.share_wait_ms = 400;
-  fleet.placement.RecordShare(kNow, "near", "hot", refusal);
+  fleet.placement.RecordShare(kNow, "near", hot.work, refusal);
   cr_assert_eq(fleet.Choose(hot), "beside");
   cr_assert_eq(fleet.Choose(kLookup), "near");
-  cr_assert(!fleet.placement.IsBeyondShare(kNow, "hot", std::vector<std::string>{"near"}));
-  fleet.placement.RecordShare(kNow, "beside", "hot", refusal);
-  fleet.placement.RecordShare(kNow, "far", "hot", refusal);
+  cr_assert(!fleet.placement.IsBeyondShare(kNow, hot.work, std::vector<std::string>{"near"}));
+  fleet.placement.RecordShare(kNow, "beside", hot.work, refusal);
+  fleet.placement.RecordShare(kNow, "far", hot.work, refusal);
   cr_assert_eq(fleet.Choose(hot), "none");
-  cr_assert(fleet.placement.IsBeyondShare(kNow, "hot", {}));
-  cr_assert_eq(fleet.placement.EstimateMinWait(kNow, "hot"), Duration(milliseconds(400)));
+  cr_assert(fleet.placement.IsBeyondShare(kNow, hot.work, {}));
+  cr_assert_eq(fleet.placement.EstimateMinWait(kNow, hot.work), Duration(milliseconds(400)));
   cr_assert_eq(fleet.Choose(hot, kNow + milliseconds(400)), "near");
 }
+
+// Targets compare shares only among work of one priority.
+Test(hop_placement, a_refusal_because_of_the_share_does_not_close_a_peer_for_more_urgent_work) {
+  Fleet fleet;
+  HopReport refusal;
+  refusal.share_wait_ms = 400;
+  HopRequirements work = kLookup;
+  work.work = {"hot", 2};
+  for (const char* peer : {"near", "beside", "far"}) {
+    fleet.placement.RecordShare(kNow, peer, work.work, refusal);
+  }
+  for (const std::uint32_t priority : {2U, 3U}) {
+    work.work.priority = priority;
+    cr_assert_eq(fleet.Choose(work), "none");
+    cr_assert(fleet.placement.IsBeyondShare(kNow, work.work, {}));
+    cr_assert_eq(fleet.placement.GetShareRefusals().FindPeers(kNow, work.work).size(), 3);
+  }
+  work.work.priority = 1;
+  cr_assert_eq(fleet.Choose(work), "near");
+  cr_assert(!fleet.placement.IsBeyondShare(kNow, work.work, {}));
+  cr_assert(fleet.placement.GetShareRefusals().FindPeers(kNow, work.work).empty());
+  cr_assert_lt(*fleet.placement.EstimateMinWait(kNow, work.work), milliseconds(400));
+  // The refusal of work that is less urgent does not end that of more urgent work.
+  fleet.placement.RecordShare(kNow, "near", work.work, refusal);
+  fleet.placement.RecordShare(kNow, "near", {"hot", 2}, refusal);
+  cr_assert_eq(fleet.Choose(work), "beside");
+}
