node: State in the host's record only with a quota that it grants credit

Six seconds after each start the record changed once more, also in fleets without workspaces. The daemon then wrote it instead of renewing the lease, and the change woke the watch of every daemon. The record says that the daemon grants only if the version in force has a workspace with a rate.

Store calls were not measured.

--- a/Source/Node/mesh_node.h
+++ b/Source/Node/mesh_node.h
@@ -180,8 +180,9 @@
     this->sync.SetLeaseListener([this](const LeaseProof* proof) { this->HandleLease(proof); });
     this->sync.SetEarlierRecordListener(
         [this](TimePoint sent) { this->quotas.RecordEarlierProcess(sent); });
-    this->sync.SetGrantsCheck(
-        [this](std::uint64_t lease) { return this->quotas.HasSettled(GetNow(), lease); });
+    this->sync.SetGrantsCheck([this](std::uint64_t lease) {
+      return this->HasQuotas() && this->quotas.HasSettled(GetNow(), lease);
+    });
     this->state.SetRevokeBound(std::chrono::milliseconds(given.revoke_bound_ms));
   }
 
@@ -274,6 +275,15 @@
     }
   }
 
+  // Whether the version in force has a workspace with a rate.
+  bool HasQuotas() const {
+    const std::shared_ptr<const RouteIndex> index = this->state.GetIndex();
+    return index != nullptr &&
+           std::ranges::any_of(index->GetTable().workspaces, [](const MeshWorkspace& workspace) {
+             return workspace.rate_per_s > 0;
+           });
+  }
+
   void UpdateQuotas() {
     const std::shared_ptr<const RouteIndex> index = this->state.GetIndex();
     if (index == nullptr || index->GetTable().workspaces.empty()) {
@@ -281,8 +291,7 @@
     }
     // Read before the hosts, so that no change is missed.
     const std::uint64_t generation = this->state.GetHostsGeneration();
-    if (generation != this->quota_hosts_generation) {
-      this->quota_hosts_generation = generation;
+    if (std::exchange(this->quota_hosts_generation, generation) != generation) {
       this->quotas.HandleHosts(GetNow(), this->state.GetHosts());
     }
     this->quotas.DropIdle(GetNow());
--- a/Tests/test_node_quota.cc
+++ b/Tests/test_node_quota.cc
@@ -88,6 +88,14 @@
   }
 };
 
+// Whether the record of the daemon in the store says that it grants credit.
+bool SaysThatItGrants(const MeshDaemon& daemon) {
+  const StoreItem item =
+      FakeStoreClient::GetStore().Get("lacewingbridge/hosts/" + daemon.GetSettings().host);
+  HostRecord record;
+  return item.value.has_value() && Decode(*item.value, record) && record.grants;
+}
+
 double ReadRetryAfter(const std::string& response) {
   constexpr std::string_view kName = "Retry-After: ";
   const std::size_t found = response.find(kName);
@@ -190,3 +198,24 @@
     cr_assert(HasStatus(client.ReadFor(milliseconds(1000)), body.empty() ? "200" : "400"));
   }
 }
+
+// Guards against records that are written a second time when a daemon starts, which wakes up every
+// daemon, although there is no credit to grant.
+Test(quota, only_with_a_rate_does_a_record_say_that_its_daemon_grants) {
+  Mesh mesh;
+  RouteTable table = MakeTable();
+  table.version = 3;
+  table.workspaces[0].rate_per_s = 0;
+  FakeStoreClient::GetStore().Put("table", Encode(table));
+  std::this_thread::sleep_for(GrantFence::kSettleTime + std::chrono::seconds(3));
+  cr_assert_not(SaysThatItGrants(mesh.GetFront()));
+  cr_assert_not(SaysThatItGrants(mesh.GetBack()));
+  table.version = 4;
+  table.workspaces[0].rate_per_s = kRate;
+  FakeStoreClient::GetStore().Put("table", Encode(table));
+  const TimePoint until = GetNow() + std::chrono::seconds(5);
+  while (!SaysThatItGrants(mesh.GetFront()) || !SaysThatItGrants(mesh.GetBack())) {
+    cr_assert(GetNow() < until);
+    std::this_thread::sleep_for(milliseconds(100));
+  }
+}
