proxy: Check the share of a workspace before its quota

A request that was certain to be refused because of its workspace's share first took credit, at some daemons with a round trip, and was judged by the refusals of the time at which it had arrived. The share is now checked before credit is taken, and again after a wait for credit. Requests without a workspace skip the check.

--- a/Source/Proxy/caller_request.cc
+++ b/Source/Proxy/caller_request.cc
@@ -108,9 +108,16 @@
     co_await this->SendRefusal(http::status::service_unavailable, "stopping", kStoppingResendDelay);
     co_return;
   }
-  const bool within_quota = co_await this->TakeQuota();
-  if (!within_quota) {
-    co_return;
+  ProgressDecision decision = this->CheckShareRefusals();
+  if (decision.action == ProgressAction::kPlace) {
+    const bool within_quota = co_await this->TakeQuota();
+    if (!within_quota) {
+      co_return;
+    }
+    if (this->credit_taken_at.has_value()) {
+      // Refusals may have begun or ended while the request waited for credit.
+      decision = this->CheckShareRefusals();
+    }
   }
   this->repeat_share = this->context.gate.GetRepeatShare();
   this->context.state.RecordRequest(now, this->service, this->repeat_share);
@@ -119,8 +126,6 @@
       this->hop->Cancel();
     }
   });
-  ProgressDecision decision = this->progress->HandleShareRefusals(
-      this->context.state.CountShareRefusals(now, this->service, this->GetWork()));
   while (decision.action == ProgressAction::kPlace && !this->exchange.CheckCallerGone()) {
     decision = co_await this->PlaceOnce();
   }
--- a/Source/Proxy/caller_request.h
+++ b/Source/Proxy/caller_request.h
@@ -55,6 +55,8 @@
   // Priority of the workspace, or that of the route.
   std::uint32_t GetPriority() const;
   WorkspaceWork GetWork() const { return {this->GetWorkspaceName(), this->GetPriority()}; }
+  // Decides whether enough targets have refused work of the workspace because of its share.
+  ProgressDecision CheckShareRefusals();
   // Takes one request from the quota of the workspace. Returns false if the request was refused
   // because the quota is used up.
   Awaitable<bool> TakeQuota();
--- a/Source/Proxy/caller_request_quota.cc
+++ b/Source/Proxy/caller_request_quota.cc
@@ -1,4 +1,4 @@
-// Takes one request from the quota of its workspace.
+// Checks the share of a request's workspace, and takes the request from its quota.
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -12,6 +12,7 @@
 #include "Observe/event_log.h"
 #include "Observe/metrics_registry.h"
 #include "Proxy/caller_request.h"
+#include "Proxy/mesh_state.h"
 #include "Proxy/quota_asker.h"
 #include "Proxy/quota_gate.h"
 
@@ -66,6 +67,14 @@
   co_return *wait->value;
 }
 
+ProgressDecision CallerRequest::CheckShareRefusals() {
+  if (this->workspace == nullptr) {
+    return {};
+  }
+  return this->progress->HandleShareRefusals(
+      this->context.state.CountShareRefusals(GetNow(), this->service, this->GetWork()));
+}
+
 Awaitable<bool> CallerRequest::TakeQuota() {
   if (this->workspace == nullptr || this->workspace->rate_per_s == 0) {
     co_return true;
