proxy: Answer open requests before a stopping daemon ends

A stopping daemon takes lookups that may last longer than it does, until callers have seen that it stops. One that was still being placed, or at a target, when the daemon ended got no response. Each hop of a request is now limited to 88% of the stop limit, 5 points before the end, and the request ends as not run, or with 502 or 504 if it may have run.

The new case of test_node_stop got no response before the change and passes with it.

--- a/Source/Node/mesh_node.h
+++ b/Source/Node/mesh_node.h
@@ -102,7 +102,8 @@
       return;
     }
     const TimePoint now = GetNow();
-    this->stage.BeginStop(now + kMinDrain, now + this->stop_limit * kEndPercent / 100);
+    this->stage.BeginStop(now + kMinDrain, now + this->stop_limit * kEndPercent / 100,
+                          now + this->stop_limit * kAnswerPercent / 100);
     this->gate.SetLeaving();
     this->sync.Leave();
     EventLog::Write(Event::kStopping, "requests={} connections={}", this->stage.GetRequestCount(),
@@ -140,9 +141,10 @@
   // to see that this daemon is not ready; until then they open new connections.
   static constexpr Duration kMinDrain = std::chrono::milliseconds(2600);
   // Fractions of the stop limit, the time until the process is killed, in percent. Requests that
-  // can be finished are accepted until the first; see DaemonStage::MayTake. The process ends by the
-  // second.
+  // can be finished are accepted until the first; see DaemonStage::MayTake. Open ones are answered
+  // by the second, which leaves time to send the responses. The process ends by the third.
   static constexpr int kAcceptPercent = 48;
+  static constexpr int kAnswerPercent = 88;
   static constexpr int kEndPercent = 93;
   static constexpr std::size_t kMetricsShards = 4;
 
@@ -279,9 +281,8 @@
   bool HasQuotas() const {
     const std::shared_ptr<const RouteIndex> index = this->state.GetIndex();
     return index != nullptr &&
-           std::ranges::any_of(index->GetTable().workspaces, [](const MeshWorkspace& workspace) {
-             return workspace.rate_per_s > 0;
-           });
+           std::ranges::any_of(index->GetTable().workspaces,
+                               [](const MeshWorkspace& given) { return given.rate_per_s > 0; });
   }
 
   void UpdateQuotas() {
@@ -339,7 +340,9 @@
     this->peers->Stop();
     // Connections that were opened before the listeners were closed.
     co_await this->PauseDrain();
-    co_await this->WaitWhileBusy(latest);
+    while (GetNow() < latest && this->stage.GetBusyConnectionCount() > 0) {
+      co_await this->PauseDrain();
+    }
     EventLog::Write(this->stage.GetRequestCount() > 0 ? Event::kDrainLimit : Event::kStopped,
                     "requests={} busy_connections={}", this->stage.GetRequestCount(),
                     this->stage.GetBusyConnectionCount());
@@ -347,12 +350,6 @@
     this->GetControlContext().stop();
   }
 
-  Awaitable<void> WaitWhileBusy(TimePoint latest) {
-    while (GetNow() < latest && this->stage.GetBusyConnectionCount() > 0) {
-      co_await this->PauseDrain();
-    }
-  }
-
   Awaitable<void> PauseDrain() {
     constexpr Duration kCheckInterval = std::chrono::milliseconds(50);
     asio::steady_timer timer(this->GetControlContext(), kCheckInterval);
--- a/Source/Proxy/caller_request.cc
+++ b/Source/Proxy/caller_request.cc
@@ -147,6 +147,9 @@
 
 Awaitable<ProgressDecision> CallerRequest::PlaceOnce() {
   const TimePoint now = GetNow();
+  // Otherwise the end of the daemon would cut a request that waits or is sent from peer to peer.
+  this->facts.deadline = std::min(this->facts.deadline, this->context.stage.GetAnswerBy());
+  this->progress->LimitDeadline(this->facts.deadline);
   if (now >= this->facts.GetEnd()) {
     co_return this->progress->HandleTimeout();
   }
--- a/Source/Proxy/daemon_stage.h
+++ b/Source/Proxy/daemon_stage.h
@@ -12,15 +12,21 @@
 // methods may be called from any thread.
 class DaemonStage {
  public:
-  // `callers_informed` is when callers have seen that the daemon is not ready, and `ends` when it
-  // ends even if requests are open.
-  void BeginStop(TimePoint callers_informed, TimePoint ends) {
+  // `callers_informed` is when callers have seen that the daemon is not ready, `ends` when it ends
+  // even if requests are open, and `answer_by` when requests that are open then have to be answered
+  // so that their callers still get the response.
+  void BeginStop(TimePoint callers_informed, TimePoint ends,
+                 TimePoint answer_by = TimePoint::max()) {
     this->informed_at.store(callers_informed.time_since_epoch());
     this->ends_at.store(ends.time_since_epoch());
+    this->answered_by.store(answer_by.time_since_epoch());
     this->stopping.store(true);
   }
   bool IsStopping() const { return this->stopping.load(); }
 
+  // When open requests have to be answered; far ahead unless the daemon stops.
+  TimePoint GetAnswerBy() const { return TimePoint(this->answered_by.load()); }
+
   // Whether a request is taken that arrives now and ends by that time at the latest. A stopping
   // daemon takes a request if it can finish it. Until callers are informed it also takes requests
   // that may be repeated and are likely to be shorter than their time limit.
@@ -55,6 +61,7 @@
  private:
   std::atomic<Duration> informed_at{Duration{0}};
   std::atomic<Duration> ends_at{Duration{0}};
+  std::atomic<Duration> answered_by{TimePoint::max().time_since_epoch()};
   std::atomic<bool> stopping{false};
   std::atomic<bool> closing{false};
   std::atomic<std::size_t> requests{0};
--- a/Source/Retry/request_progress.h
+++ b/Source/Retry/request_progress.h
@@ -1,6 +1,7 @@
 #ifndef LACEWINGBRIDGE_SOURCE_RETRY_REQUEST_PROGRESS_H_
 #define LACEWINGBRIDGE_SOURCE_RETRY_REQUEST_PROGRESS_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -89,6 +90,10 @@
  public:
   explicit RequestProgress(const RequestFacts& request_facts) : facts(request_facts) {}
 
+  // The request has to end by this time, because this daemon stops.
+  void LimitDeadline(TimePoint limit) {
+    this->facts.deadline = std::min(this->facts.deadline, limit);
+  }
   // Decides whether the request is placed at all. `count` is the number of targets that have just
   // refused other requests of the same workspace because it is beyond its share. They count as if
   // they had refused this request.
--- a/Tests/test_node_stop.cc
+++ b/Tests/test_node_stop.cc
@@ -77,6 +77,24 @@
   cr_assert(HasStatus(received, "503"), "%s", received.c_str());
 }
 
+// A stopping daemon takes lookups that may be longer than its remaining time. Those that were still
+// open when it ended got no response at all.
+Test(stop, a_lookup_that_does_not_finish_before_the_end_is_answered) {
+  FakeMesh<KeepAliveTarget> mesh(
+      0,
+      [](const std::string& request, int) -> TargetReply {
+        std::this_thread::sleep_for(milliseconds(1800));
+        return {MakeResponse(GetId(request))};
+      },
+      MakeResponse("health"));
+  RawClient client(mesh.GetFront().GetSettings().caller_address);
+  mesh.GetFront().Stop();
+  client.Write(MakeGet("/read/1", "X-Id: r1\r\nX-Time-Left-Ms: 3000\r\n"));
+  const std::string received = client.ReadFor(milliseconds(1700));
+  // The target runs it, so the response must not say that it has not run.
+  cr_assert(HasStatus(received, "504") || HasStatus(received, "502"), "%s", received.c_str());
+}
+
 // Whether a request may be repeated follows from its route. A request that may not was handled
 // beside others because of its method, and was cut if a response before it broke off.
 Test(stop, a_request_that_must_not_run_twice_is_passed_on_alone) {
