tests: Share the result of the replays with a hot workspace

The split of test_fair_share had copied the result, its computation and its log line into test_share_fleet. Both use Fakes/share_result.h now; the assertions are unchanged.

--- a/Tests/test_fair_share.cc
+++ b/Tests/test_fair_share.cc
@@ -2,13 +2,12 @@
 // share that changes anything for requests without competing workspaces.
 #include <criterion/criterion.h>
 
-#include <algorithm>
-#include <numeric>
 #include <string>
 #include <vector>
 
 #include "Admission/fair_share.h"
 #include "Admission/target_admission.h"
+#include "Fakes/share_result.h"
 #include "Fakes/target_simulation.h"
 #include "Retry/fleet_retry_budget.h"
 #include "Retry/request_progress.h"
@@ -28,26 +27,10 @@
 // Requests per second of a workspace, so that 1.3 times the room is asked with a hot workspace.
 constexpr double kUsualRate = 1.3 * kSlots * 10 / (kWorkspaces - 1 + kHotFactor);
 
-struct ShareResult {
-  double others = 0;  // served share of the other workspaces, mean
-  double worst_tenth = 0;
-  double least = 0;
-  double hot = 0;   // requests of the hot workspace served, in those of a mean other workspace
-  double room = 0;  // share of the slots' time in use
-};
-
 double GetServedShare(const SimulationResult& result) {
   return static_cast<double>(result.on_time + result.late) / result.arrived;
 }
 
-void SetShares(std::vector<double> shares, ShareResult& share) {
-  std::sort(shares.begin(), shares.end());
-  share.others = std::accumulate(shares.begin(), shares.end(), 0.0) / shares.size();
-  const std::size_t tenth = std::max<std::size_t>(shares.size() / 10, 1);
-  share.worst_tenth = std::accumulate(shares.begin(), shares.begin() + tenth, 0.0) / tenth;
-  share.least = shares.front();
-}
-
 // The last workspace sends the given multiple of its usual load. The arrivals of the others are the
 // same for each multiple.
 ShareResult Replay(double factor, bool with_workspaces, std::uint64_t seed) {
@@ -74,11 +57,6 @@
   return share;
 }
 
-void Print(const char* name, const ShareResult& share) {
-  cr_log_info("%s: others %.3f, worst tenth %.3f, least %.3f, hot %.2f, room %.3f", name,
-              share.others, share.worst_tenth, share.least, share.hot, share.room);
-}
-
 TimePoint At(int ms) { return TimePoint(milliseconds(ms)); }
 
 }  // namespace
--- a/Tests/test_share_fleet.cc
+++ b/Tests/test_share_fleet.cc
@@ -3,10 +3,10 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
-#include <numeric>
 #include <vector>
 
 #include "Fakes/fleet_simulation.h"
+#include "Fakes/share_result.h"
 
 using namespace lacewingbridge;  // NOLINT(google-build-using-namespace)
 using std::chrono::milliseconds;
@@ -18,27 +18,6 @@
 constexpr int kWorkspaces = 83;
 constexpr double kHotFactor = 6.5;
 
-struct ShareResult {
-  double others = 0;  // served share of the other workspaces, mean
-  double worst_tenth = 0;
-  double least = 0;
-  double hot = 0;   // requests of the hot workspace served, in those of a mean other workspace
-  double room = 0;  // share of the slots' time in use
-};
-
-void SetShares(std::vector<double> shares, ShareResult& share) {
-  std::sort(shares.begin(), shares.end());
-  share.others = std::accumulate(shares.begin(), shares.end(), 0.0) / shares.size();
-  const std::size_t tenth = std::max<std::size_t>(shares.size() / 10, 1);
-  share.worst_tenth = std::accumulate(shares.begin(), shares.begin() + tenth, 0.0) / tenth;
-  share.least = shares.front();
-}
-
-void Print(const char* name, const ShareResult& share) {
-  cr_log_info("%s: others %.3f, worst tenth %.3f, least %.3f, hot %.2f, room %.3f", name,
-              share.others, share.worst_tenth, share.least, share.hot, share.room);
-}
-
 struct FleetShareResult : ShareResult {
   // Of the hot workspace.
   double hops_per_refusal = 0;
