--- a/review/support/stand_ins.h
+++ b/review/support/stand_ins.h
@@ -157,6 +157,11 @@
   // Ends as by a crash: the listener is closed, connections are reset, heartbeats stop. Must not be
   // called by a run.
   void Crash();
+  // Says that it leaves: announces itself as draining, and is no longer healthy. Returns whether
+  // the daemon acknowledged it.
+  bool Drain();
+  // Body of the call that it has left.
+  std::string MakeLeave() const { return "{\"born\":" + std::to_string(this->born) + "}"; }
   // Whether its connections are open.
   bool IsUp() const { return this->server != nullptr && this->server->IsRunning(); }
   const std::string& GetId() const { return this->id; }
@@ -167,6 +172,8 @@
  private:
   bool Handle(Stream& stream, const Message& request);
   void Announce();
+  // Sends one heartbeat; returns whether it was acknowledged.
+  bool Beat();
   std::string GetLoad() const;
 
   const Machine machine;
@@ -176,7 +183,10 @@
   std::string id;
   std::int64_t born = 0;
   std::atomic<bool> up{false};
+  std::atomic<bool> draining{false};
   std::atomic<int> running{0};
+  std::mutex beat_mutex;
+  std::uint64_t sequence = 0;
   std::unique_ptr<Server> server;
   std::thread announcer;
 };
@@ -207,6 +217,9 @@
 // deadline.
 Answer Send(const Machine& machine, const ClientRequest& request);
 
+// Sends a call to the daemon's address for heartbeats. Returns the status of its answer, or 0.
+int CallControl(const Machine& machine, const std::string& target, const std::string& body);
+
 // Loopback addresses that no other process uses: one for each number.
 class AddressPlan {
  public:
--- a/review/support/traffic.cc
+++ b/review/support/traffic.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr Milliseconds kHeartbeatInterval{1500};
+// After a heartbeat that was not acknowledged.
+constexpr Milliseconds kResendPause{200};
 
 std::atomic<int> last_id{0};
 
@@ -54,6 +56,8 @@
   this->born =
       std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch())
           .count();
+  this->draining = false;
+  this->sequence = 0;
   this->server = std::make_unique<Server>(
       this->machine.GetTarget(),
       [this](Stream& stream, Message& request) { return this->Handle(stream, request); });
@@ -79,34 +83,49 @@
          std::to_string(this->slots);
 }
 
+int CallControl(const Machine& machine, const std::string& target, const std::string& body) {
+  const int connection = Connect(machine.GetControl(), Milliseconds(300));
+  if (connection < 0) {
+    return 0;
+  }
+  Stream stream(connection);
+  Message call;
+  call.start = "POST " + target + " HTTP/1.1";
+  call.fields = {{"Host", machine.GetControl().GetText()}, {"Content-Type", "application/json"}};
+  call.body = body;
+  Message answer;
+  stream.Write(call.Serialize());
+  const ReadEnd end = stream.Read(answer, true, Clock::now() + std::chrono::seconds(1));
+  return end == ReadEnd::kWhole ? answer.GetStatus() : 0;
+}
+
+bool Upstream::Beat() {
+  const std::lock_guard guard(this->beat_mutex);
+  const std::string body =
+      "{\"address\":\"" + this->machine.GetTarget().GetText() +
+      "\",\"born\":" + std::to_string(this->born) + ",\"info\":{\"service\":\"" +
+      this->machine.service + "\",\"version\":\"v1\",\"zone\":\"" + this->machine.zone +
+      "\",\"slots\":" + std::to_string(this->slots) + "},\"status\":{\"state\":\"" +
+      (this->draining ? "draining" : "ready") +
+      "\",\"sequence\":" + std::to_string(++this->sequence) + ",\"cold_remaining\":\"0ms\"}}";
+  const int status =
+      CallControl(this->machine, "/-/rpc?call=instances.heartbeat&of=" + this->id, body);
+  return status >= 200 && status < 300;
+}
+
+bool Upstream::Drain() {
+  this->draining = true;
+  return this->Beat();
+}
+
 void Upstream::Announce() {
-  std::uint64_t sequence = 0;
   TimePoint next = Clock::now();
   while (this->up) {
     if (Clock::now() < next) {
       std::this_thread::sleep_for(Milliseconds(20));
       continue;
     }
-    next = Clock::now() + kHeartbeatInterval;
-    const int connection = Connect(this->machine.GetControl(), Milliseconds(300));
-    if (connection < 0) {
-      next = Clock::now() + Milliseconds(200);
-      continue;
-    }
-    Stream stream(connection);
-    Message call;
-    call.start = "POST /-/rpc?call=instances.heartbeat&of=" + this->id + " HTTP/1.1";
-    call.fields = {{"Host", this->machine.GetControl().GetText()},
-                   {"Content-Type", "application/json"}};
-    call.body = "{\"address\":\"" + this->machine.GetTarget().GetText() +
-                "\",\"born\":" + std::to_string(this->born) + ",\"info\":{\"service\":\"" +
-                this->machine.service + "\",\"version\":\"v1\",\"zone\":\"" + this->machine.zone +
-                "\",\"slots\":" + std::to_string(this->slots) +
-                "},\"status\":{\"state\":\"ready\",\"sequence\":" + std::to_string(++sequence) +
-                ",\"cold_remaining\":\"0ms\"}}";
-    Message answer;
-    stream.Write(call.Serialize());
-    stream.Read(answer, true, Clock::now() + std::chrono::seconds(1));
+    next = Clock::now() + (this->Beat() ? kHeartbeatInterval : kResendPause);
   }
 }
 
@@ -123,7 +142,7 @@
 bool Upstream::Handle(Stream& stream, const Message& request) {
   Message answer;
   if (request.GetTarget() == "/healthz") {
-    answer.start = "HTTP/1.1 200 OK";
+    answer.start = this->draining ? "HTTP/1.1 503 Service Unavailable" : "HTTP/1.1 200 OK";
     answer.fields = {{"Lacewingbridge-Instance-Id", this->id},
                      {"Lacewingbridge-Server-Load", this->GetLoad()}};
     return stream.Write(answer.Serialize());
