--- a/Source/Proxy/peer_request.cc
+++ b/Source/Proxy/peer_request.cc
@@ -346,9 +346,8 @@
       Event::kTargetHopEnded,
       "request={} sender={} target={} workspace={} outcome={} reason={} status={} priority={} "
       "running={} waiting={} slots={} work_class={} class_time_ms={} service_time_ms={} "
-      "waited_ms={} "
-      "predicted_ms={} objective_ms={} link_wait_ms={} work_percent={} share_wait_ms={} "
-      "after_ms={}",
+      "waited_ms={} predicted_ms={} objective_ms={} link_wait_ms={} work_percent={} "
+      "share_wait_ms={} after_ms={}",
       this->request_id, this->hop.sender, report.target_id,
       this->hop.workspace.empty() ? "none" : this->hop.workspace, GetName(report.outcome),
       report.reason, status, this->hop.priority, report.running, report.waiting, report.slots,
